--- /dev/null
+++ b/crates/masticfall-core/src/config.rs
@@ -0,0 +1,16 @@
+//! The fleet configuration: one INI document per revision.
+//!
+//! The document is the only source; the model is read from it and checked as a
+//! whole, so that an operator sees every fault at once.
+
+pub mod document;
+pub mod model;
+pub mod read;
+pub mod suggest;
+
+pub use document::{Document, Fault};
+pub use model::{
+    DataCentreConfig, FleetConfig, KeyConfig, OperatorConfig, PoolConfig, QueueClass, QueueConfig,
+    Role, ServiceConfig, TeamConfig, Weighting, WhenIsolated,
+};
+pub use read::read_fleet;
--- /dev/null
+++ b/crates/masticfall-core/src/guard.rs
@@ -0,0 +1,140 @@
+//! When a process may use its units, and when a silent one's may be taken back.
+//!
+//! Elastic units are usable under the platform lease alone. Base units have to
+//! stay usable in a data centre that is cut off, and still come back when a
+//! process dies. Absence from the platform's list does not tell the two cases
+//! apart, so the members of a data centre give each other leases:
+//!
+//! - With every renewal a process publishes its *members*: the other processes
+//!   of its data centre that it knows. Only these may reclaim its base units.
+//! - A member acknowledges heartbeats. Each acknowledgement is a promise not to
+//!   reclaim for a lease length after it was sent.
+//! - The process uses its base units while its platform lease holds, or while
+//!   *every* published member has acknowledged within a lease length.
+//! - A member reclaims only after the platform row stood still *and* its own
+//!   last promise ran out, plus the longest deadline of a dispatched request.
+//!
+//! A whole data centre that is cut off hears itself and serves on. A single
+//! survivor is not acknowledged by the members that died, and stops after one
+//! lease length; an operator can confirm that they are gone. A process that
+//! never had members serves on, since nobody may reclaim from it.
+
+use indexmap::{IndexMap, IndexSet};
+
+use crate::escrow::Units;
+use crate::id::Incarnation;
+use crate::lease::{HeldLease, LEASE_MS, ObservedLease, observer_length_ms};
+
+/// The guard of a process's own units.
+#[derive(Debug, Clone)]
+pub struct SelfGuard {
+    platform: HeldLease,
+    members: IndexMap<Incarnation, HeldLease>,
+}
+
+impl Default for SelfGuard {
+    fn default() -> Self {
+        Self { platform: HeldLease::new(LEASE_MS), members: IndexMap::new() }
+    }
+}
+
+impl SelfGuard {
+    /// Records a renewal that published `members`, was sent at `sent_ms` and
+    /// confirmed at `now_ms`.
+    ///
+    /// Returns `false` when the lease had lapsed in between: elastic units may
+    /// have been reclaimed, and the rows must be read before they are used.
+    pub fn renewed(&mut self, members: &IndexSet<Incarnation>, sent_ms: u64, now_ms: u64) -> bool {
+        let unbroken = self.platform.is_held(now_ms);
+        self.platform.renewed(sent_ms);
+        let mut kept = IndexMap::new();
+        for member in members {
+            let lease = self.members.get(member).copied();
+            kept.insert(member.clone(), lease.unwrap_or(HeldLease::new(LEASE_MS)));
+        }
+        self.members = kept;
+        unbroken
+    }
+
+    /// Records a renewal whose outcome is not known: it may have published `members`.
+    pub fn renewal_unknown(&mut self, members: &IndexSet<Incarnation>) {
+        for member in members {
+            self.members.entry(member.clone()).or_insert(HeldLease::new(LEASE_MS));
+        }
+    }
+
+    /// Records a member's acknowledgement of a heartbeat that was sent at `sent_ms`.
+    pub fn acknowledged(&mut self, member: &Incarnation, sent_ms: u64) {
+        if let Some(lease) = self.members.get_mut(member) {
+            lease.renewed(sent_ms);
+        }
+    }
+
+    /// Records an operator's word that a member is gone for good.
+    pub fn confirm_gone(&mut self, member: &Incarnation) {
+        self.members.shift_remove(member);
+    }
+
+    /// Tells whether any renewal was confirmed so far.
+    pub fn was_renewed(&self) -> bool {
+        self.platform.was_renewed()
+    }
+
+    /// Tells whether the platform lease holds.
+    pub fn elastic_usable(&self, now_ms: u64) -> bool {
+        self.platform.is_held(now_ms)
+    }
+
+    /// Tells whether base units may be used.
+    pub fn base_usable(&self, now_ms: u64) -> bool {
+        self.platform.is_held(now_ms) || self.members.values().all(|lease| lease.is_held(now_ms))
+    }
+
+    /// Returns how many of `units` may be in use at `now_ms`.
+    pub fn usable(&self, units: Units, now_ms: u64) -> u32 {
+        if self.elastic_usable(now_ms) {
+            return units.total();
+        }
+        if self.base_usable(now_ms) { units.base } else { 0 }
+    }
+}
+
+/// What a process knows of another whose units it may want to reclaim.
+#[derive(Debug, Clone)]
+pub struct PeerGuard {
+    /// The peer's lease row.
+    pub row: ObservedLease,
+    /// The members that the row names.
+    pub members: IndexSet<Incarnation>,
+    /// When this process last sent the peer an acknowledgement, in milliseconds.
+    pub promised_ms: Option<u64>,
+}
+
+/// What may be taken back from a silent peer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reclaim {
+    /// Nothing yet.
+    Nothing,
+    /// The elastic part.
+    Elastic,
+    /// All units.
+    All,
+}
+
+impl PeerGuard {
+    /// Decides what `me` may take back from the peer at `now_ms`.
+    ///
+    /// `max_deadline_ms` is the longest time for which a request that the peer
+    /// dispatched can still run.
+    pub fn reclaimable(&self, me: &Incarnation, max_deadline_ms: u64, now_ms: u64) -> Reclaim {
+        let settle_ms = observer_length_ms(LEASE_MS) + max_deadline_ms;
+        if now_ms < self.row.changed_ms + settle_ms {
+            return Reclaim::Nothing;
+        }
+        let promise_over = self.promised_ms.is_none_or(|at| now_ms >= at + settle_ms);
+        if self.members.contains(me) && promise_over {
+            return Reclaim::All;
+        }
+        Reclaim::Elastic
+    }
+}
--- /dev/null
+++ b/crates/masticfall-core/src/routing.rs
@@ -0,0 +1,189 @@
+//! Routing: targets with bounded slots, choice of the less loaded of two,
+//! ejection of failing targets, and the retry budget.
+
+use indexmap::IndexMap;
+
+use crate::id::InstanceName;
+
+/// Consecutive failures after which a target is ejected.
+pub const EJECT_AFTER_FAILURES: u32 = 5;
+
+/// Time for which a target is ejected before it is probed, in milliseconds.
+pub const EJECTION_MS: u64 = 5_000;
+
+/// Largest part of a pool's targets that may be ejected at once, in percent.
+pub const MAX_EJECTED_PERCENT: usize = 34;
+
+/// One target as a router sees it.
+#[derive(Debug, Clone, Default)]
+pub struct Target {
+    /// Slots this process may use.
+    pub slots: u32,
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Failures since the last success.
+    pub failures_in_a_row: u32,
+    /// Until when the target is ejected, on the process's clock in milliseconds.
+    pub ejected_until_ms: Option<u64>,
+    /// Whether the target takes no new work.
+    pub leaving: bool,
+}
+
+impl Target {
+    fn has_room(&self) -> bool {
+        !self.leaving && self.in_flight < self.slots
+    }
+
+    fn is_ejected(&self, now_ms: u64) -> bool {
+        self.ejected_until_ms.is_some_and(|until| now_ms < until)
+    }
+}
+
+/// How a request to a target ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// The target answered.
+    Success,
+    /// The target failed to answer, or answered with a server error.
+    Failure,
+    /// The caller went away; this says nothing about the target.
+    Neutral,
+}
+
+/// The targets of one service in one data centre.
+#[derive(Debug, Clone, Default)]
+pub struct TargetTable {
+    targets: IndexMap<InstanceName, Target>,
+}
+
+impl TargetTable {
+    /// Returns the targets.
+    pub fn targets(&self) -> &IndexMap<InstanceName, Target> {
+        &self.targets
+    }
+
+    /// Returns one target for a change, adding it when it is new.
+    pub fn entry(&mut self, name: &InstanceName) -> &mut Target {
+        self.targets.entry(name.clone()).or_default()
+    }
+
+    /// Keeps the targets that are listed or have requests in flight.
+    pub fn retain_listed(&mut self, listed: impl Fn(&InstanceName) -> bool) {
+        for (name, target) in &mut self.targets {
+            target.leaving |= !listed(name);
+        }
+        self.targets.retain(|name, target| listed(name) || target.in_flight > 0);
+    }
+
+    /// Returns the free slots over all targets that take work.
+    pub fn free_slots(&self) -> u32 {
+        let usable = self.targets.values().filter(|target| target.has_room());
+        usable.map(|target| target.slots - target.in_flight).sum()
+    }
+
+    /// Returns the slots over all targets that take work.
+    pub fn slots(&self) -> u32 {
+        self.targets.values().filter(|target| !target.leaving).map(|target| target.slots).sum()
+    }
+
+    /// Takes a slot of the less loaded of two targets drawn by `draw`.
+    ///
+    /// `draw(n)` returns a number below `n`. Ejected targets are used only when
+    /// no other has room, so that a bad wave cannot empty the pool.
+    pub fn take(
+        &mut self,
+        now_ms: u64,
+        avoid: Option<&InstanceName>,
+        mut draw: impl FnMut(usize) -> usize,
+    ) -> Option<InstanceName> {
+        let mut usable = self.usable(now_ms, avoid, false);
+        if usable.is_empty() {
+            usable = self.usable(now_ms, avoid, true);
+        }
+        if usable.is_empty() {
+            return None;
+        }
+        let first = usable[draw(usable.len())];
+        let second = usable[draw(usable.len())];
+        let chosen = if self.load(second) < self.load(first) { second } else { first };
+        let (name, target) = self.targets.get_index_mut(chosen)?;
+        target.in_flight += 1;
+        Some(name.clone())
+    }
+
+    fn usable(&self, now_ms: u64, avoid: Option<&InstanceName>, ejected: bool) -> Vec<usize> {
+        let indexed = self.targets.iter().enumerate();
+        indexed
+            .filter(|(_, (name, target))| {
+                target.has_room() && target.is_ejected(now_ms) == ejected && avoid != Some(*name)
+            })
+            .map(|(index, _)| index)
+            .collect()
+    }
+
+    fn load(&self, index: usize) -> f64 {
+        let target = &self.targets[index];
+        f64::from(target.in_flight) / f64::from(target.slots.max(1))
+    }
+
+    /// Gives a slot back and learns from the outcome.
+    pub fn put_back(&mut self, name: &InstanceName, outcome: Outcome, now_ms: u64) {
+        let may_eject = self.may_eject(now_ms);
+        let Some(target) = self.targets.get_mut(name) else {
+            return;
+        };
+        target.in_flight = target.in_flight.saturating_sub(1);
+        match outcome {
+            Outcome::Neutral => {}
+            Outcome::Success => {
+                target.failures_in_a_row = 0;
+                target.ejected_until_ms = None;
+            }
+            Outcome::Failure => {
+                target.failures_in_a_row += 1;
+                if target.failures_in_a_row >= EJECT_AFTER_FAILURES && may_eject {
+                    target.ejected_until_ms = Some(now_ms + EJECTION_MS);
+                }
+            }
+        }
+    }
+
+    fn may_eject(&self, now_ms: u64) -> bool {
+        let ejected = self.targets.values().filter(|target| target.is_ejected(now_ms)).count();
+        (ejected + 1) * 100 <= self.targets.len() * MAX_EJECTED_PERCENT
+    }
+}
+
+/// Retries as a fraction of recent successes.
+#[derive(Debug, Clone, Copy)]
+pub struct RetryBudget {
+    credit: f64,
+}
+
+/// Credit that one request earns.
+const RETRY_CREDIT_PER_REQUEST: f64 = 0.1;
+
+/// Largest credit that is saved up.
+const MAX_RETRY_CREDIT: f64 = 10.0;
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self { credit: MAX_RETRY_CREDIT }
+    }
+}
+
+impl RetryBudget {
+    /// Records a first attempt.
+    pub fn earn(&mut self) {
+        self.credit = (self.credit + RETRY_CREDIT_PER_REQUEST).min(MAX_RETRY_CREDIT);
+    }
+
+    /// Takes the credit for one retry; `false` when there is none.
+    pub fn spend(&mut self) -> bool {
+        if self.credit < 1.0 {
+            return false;
+        }
+        self.credit -= 1.0;
+        true
+    }
+}
--- /dev/null
+++ b/crates/masticfall-core/src/timeline.rs
@@ -0,0 +1,139 @@
+//! The time line: typed events in a bounded ring, ordered by a hybrid logical clock.
+
+use std::collections::VecDeque;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumString};
+
+use crate::id::{Incarnation, Name};
+
+/// Events kept by a process.
+pub const RING_EVENTS: usize = 4_096;
+
+/// A hybrid logical clock's reading.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
+pub struct Stamp {
+    /// Wall clock, in milliseconds since the Unix epoch.
+    pub wall_ms: u64,
+    /// Order among readings with the same wall clock.
+    pub counter: u32,
+}
+
+/// A hybrid logical clock.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct HybridClock {
+    last: Stamp,
+}
+
+impl HybridClock {
+    /// Returns a reading later than all before it.
+    pub fn now(&mut self, wall_ms: u64) -> Stamp {
+        self.last = if wall_ms > self.last.wall_ms {
+            Stamp { wall_ms, counter: 0 }
+        } else {
+            Stamp { wall_ms: self.last.wall_ms, counter: self.last.counter + 1 }
+        };
+        self.last
+    }
+
+    /// Merges a reading received from a peer.
+    pub fn observe(&mut self, stamp: Stamp, wall_ms: u64) {
+        self.last = self.last.max(stamp);
+        self.now(wall_ms);
+    }
+}
+
+/// What happened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Display, EnumString)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+#[expect(missing_docs, reason = "the names say what happened")]
+pub enum EventKind {
+    Started,
+    Leaving,
+    Admitted,
+    Refused,
+    Dispatched,
+    Retried,
+    Answered,
+    GrantChanged,
+    GrantReclaimed,
+    RevisionInForce,
+    KeyWithdrawn,
+    InstanceChanged,
+    JobAccepted,
+    JobPlaced,
+    JobFinished,
+    JobParked,
+    JobCancelled,
+    WaveChanged,
+    LeaseTaken,
+    PlatformLost,
+    PlatformBack,
+}
+
+/// One event.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Event {
+    /// When, in the order of all processes.
+    pub stamp: Stamp,
+    /// The process that recorded it.
+    pub process: Incarnation,
+    /// What happened.
+    pub kind: EventKind,
+    /// To what: `team`, `instance`, `job`, `request` and the like.
+    pub labels: IndexMap<Name, Name>,
+}
+
+/// A bounded ring of events.
+#[derive(Debug)]
+pub struct Timeline {
+    process: Incarnation,
+    clock: HybridClock,
+    events: VecDeque<Event>,
+    capacity: usize,
+    lost: u64,
+}
+
+impl Timeline {
+    /// Makes an empty ring for a process.
+    pub fn new(process: Incarnation, capacity: usize) -> Self {
+        let events = VecDeque::new();
+        Self { process, clock: HybridClock::default(), events, capacity, lost: 0 }
+    }
+
+    /// Returns the clock.
+    pub fn clock(&mut self) -> &mut HybridClock {
+        &mut self.clock
+    }
+
+    /// Records an event; the oldest is dropped and counted when the ring is full.
+    pub fn record(&mut self, wall_ms: u64, kind: EventKind, labels: &[(&str, &str)]) {
+        if self.events.len() == self.capacity {
+            self.events.pop_front();
+            self.lost += 1;
+        }
+        let stamp = self.clock.now(wall_ms);
+        let labels = labels.iter().map(|(key, value)| (Name::from(*key), Name::from(*value)));
+        let process = self.process.clone();
+        self.events.push_back(Event { stamp, process, kind, labels: labels.collect() });
+    }
+
+    /// Returns the events after a reading, oldest first.
+    pub fn since(&self, stamp: Stamp) -> Vec<Event> {
+        self.events.iter().filter(|event| event.stamp > stamp).cloned().collect()
+    }
+
+    /// Returns how many events were dropped.
+    pub fn lost(&self) -> u64 {
+        self.lost
+    }
+}
+
+/// Merges the events of several processes into one order.
+pub fn merge(events: impl Iterator<Item = Vec<Event>>) -> Vec<Event> {
+    let mut all: Vec<Event> = events.flatten().collect();
+    all.sort_by(|a, b| (a.stamp, &a.process).cmp(&(b.stamp, &b.process)));
+    all
+}
--- /dev/null
+++ b/crates/masticfall-entry/src/http.rs
@@ -0,0 +1,140 @@
+//! The HTTP edge: callers' interface, operators' API, health and metrics.
+
+mod admin;
+mod admin_waves;
+mod jobs;
+pub mod problem;
+mod reply;
+mod requests;
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use http::request::Parts;
+use http::{HeaderValue, Method, header};
+use masticfall_core::error::ErrorKind;
+use motore::service::Service;
+use volo_http::body::Body;
+use volo_http::context::ServerContext;
+use volo_http::request::Request;
+use volo_http::response::Response;
+
+use crate::context::Node;
+use crate::refusal::{Refusal, Result};
+use crate::state::Phase;
+
+/// Largest sum of the sizes of a request's headers, in bytes.
+const MAX_HEADER_BYTES: usize = 64 * 1024;
+
+/// The service behind the HTTP port.
+#[derive(Debug, Clone)]
+pub struct Edge {
+    node: Arc<Node>,
+}
+
+impl Edge {
+    /// Serves a node.
+    pub fn new(node: &Arc<Node>) -> Self {
+        Self { node: Arc::clone(node) }
+    }
+}
+
+impl Service<ServerContext, Request> for Edge {
+    type Response = Response;
+    type Error = Infallible;
+
+    async fn call(
+        &self,
+        _: &mut ServerContext,
+        request: Request,
+    ) -> std::result::Result<Response, Infallible> {
+        let (parts, body) = request.into_parts();
+        let mut response = match route(&self.node, &parts, body).await {
+            Ok(response) => response,
+            Err(refusal) => problem::respond(&refusal, None),
+        };
+        if self.node.state().phase >= Phase::Leaving {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        Ok(response)
+    }
+}
+
+async fn route(node: &Arc<Node>, parts: &Parts, body: Body) -> Result<Response> {
+    check_headers(parts)?;
+    let path = parts.uri.path();
+    let segments: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+    match segments.as_slice() {
+        ["v1", "queues", queue, "requests", ..] => requests::handle(node, queue, parts, body).await,
+        ["v1", "queues", queue, "jobs"] => jobs::submit(node, queue, parts, body).await,
+        ["v1", "jobs", rest @ ..] => jobs::handle(node, rest, parts).await,
+        ["admin", "v1", rest @ ..] => admin::handle(node, rest, parts, body).await,
+        ["livez"] => Ok(reply::text("live\n")),
+        ["readyz"] => ready(node),
+        ["metrics"] => metrics(node),
+        _ => Err(Refusal::new(ErrorKind::NotFound, format!("nothing at `{path}`"))),
+    }
+}
+
+fn check_headers(parts: &Parts) -> Result<()> {
+    let sizes = parts.headers.iter().map(|(name, value)| name.as_str().len() + value.len());
+    if sizes.sum::<usize>() > MAX_HEADER_BYTES {
+        return Err(Refusal::new(ErrorKind::TooLarge, "headers are too large"));
+    }
+    Ok(())
+}
+
+fn ready(node: &Arc<Node>) -> Result<Response> {
+    match node.state().phase {
+        Phase::Ready => Ok(reply::text("ready\n")),
+        Phase::Starting => Err(Refusal::new(ErrorKind::NotReady, "no configuration yet")),
+        Phase::Leaving | Phase::Draining => Err(Refusal::new(ErrorKind::NotReady, "leaving")),
+    }
+}
+
+fn metrics(node: &Arc<Node>) -> Result<Response> {
+    use std::sync::atomic::Ordering::Relaxed;
+    node.metrics.platform_writes.set(node.counts.writes.load(Relaxed) as i64);
+    node.metrics.platform_reads.set(node.counts.reads.load(Relaxed) as i64);
+    node.metrics.timeline_lost.set(node.state().timeline.lost() as i64);
+    let text = node.metrics.encode().map_err(|error| {
+        Refusal::new(ErrorKind::NotReady, format!("metrics cannot be encoded: {error}"))
+    })?;
+    let content = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+    Ok(reply::with_type(text, content))
+}
+
+/// Returns the key of an `Authorization: Bearer` header.
+fn bearer(parts: &Parts) -> Option<&str> {
+    let value = parts.headers.get(header::AUTHORIZATION)?.to_str().ok()?;
+    let (scheme, key) = value.split_once(' ')?;
+    scheme.eq_ignore_ascii_case("bearer").then_some(key.trim())
+}
+
+/// Returns a header as text.
+fn header_text<'a>(parts: &'a Parts, name: &str) -> Option<&'a str> {
+    parts.headers.get(name)?.to_str().ok()
+}
+
+fn expect_method(parts: &Parts, method: &Method) -> Result<()> {
+    if parts.method == *method {
+        return Ok(());
+    }
+    let detail = format!("{} is not allowed here; allowed: {method}", parts.method);
+    Err(Refusal::new(ErrorKind::MethodNotAllowed, detail))
+}
+
+/// Reads a whole body up to a bound.
+async fn read_body(node: &Arc<Node>, body: Body) -> Result<bytes::Bytes> {
+    use http_body_util::{BodyExt, LengthLimitError, Limited};
+    let limit = node.settings.max_body_bytes as usize;
+    match Limited::new(body, limit).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => {
+            let detail = format!("the body is larger than {limit} bytes");
+            Err(Refusal::new(ErrorKind::TooLarge, detail))
+        }
+        Err(error) => Err(Refusal::new(ErrorKind::BadRequest, error.to_string())),
+    }
+}
--- /dev/null
+++ b/crates/masticfall-entry/src/http/admin.rs
@@ -0,0 +1,307 @@
+//! The operators' API under `/admin/v1/`.
+
+use std::sync::Arc;
+
+use http::request::Parts;
+use http::{HeaderValue, Method, StatusCode, header};
+use indexmap::IndexMap;
+use masticfall_core::config::{Role, read_fleet};
+use masticfall_core::error::ErrorKind;
+use masticfall_core::id::{
+    DataCentre, Incarnation, InstanceName, KeyId, Name, PoolName, Revision, TeamName,
+};
+use masticfall_core::instance::InstanceRow;
+use masticfall_core::timeline::{Event, Stamp};
+use masticfall_wire::rows::{CONFIG_PREFIX, ConfigRow, INSTANCE_PREFIX};
+use serde::{Deserialize, Serialize};
+use volo_http::body::Body;
+use volo_http::response::Response;
+
+use super::{admin_waves, bearer, expect_method, header_text, read_body, reply};
+use crate::context::Node;
+use crate::membership::is_live;
+use crate::ops::{apply_config, give_key, move_instance, withdraw_key};
+use crate::reclaim;
+use crate::refusal::{Refusal, Result};
+
+/// An authenticated operator.
+#[derive(Debug, Clone)]
+pub struct Operator {
+    /// Name.
+    pub name: Name,
+    role: Role,
+}
+
+impl Operator {
+    /// Requires the role that changes.
+    ///
+    /// # Errors
+    /// [`ErrorKind::Forbidden`] for an operator who may only read.
+    pub fn may_change(&self) -> Result<()> {
+        match self.role {
+            Role::Change => Ok(()),
+            Role::Read => Err(Refusal::new(ErrorKind::Forbidden, "this key may only read")),
+        }
+    }
+}
+
+/// Routes a request of an operator.
+pub async fn handle(
+    node: &Arc<Node>,
+    rest: &[&str],
+    parts: &Parts,
+    body: Body,
+) -> Result<Response> {
+    let operator = authenticate(node, parts)?;
+    if parts.method != Method::GET {
+        operator.may_change()?;
+    }
+    match rest {
+        ["config"] => config(node, &operator, parts, body).await,
+        ["config", "check"] => check(node, body).await,
+        ["config", "history"] => history(node).await,
+        ["keys"] => give(node, &operator, parts, body).await,
+        ["keys", id] => withdraw(node, &operator, parts, id),
+        ["members"] => members(node),
+        ["members", id, "gone"] => gone(node, parts, id).await,
+        ["instances"] => instances(node).await,
+        ["instances", name, "move"] => move_to(node, parts, name, body).await,
+        ["waves", rest @ ..] => admin_waves::handle(node, &operator, rest, parts, body).await,
+        ["timeline"] => timeline(node, parts),
+        _ => Err(Refusal::new(ErrorKind::NotFound, "no such resource")),
+    }
+}
+
+/// Before any configuration there are no operators: the first one is applied
+/// with the peers' secret.
+fn authenticate(node: &Arc<Node>, parts: &Parts) -> Result<Operator> {
+    use subtle::ConstantTimeEq;
+    let denied = || Refusal::new(ErrorKind::Unauthorized, "an operator's key is needed");
+    let key = bearer(parts).ok_or_else(denied)?;
+    let config = node.state().config.clone();
+    let Some(config) = config else {
+        let secret = node.settings.peer_secret.as_bytes();
+        let is_secret: bool = key.as_bytes().ct_eq(secret).into();
+        let name = Name::from("bootstrap");
+        return is_secret.then_some(Operator { name, role: Role::Change }).ok_or_else(denied);
+    };
+    let (name, role) = config.operator_of(key).ok_or_else(denied)?;
+    Ok(Operator { name: Arc::clone(name), role })
+}
+
+/// Parses a JSON body.
+pub async fn read_json<T: for<'de> Deserialize<'de>>(node: &Arc<Node>, body: Body) -> Result<T> {
+    let bytes = read_body(node, body).await?;
+    serde_json::from_slice(&bytes)
+        .map_err(|error| Refusal::new(ErrorKind::BadRequest, error.to_string()))
+}
+
+async fn config(
+    node: &Arc<Node>,
+    operator: &Operator,
+    parts: &Parts,
+    body: Body,
+) -> Result<Response> {
+    if parts.method == Method::GET {
+        let row = node.state().config_row.clone();
+        let row = row.ok_or_else(|| Refusal::new(ErrorKind::NotFound, "no configuration yet"))?;
+        let mut response = reply::text(row.text.to_string());
+        set_etag(&mut response, row.revision);
+        return Ok(response);
+    }
+    expect_method(parts, &Method::PUT)?;
+    let expected = expected_revision(parts)?;
+    let bytes = read_body(node, body).await?;
+    let text = String::from_utf8(bytes.to_vec())
+        .map_err(|error| Refusal::new(ErrorKind::BadRequest, error.to_string()))?;
+    let apply = apply_config::ApplyConfig {
+        expected,
+        text: Name::from(text),
+        by: Arc::clone(&operator.name),
+        note: Name::from(header_text(parts, "masticfall-note").unwrap_or_default()),
+    };
+    let revision = apply_config::run(node, apply).await?;
+    let mut response = reply::json(StatusCode::OK, &serde_json::json!({ "revision": revision }))?;
+    set_etag(&mut response, revision);
+    Ok(response)
+}
+
+fn set_etag(response: &mut Response, revision: Revision) {
+    if let Ok(tag) = HeaderValue::from_str(&format!("\"{revision}\"")) {
+        response.headers_mut().insert(header::ETAG, tag);
+    }
+}
+
+fn expected_revision(parts: &Parts) -> Result<Revision> {
+    let Some(tag) = header_text(parts, "if-match") else {
+        let detail = "If-Match with the revision that was changed is required";
+        return Err(Refusal::new(ErrorKind::PreconditionRequired, detail));
+    };
+    let number = tag.trim_matches('"').parse();
+    number.map(Revision).map_err(|error| {
+        Refusal::new(ErrorKind::BadRequest, format!("`{tag}` is no revision: {error}"))
+    })
+}
+
+async fn check(node: &Arc<Node>, body: Body) -> Result<Response> {
+    let bytes = read_body(node, body).await?;
+    let text = String::from_utf8_lossy(&bytes);
+    match read_fleet(&text) {
+        Ok(_) => Ok(reply::text("ok\n")),
+        Err(faults) => Err(Refusal::new(ErrorKind::InvalidConfig, apply_config::describe(&faults))),
+    }
+}
+
+async fn history(node: &Arc<Node>) -> Result<Response> {
+    let rows = (node.platform.tables.scan)(CONFIG_PREFIX.to_string()).await?;
+    let mut history = Vec::new();
+    for row in rows {
+        let ConfigRow { revision, by, wall_ms, note, .. } = row.decode()?;
+        history.push(serde_json::json!({
+            "revision": revision, "by": by, "wall_ms": wall_ms, "note": note,
+        }));
+    }
+    reply::json(StatusCode::OK, &history)
+}
+
+#[derive(Debug, Deserialize)]
+struct GiveKey {
+    team: TeamName,
+}
+
+async fn give(
+    node: &Arc<Node>,
+    operator: &Operator,
+    parts: &Parts,
+    body: Body,
+) -> Result<Response> {
+    if parts.method == Method::GET {
+        return list_keys(node);
+    }
+    expect_method(parts, &Method::POST)?;
+    let give: GiveKey = read_json(node, body).await?;
+    let given = give_key::run(node, give.team, Arc::clone(&operator.name)).await?;
+    let view = serde_json::json!({
+        "id": given.id, "key": given.key, "revision": given.revision,
+    });
+    reply::json(StatusCode::CREATED, &view)
+}
+
+fn list_keys(node: &Arc<Node>) -> Result<Response> {
+    let state = node.state();
+    let config = state.config.clone();
+    let keys = config.iter().flat_map(|config| &config.keys);
+    let listed: Vec<_> = keys
+        .map(|(id, key)| {
+            let withdrawn = state.withdrawals.contains_key(id);
+            serde_json::json!({ "id": id, "team": key.team, "withdrawn": withdrawn })
+        })
+        .collect();
+    drop(state);
+    reply::json(StatusCode::OK, &listed)
+}
+
+fn withdraw(node: &Arc<Node>, operator: &Operator, parts: &Parts, id: &str) -> Result<Response> {
+    expect_method(parts, &Method::DELETE)?;
+    let key = KeyId::from(id);
+    withdraw_key::run(node, &key, Arc::clone(&operator.name))?;
+    reply::json(StatusCode::ACCEPTED, &serde_json::json!({ "withdrawn": key }))
+}
+
+/// What one entry process has in force, as this one knows.
+#[derive(Debug, Serialize)]
+struct MemberView {
+    process: Incarnation,
+    data_centre: DataCentre,
+    http: Name,
+    revision: Revision,
+    withdrawals_confirmed: bool,
+    live: bool,
+    leaving: bool,
+}
+
+fn members(node: &Arc<Node>) -> Result<Response> {
+    let now_ms = node.now_ms();
+    let state = node.state();
+    let digest = state.withdrawn_digest();
+    let mut views = vec![MemberView {
+        process: node.who.clone(),
+        data_centre: node.data_centre().clone(),
+        http: Arc::clone(&node.addresses.http),
+        revision: state.revision(),
+        withdrawals_confirmed: true,
+        live: true,
+        leaving: state.phase >= crate::state::Phase::Leaving,
+    }];
+    for (who, member) in &state.members {
+        views.push(MemberView {
+            process: who.clone(),
+            data_centre: member.row.data_centre.clone(),
+            http: Arc::clone(&member.row.http),
+            revision: member.revision,
+            withdrawals_confirmed: member.withdrawn_digest == digest,
+            live: is_live(member, now_ms),
+            leaving: member.row.leaving,
+        });
+    }
+    drop(state);
+    reply::json(StatusCode::OK, &views)
+}
+
+async fn gone(node: &Arc<Node>, parts: &Parts, id: &str) -> Result<Response> {
+    expect_method(parts, &Method::POST)?;
+    if !reclaim::confirm_gone(node, &Incarnation::from(id)).await? {
+        return Err(Refusal::new(ErrorKind::NotFound, format!("no process `{id}`")));
+    }
+    Ok(reply::text("units taken back\n"))
+}
+
+async fn instances(node: &Arc<Node>) -> Result<Response> {
+    let rows = (node.platform.tables.scan)(INSTANCE_PREFIX.to_string()).await?;
+    let mut views: IndexMap<String, InstanceRow> = IndexMap::new();
+    for row in rows {
+        let name = row.key.rsplit('/').next().unwrap_or_default().to_string();
+        views.insert(name, row.decode()?);
+    }
+    reply::json(StatusCode::OK, &views)
+}
+
+#[derive(Debug, Deserialize)]
+struct MoveTo {
+    pool: PoolName,
+}
+
+async fn move_to(node: &Arc<Node>, parts: &Parts, name: &str, body: Body) -> Result<Response> {
+    expect_method(parts, &Method::POST)?;
+    let to: MoveTo = read_json(node, body).await?;
+    move_instance::run(node, &InstanceName::from(name), to.pool).await?;
+    reply::json(StatusCode::ACCEPTED, &serde_json::json!({ "moving": name }))
+}
+
+#[derive(Debug, Serialize)]
+struct TimelineView {
+    process: Incarnation,
+    lost: u64,
+    events: Vec<Event>,
+}
+
+/// `GET timeline?since=WALL_MS`.
+fn timeline(node: &Arc<Node>, parts: &Parts) -> Result<Response> {
+    let query = parts.uri.query().unwrap_or_default();
+    let since = query.split('&').find_map(|pair| pair.strip_prefix("since="));
+    let wall_ms = match since {
+        Some(text) => text.parse().map_err(|error| {
+            let detail = format!("since is a wall clock in milliseconds: {error}");
+            Refusal::new(ErrorKind::BadRequest, detail)
+        })?,
+        None => 0,
+    };
+    let state = node.state();
+    let view = TimelineView {
+        process: node.who.clone(),
+        lost: state.timeline.lost(),
+        events: state.timeline.since(Stamp { wall_ms, counter: 0 }),
+    };
+    drop(state);
+    reply::json(StatusCode::OK, &view)
+}
--- /dev/null
+++ b/crates/masticfall-entry/src/http/requests.rs
@@ -0,0 +1,184 @@
+//! `ANY /v1/queues/{queue}/requests/{path}`: interactive requests.
+
+use std::sync::Arc;
+
+use http::HeaderValue;
+use http::request::Parts;
+use masticfall_core::error::{ErrorKind, RunState};
+use masticfall_core::id::{Name, QueueName};
+use masticfall_core::timeline::EventKind;
+use rand::Rng;
+use tokio::sync::oneshot;
+use volo_http::body::Body;
+use volo_http::response::Response;
+
+use super::{bearer, header_text, problem, read_body};
+use crate::context::Node;
+use crate::dispatch::{self, Admitted, Call, REQUEST_ID, REQUEST_TIMEOUT};
+use crate::metrics::RequestEnd;
+use crate::orders::{self, Order};
+use crate::refusal::{Refusal, Result};
+
+/// Longest request id or idempotency key taken from a caller, in bytes.
+const MAX_ID_BYTES: usize = 128;
+
+/// Handles one request.
+///
+/// # Errors
+/// None that the caller sees: refusals become problem documents here, so that
+/// they carry the request's identifier.
+pub async fn handle(node: &Arc<Node>, queue: &str, parts: &Parts, body: Body) -> Result<Response> {
+    let request_id = request_id(parts);
+    let result = admit_and_run(node, queue, parts, body, &request_id).await;
+    let known = node
+        .state()
+        .config
+        .as_ref()
+        .is_some_and(|config| config.queues.contains_key(&QueueName::from(queue)));
+    let label = if known { queue } else { "-" };
+    let mut response = match result {
+        Ok(response) => {
+            node.metrics.count(label, RequestEnd::Answered);
+            response
+        }
+        Err(refusal) => {
+            node.metrics.count(label, RequestEnd::Failed(refusal.kind));
+            let kind: &'static str = refusal.kind.into();
+            let labels = [("request", &*request_id), ("queue", label), ("kind", kind)];
+            node.record(EventKind::Refused, &labels);
+            problem::respond(&refusal, Some(&request_id))
+        }
+    };
+    if let Ok(id) = HeaderValue::from_str(&request_id) {
+        response.headers_mut().insert(REQUEST_ID, id);
+    }
+    Ok(response)
+}
+
+fn request_id(parts: &Parts) -> Name {
+    let given = header_text(parts, REQUEST_ID.as_str());
+    let valid = |id: &&str| !id.is_empty() && id.len() <= MAX_ID_BYTES;
+    given.filter(valid).map_or_else(
+        || {
+            let number: u128 = rand::rng().random();
+            Name::from(format!("{number:032x}"))
+        },
+        Name::from,
+    )
+}
+
+async fn admit_and_run(
+    node: &Arc<Node>,
+    queue: &str,
+    parts: &Parts,
+    body: Body,
+    request_id: &Name,
+) -> Result<Response> {
+    let mut call = read_call(queue, parts, request_id)?;
+    // The key is judged before the body is read, so that a stranger costs no memory.
+    dispatch::authenticate(&node.state(), &call.queue, call.key.as_deref(), node.now_ms())?;
+    call.body = read_body(node, body).await?;
+    let admitted = dispatch::admit(node, &call).await?;
+    let team = admitted.team.as_ref().map_or("-", |team| team.as_str());
+    let labels = [("request", &**request_id), ("queue", queue), ("team", team)];
+    node.record(EventKind::Admitted, &labels);
+    let idempotency_key = idempotency_key(parts)?;
+    if idempotency_key.is_none() && call.method.is_idempotent() {
+        return dispatch::run(node, &call, admitted).await;
+    }
+    run_apart(node, call, admitted, idempotency_key).await
+}
+
+fn read_call(queue: &str, parts: &Parts, request_id: &Name) -> Result<Call> {
+    let prefix = format!("/v1/queues/{queue}/requests");
+    let full = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let rest = full.strip_prefix(&prefix).unwrap_or("/");
+    let path = if rest.starts_with('/') { rest.to_string() } else { format!("/{rest}") };
+    let timeout_ms = match header_text(parts, REQUEST_TIMEOUT.as_str()) {
+        Some(text) => Some(text.parse().map_err(|error| {
+            let detail = format!("`{text}` is no whole number of milliseconds: {error}");
+            Refusal::new(ErrorKind::BadRequest, detail)
+        })?),
+        None => None,
+    };
+    Ok(Call {
+        request_id: Arc::clone(request_id),
+        queue: QueueName::from(queue),
+        key: bearer(parts).map(str::to_string),
+        method: parts.method.clone(),
+        path,
+        headers: parts.headers.clone(),
+        body: bytes::Bytes::new(),
+        timeout_ms,
+    })
+}
+
+/// Returns the caller's idempotency key.
+///
+/// # Errors
+/// [`ErrorKind::BadRequest`] when it is empty or too long.
+pub fn idempotency_key(parts: &Parts) -> Result<Option<String>> {
+    let Some(key) = header_text(parts, "idempotency-key") else {
+        return Ok(None);
+    };
+    if key.is_empty() || key.len() > MAX_ID_BYTES {
+        let detail = format!("an idempotency key has 1 to {MAX_ID_BYTES} bytes");
+        return Err(Refusal::new(ErrorKind::BadRequest, detail));
+    }
+    Ok(Some(key.to_string()))
+}
+
+/// Runs a request in a task of its own, so that it goes on when its caller hangs up.
+async fn run_apart(
+    node: &Arc<Node>,
+    call: Call,
+    admitted: Admitted,
+    idempotency_key: Option<String>,
+) -> Result<Response> {
+    let (sender, receiver) = oneshot::channel();
+    let node = Arc::clone(node);
+    tokio::spawn(async move {
+        let result = match idempotency_key {
+            Some(key) => run_order(&node, &call, admitted, &key).await,
+            None => dispatch::run(&node, &call, admitted).await,
+        };
+        if let Err(unread) = sender.send(result) {
+            drain(unread).await;
+        }
+    });
+    let lost = || Refusal::new(ErrorKind::AnswerLost, "the request's task ended early");
+    receiver.await.unwrap_or_else(|_| Err(lost()))
+}
+
+/// Reads an answer to its end whose caller hung up, so that the target is not disturbed.
+async fn drain(result: Result<Response>) {
+    use http_body_util::BodyExt;
+    let Ok(response) = result else { return };
+    let mut body = response.into_body();
+    while let Some(Ok(_)) = body.frame().await {}
+}
+
+async fn run_order(
+    node: &Arc<Node>,
+    call: &Call,
+    admitted: Admitted,
+    key: &str,
+) -> Result<Response> {
+    let Some(team) = admitted.team.clone() else {
+        let detail = "an idempotency key needs a team's key";
+        return Err(Refusal::new(ErrorKind::Unauthorized, detail));
+    };
+    let record = match orders::open(node, &team, key, call).await? {
+        Order::Repeated(answer) => return orders::replay(node, answer).await,
+        Order::First(record) => record,
+    };
+    match dispatch::run(node, call, admitted).await {
+        Ok(response) => record.close(node, response).await,
+        Err(refusal) => {
+            if refusal.kind.answer().run == RunState::NotRun {
+                record.discard(node).await;
+            }
+            Err(refusal)
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticfall-entry/src/launch.rs
@@ -0,0 +1,105 @@
+//! Starts an entry process: binds its ports and runs its systems.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use masticfall_core::id::Name;
+use masticfall_core::timeline::EventKind;
+use masticfall_platform::Platform;
+use masticfall_platform::serve::{ServePhase, bind, serve};
+use snafu::{ResultExt, Snafu};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::context::{Addresses, Node};
+use crate::http::Edge;
+use crate::settings::Settings;
+use crate::{grants, membership, peers, planner, shutdown, sync};
+
+/// A failure to start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// A port cannot be bound.
+    #[snafu(display("cannot listen on {address} (setting `{key}`)"))]
+    Bind {
+        /// Setting that names the address.
+        key: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// The system's error.
+        source: std::io::Error,
+    },
+}
+
+/// Result of a start.
+pub type Result<T> = std::result::Result<T, StartError>;
+
+/// An entry process that runs.
+#[derive(Debug)]
+pub struct RunningEntry {
+    /// Its context.
+    pub node: Arc<Node>,
+    serving: watch::Sender<ServePhase>,
+    server: JoinHandle<()>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+/// Starts an entry process on a platform.
+///
+/// # Errors
+/// [`StartError::Bind`] when a port is in use.
+pub async fn start(settings: Settings, platform: Platform) -> Result<RunningEntry> {
+    let http =
+        bind(settings.http).await.context(BindSnafu { key: "http", address: settings.http })?;
+    let peer =
+        bind(settings.peer).await.context(BindSnafu { key: "peer", address: settings.peer })?;
+    let text = |bound: std::io::Result<SocketAddr>, asked: SocketAddr| {
+        Name::from(bound.unwrap_or(asked).to_string())
+    };
+    let addresses = Addresses {
+        http: text(http.local_addr(), settings.http),
+        peer: text(peer.local_addr(), settings.peer),
+    };
+    let node = Node::new(settings, addresses, platform);
+    node.record(EventKind::Started, &[]);
+    let (serving, phase) = watch::channel(ServePhase::Open);
+    let server = serve(http, Edge::new(&node), phase);
+    let tasks = vec![
+        tokio::spawn(membership::run(Arc::clone(&node))),
+        tokio::spawn(sync::run(Arc::clone(&node))),
+        tokio::spawn(grants::run(Arc::clone(&node))),
+        tokio::spawn(peers::run_heartbeats(Arc::clone(&node))),
+        tokio::spawn(planner::run(Arc::clone(&node))),
+        tokio::spawn(peers::accept(Arc::clone(&node), peer)),
+    ];
+    tracing::info!(
+        name: "entry.started",
+        process = %node.who,
+        http = %node.addresses.http,
+        peer = %node.addresses.peer,
+        "entry process started"
+    );
+    Ok(RunningEntry { node, serving, server, tasks })
+}
+
+impl RunningEntry {
+    /// Leaves gracefully and waits for the end.
+    pub async fn stop(self) {
+        shutdown::drain(&self.node, &self.serving).await;
+        for task in &self.tasks {
+            task.abort();
+        }
+        // An error means that the server ended already.
+        drop(self.server.await);
+    }
+
+    /// Ends at once, as a crash would: nothing is handed back.
+    pub fn crash(self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+        self.node.state().phase = crate::state::Phase::Draining;
+        self.serving.send_replace(ServePhase::Drained);
+        self.server.abort();
+    }
+}
--- /dev/null
+++ b/crates/masticfall-entry/src/lib.rs
@@ -0,0 +1,28 @@
+//! The entry process: callers' requests, jobs, peers, planner and operators' API.
+//!
+//! Every entry process is equal. Decisions are made by [`masticfall_core`]
+//! over the tables in [`state`]; the modules here carry out what they decide.
+
+pub mod context;
+pub mod dispatch;
+pub mod grants;
+pub mod guards;
+pub mod http;
+pub mod launch;
+pub mod membership;
+pub mod metrics;
+pub mod ops;
+pub mod orders;
+pub mod peers;
+pub mod planner;
+pub mod reclaim;
+pub mod refusal;
+pub mod settings;
+pub mod shutdown;
+pub mod slots;
+pub mod state;
+pub mod sync;
+
+pub use context::Node;
+pub use launch::{RunningEntry, start};
+pub use settings::Settings;
--- /dev/null
+++ b/crates/masticfall-entry/src/membership.rs
@@ -0,0 +1,183 @@
+//! Membership: each process keeps a lease row and observes those of the others.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexSet;
+use masticfall_core::id::Incarnation;
+use masticfall_core::lease::{LEASE_MS, ObservedLease, RENEWAL_MS};
+use masticfall_core::timeline::EventKind;
+use masticfall_platform::{Commit, Condition, PlatformError, Result, Transaction};
+use masticfall_wire::rows::{MEMBER_PREFIX, MemberRow, member_key};
+
+use crate::context::Node;
+use crate::reclaim;
+use crate::state::{Member, Phase};
+
+/// The version of this process's row, and whether it is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OwnRow {
+    Absent,
+    Version(u64),
+    Unknown,
+}
+
+/// Renews the lease and observes the others until the process drains.
+pub async fn run(node: Arc<Node>) {
+    let mut own = OwnRow::Absent;
+    let mut renewals = 0;
+    loop {
+        renewals += 1;
+        let sent_ms = node.now_ms();
+        let result = step(&node, &mut own, renewals).await;
+        node.note_platform(sent_ms, &result);
+        tokio::time::sleep(Duration::from_millis(RENEWAL_MS)).await;
+        if node.state().phase == Phase::Draining {
+            return;
+        }
+    }
+}
+
+async fn step(node: &Arc<Node>, own: &mut OwnRow, renewals: u64) -> Result<()> {
+    if *own == OwnRow::Unknown {
+        *own = read_back(node).await?;
+    }
+    renew(node, own, renewals).await?;
+    observe(node).await?;
+    reclaim::step(node).await
+}
+
+/// Reads the own row after a write whose outcome is not known.
+async fn read_back(node: &Node) -> Result<OwnRow> {
+    let row = node.platform.tables.get(&member_key(&node.who)).await?;
+    if row.is_none() && node.state().guard.was_renewed() {
+        abandon(node);
+    }
+    Ok(row.map_or(OwnRow::Absent, |row| OwnRow::Version(row.version)))
+}
+
+/// Ends this incarnation: another process took everything it held.
+fn abandon(node: &Node) {
+    tracing::warn!(name: "membership.row.taken", "own lease row was reclaimed");
+    node.state().phase = Phase::Draining;
+}
+
+async fn renew(node: &Arc<Node>, own: &mut OwnRow, renewals: u64) -> Result<()> {
+    let key = member_key(&node.who);
+    let condition = match own {
+        OwnRow::Version(version) => Condition::Version(*version),
+        _ => Condition::Absent,
+    };
+    let row = own_row(node, renewals);
+    let transaction = Transaction::new().check(&key, condition).put(&key, &row)?;
+    let sent_ms = node.now_ms();
+    match (node.platform.tables.transact)(transaction).await {
+        Ok(Commit::Done(version)) => {
+            *own = OwnRow::Version(version);
+            confirm(node, &row.members, sent_ms);
+            Ok(())
+        }
+        Ok(Commit::Conflict(_)) => {
+            abandon(node);
+            Ok(())
+        }
+        Err(error) => {
+            if matches!(error, PlatformError::Unknown { .. }) {
+                *own = OwnRow::Unknown;
+            }
+            node.state().guard.renewal_unknown(&row.members);
+            Err(error)
+        }
+    }
+}
+
+fn own_row(node: &Node, renewals: u64) -> MemberRow {
+    let now_ms = node.now_ms();
+    let state = node.state();
+    let members: IndexSet<Incarnation> =
+        state.live_members(node.data_centre(), now_ms).map(|(who, _)| who.clone()).collect();
+    MemberRow {
+        data_centre: node.data_centre().clone(),
+        http: Arc::clone(&node.addresses.http),
+        peer: Arc::clone(&node.addresses.peer),
+        renewals,
+        members,
+        leaving: state.phase >= Phase::Leaving,
+        revision: state.revision(),
+    }
+}
+
+fn confirm(node: &Node, members: &IndexSet<Incarnation>, sent_ms: u64) {
+    let now_ms = node.now_ms();
+    let mut state = node.state();
+    if !state.guard.renewed(members, sent_ms, now_ms) {
+        // Elastic units may have been reclaimed in between; the next claim reads the rows.
+        for account in state.limits.values_mut() {
+            account.units.elastic = 0;
+        }
+        for account in state.slots.values_mut() {
+            account.units.elastic = 0;
+        }
+    }
+}
+
+/// Reads the rows of all processes.
+async fn observe(node: &Arc<Node>) -> Result<()> {
+    let rows = (node.platform.tables.scan)(MEMBER_PREFIX.to_string()).await?;
+    let now_ms = node.now_ms();
+    let mut seen = IndexSet::new();
+    for row in rows {
+        let who = Incarnation::from(row.key[MEMBER_PREFIX.len()..].to_string());
+        if who == node.who {
+            continue;
+        }
+        let value: MemberRow = row.decode()?;
+        seen.insert(who.clone());
+        update_member(node, who, value, row.version, now_ms);
+    }
+    node.state().members.retain(|who, _| seen.contains(who));
+    node.links.connect_missing(node);
+    Ok(())
+}
+
+fn update_member(node: &Node, who: Incarnation, row: MemberRow, version: u64, now_ms: u64) {
+    let mut state = node.state();
+    let revision = row.revision;
+    if let Some(member) = state.members.get_mut(&who) {
+        if member.lease.version != version {
+            member.reclaiming = false;
+        }
+        member.lease.observe(version, now_ms);
+        member.revision = member.revision.max(revision);
+        member.row = row;
+        return;
+    }
+    let member = Member {
+        row,
+        lease: ObservedLease::new(version, now_ms),
+        heard_ms: None,
+        promised_ms: None,
+        reclaiming: false,
+        revision,
+        withdrawn_digest: 0,
+        quiet: IndexSet::new(),
+    };
+    state.members.insert(who, member);
+}
+
+/// Tells whether a member is live as far as its row and the channel say.
+pub fn is_live(member: &Member, now_ms: u64) -> bool {
+    let heard = member.heard_ms.is_some_and(|at| now_ms < at + LEASE_MS);
+    heard || !member.lease.is_expired(LEASE_MS, now_ms)
+}
+
+/// Deletes the own row at the end of a graceful shutdown.
+///
+/// # Errors
+/// The platform's failure; the row then expires by itself.
+pub async fn leave(node: &Node) -> Result<()> {
+    let transaction = Transaction::new().delete(member_key(&node.who));
+    (node.platform.tables.transact)(transaction).await?;
+    node.record(EventKind::Leaving, &[]);
+    Ok(())
+}
--- /dev/null
+++ b/crates/masticfall-entry/src/metrics.rs
@@ -0,0 +1,123 @@
+//! Metrics in the `OpenMetrics` format.
+
+use masticfall_core::error::ErrorKind;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+/// How a request ended, as a label.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum RequestEnd {
+    /// A target's answer was passed on.
+    Answered,
+    /// An error of this kind was returned.
+    Failed(ErrorKind),
+}
+
+impl EncodeLabelValue for RequestEnd {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> Result<(), std::fmt::Error> {
+        let text: &'static str = match self {
+            Self::Answered => "answered",
+            Self::Failed(kind) => kind.into(),
+        };
+        EncodeLabelValue::encode(&text, encoder)
+    }
+}
+
+/// Labels of the request counter. The queue is a configured name, never a caller's text.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RequestLabels {
+    /// Queue, or `-` when the request named none that exists.
+    pub queue: String,
+    /// How it ended.
+    pub end: RequestEnd,
+}
+
+/// Metrics of a process.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by queue and end.
+    pub requests: Family<RequestLabels, Counter>,
+    /// Retries sent to targets.
+    pub retries: Counter,
+    /// Requests admitted and not answered.
+    pub in_flight: Gauge,
+    /// Rows written on the platform.
+    pub platform_writes: Gauge,
+    /// Reads of the platform.
+    pub platform_reads: Gauge,
+    /// Units of limits held.
+    pub limit_units: Gauge,
+    /// Units held by silent processes.
+    pub stranded_units: Gauge,
+    /// Revision in force.
+    pub revision: Gauge,
+    /// Bytes sent to peers.
+    pub peer_bytes: Counter,
+    /// Messages to peers that were dropped because a channel was full.
+    pub peer_dropped: Counter,
+    /// Events dropped from the time line.
+    pub timeline_lost: Gauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// Makes and registers all metrics.
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("masticfall");
+        let metrics = Self {
+            registry: Registry::default(),
+            requests: Family::default(),
+            retries: Counter::default(),
+            in_flight: Gauge::default(),
+            platform_writes: Gauge::default(),
+            platform_reads: Gauge::default(),
+            limit_units: Gauge::default(),
+            stranded_units: Gauge::default(),
+            revision: Gauge::default(),
+            peer_bytes: Counter::default(),
+            peer_dropped: Counter::default(),
+            timeline_lost: Gauge::default(),
+        };
+        let m = &metrics;
+        registry.register("requests", "Requests by queue and end", m.requests.clone());
+        registry.register("retries", "Retries sent to targets", m.retries.clone());
+        registry.register("requests_in_flight", "Requests not answered yet", m.in_flight.clone());
+        let writes = m.platform_writes.clone();
+        registry.register("platform_rows_written", "Rows written on the platform", writes);
+        registry.register("platform_reads", "Reads of the platform", m.platform_reads.clone());
+        registry.register("limit_units", "Units of team limits held", m.limit_units.clone());
+        let stranded = m.stranded_units.clone();
+        registry.register("stranded_units", "Units held by silent processes", stranded);
+        registry.register("config_revision", "Revision in force", m.revision.clone());
+        registry.register("peer_sent_bytes", "Bytes sent to peers", m.peer_bytes.clone());
+        registry.register("peer_dropped", "Messages to peers dropped", m.peer_dropped.clone());
+        registry.register("timeline_lost", "Events dropped", m.timeline_lost.clone());
+        Self { registry, ..metrics }
+    }
+
+    /// Counts a request that ended.
+    pub fn count(&self, queue: &str, end: RequestEnd) {
+        let labels = RequestLabels { queue: queue.to_string(), end };
+        self.requests.get_or_create(&labels).inc();
+    }
+
+    /// Encodes all metrics as `OpenMetrics` text.
+    ///
+    /// # Errors
+    /// The formatter's error, which a `String` never returns.
+    pub fn encode(&self) -> Result<String, std::fmt::Error> {
+        let mut text = String::new();
+        encode(&mut text, &self.registry)?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/crates/masticfall-entry/src/ops.rs
@@ -0,0 +1,10 @@
+//! What callers and operators can do: one file per action.
+
+pub mod apply_config;
+pub mod cancel_job;
+pub mod give_key;
+pub mod move_instance;
+pub mod show_job;
+pub mod submit_job;
+pub mod waves;
+pub mod withdraw_key;
--- /dev/null
+++ b/crates/masticfall-entry/src/ops/submit_job.rs
@@ -0,0 +1,128 @@
+//! Accepts a job: accepted means that its row is written.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use masticfall_core::config::QueueClass;
+use masticfall_core::error::ErrorKind;
+use masticfall_core::id::{JobId, Name, QueueName, TeamName};
+use masticfall_core::job::{JobRow, JobState, Needs};
+use masticfall_core::placement::can_ever_fit;
+use masticfall_core::timeline::EventKind;
+use masticfall_platform::{Commit, Condition, PlatformError, Transaction};
+use masticfall_wire::rows::{active_job_key, idempotency_key, jobs_head_key};
+use rand::Rng;
+
+use crate::context::{Node, wall_ms};
+use crate::dispatch::authenticate;
+use crate::refusal::{Refusal, Result};
+
+/// A job to hand in.
+#[derive(Debug, Clone)]
+pub struct SubmitJob {
+    /// Queue.
+    pub queue: QueueName,
+    /// Key that came with it.
+    pub key: Option<String>,
+    /// Declared needs.
+    pub needs: Needs,
+    /// Whether it may run again after it may have run.
+    pub idempotent: bool,
+    /// Key under which a repeated hand-in is the same job.
+    pub idempotency_key: Option<String>,
+    /// Payload for the worker.
+    pub payload: Bytes,
+}
+
+/// Accepts a job and returns its identifier.
+///
+/// # Errors
+/// The refusal; [`ErrorKind::PlatformUnknown`] when the row may have been written.
+pub async fn run(node: &Arc<Node>, submit: SubmitJob) -> Result<JobId> {
+    let team = admit(node, &submit)?;
+    let number: u128 = rand::rng().random();
+    let id = JobId::from(format!("{}.{number:032x}", node.data_centre()));
+    let order = submit.idempotency_key.as_ref().map(|key| idempotency_key(&team, key));
+    if let Some(order) = &order
+        && let Some(earlier) = earlier_job(node, order).await?
+    {
+        return Ok(earlier);
+    }
+    let row = JobRow {
+        team: team.clone(),
+        queue: submit.queue,
+        data_centre: node.data_centre().clone(),
+        needs: submit.needs,
+        idempotent: submit.idempotent,
+        payload: Name::from(format!("payload/{id}")),
+        state: JobState::Queued,
+        attempt: 0,
+        worker: None,
+        result: None,
+        failed_on: Vec::new(),
+        reason: None,
+        accepted_wall_ms: wall_ms(),
+    };
+    (node.platform.objects.put)((row.payload.to_string(), submit.payload)).await.map_err(
+        |error| {
+            // Without a row the job does not exist, whatever became of the payload.
+            Refusal::new(ErrorKind::PlatformUnavailable, error.to_string())
+        },
+    )?;
+    let accepted = write(node, &id, &row, order.as_deref()).await?;
+    let labels = [("job", accepted.as_str()), ("team", team.as_str())];
+    node.record(EventKind::JobAccepted, &labels);
+    node.plan_wanted.notify_one();
+    Ok(accepted)
+}
+
+fn admit(node: &Arc<Node>, submit: &SubmitJob) -> Result<TeamName> {
+    let state = node.state();
+    let (config, team) = authenticate(&state, &submit.queue, submit.key.as_deref(), node.now_ms())?;
+    let queue = &config.queues[&submit.queue];
+    let Some(team) = team.filter(|_| queue.class == QueueClass::Long) else {
+        let detail = format!("queue `{}` takes requests, not jobs", submit.queue);
+        return Err(Refusal::new(ErrorKind::BadRequest, detail));
+    };
+    let workers = state.instances.values().map(|(_, row)| row);
+    let pool = queue.pool.as_ref();
+    let facts = workers.filter(|row| Some(&row.pool) == pool).map(|row| &row.facts);
+    if !can_ever_fit(facts, &submit.needs) {
+        let detail = "no worker of the queue's pool is large enough";
+        return Err(Refusal::new(ErrorKind::CannotFit, detail));
+    }
+    Ok(team)
+}
+
+async fn earlier_job(node: &Arc<Node>, order: &str) -> Result<Option<JobId>> {
+    Ok(node.platform.tables.get_as::<JobId>(order).await?.map(|(_, id)| id))
+}
+
+async fn write(node: &Arc<Node>, id: &JobId, row: &JobRow, order: Option<&str>) -> Result<JobId> {
+    let key = active_job_key(node.data_centre(), id);
+    let mut transaction = Transaction::new()
+        .check(&key, Condition::Absent)
+        .put(&key, row)?
+        .put(jobs_head_key(node.data_centre()), id)?;
+    if let Some(order) = order {
+        transaction = transaction.check(order, Condition::Absent).put(order, id)?;
+    }
+    match (node.platform.tables.transact)(transaction).await {
+        Ok(Commit::Done(_)) => Ok(id.clone()),
+        Ok(Commit::Conflict(_)) => {
+            let earlier = match order {
+                Some(order) => earlier_job(node, order).await?,
+                None => None,
+            };
+            earlier.ok_or_else(|| Refusal::new(ErrorKind::Conflict, "the job's row exists already"))
+        }
+        Err(PlatformError::Unknown { reason }) => {
+            // The row tells; when it is not there yet, the write may still land.
+            match node.platform.tables.get(&key).await {
+                Ok(Some(_)) => Ok(id.clone()),
+                _ => Err(Refusal::new(ErrorKind::PlatformUnknown, reason)),
+            }
+        }
+        Err(error) => Err(error.into()),
+    }
+}
--- /dev/null
+++ b/crates/masticfall-entry/src/peers.rs
@@ -0,0 +1,155 @@
+//! Channels between entry processes: CBOR messages over WebSocket.
+//!
+//! Each process dials every other one and sends on the connection it dialled,
+//! so that no answer depends on the order in which two processes started.
+
+mod inbound;
+mod outbound;
+mod react;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use masticfall_core::id::{Incarnation, Name};
+use masticfall_wire::encode;
+use masticfall_wire::peer::{Heartbeat, PeerFrame, PeerMessage};
+use parking_lot::Mutex;
+use tokio::sync::mpsc;
+
+pub use inbound::accept;
+pub use react::quiet_instances;
+
+use crate::context::{Node, wall_ms};
+use crate::state::Phase;
+
+/// Messages that wait for one peer before newer ones are dropped.
+const OUTBOX_MESSAGES: usize = 256;
+
+/// Period of heartbeats within a data centre, in milliseconds.
+pub const NEAR_HEARTBEAT_MS: u64 = 500;
+
+/// Heartbeats within a data centre for each one to another data centre.
+pub const FAR_EVERY: u64 = 4;
+
+/// Largest message, in bytes.
+const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
+
+/// Header that carries the sender's secret.
+const SECRET_HEADER: &str = "masticfall-peer-secret";
+
+/// An encoded message.
+type Encoded = Arc<Vec<u8>>;
+
+/// Channels to all peers, by their peer address.
+#[derive(Debug, Default)]
+pub struct Links {
+    outboxes: Mutex<IndexMap<Name, mpsc::Sender<Encoded>>>,
+}
+
+impl Links {
+    /// Dials the peers that are known and not connected.
+    pub fn connect_missing(&self, node: &Arc<Node>) {
+        let members: Vec<Name> =
+            node.state().members.values().map(|member| Arc::clone(&member.row.peer)).collect();
+        let seeds = node.settings.seed_peers.iter().map(|seed| Name::from(seed.to_string()));
+        let mut outboxes = self.outboxes.lock();
+        outboxes.retain(|_, outbox| !outbox.is_closed());
+        for address in members.into_iter().chain(seeds) {
+            if address == node.addresses.peer || outboxes.contains_key(&address) {
+                continue;
+            }
+            let (sender, receiver) = mpsc::channel(OUTBOX_MESSAGES);
+            tokio::spawn(outbound::run(Arc::clone(node), Arc::clone(&address), receiver));
+            outboxes.insert(address, sender);
+        }
+    }
+
+    /// Sends a message to every peer.
+    pub fn broadcast(&self, node: &Arc<Node>, message: &PeerMessage) {
+        let Some(bytes) = frame(node, message) else {
+            return;
+        };
+        for outbox in self.outboxes.lock().values() {
+            push(node, outbox, &bytes);
+        }
+    }
+
+    /// Sends a message to one peer; nothing happens when it is not known.
+    pub fn send(&self, node: &Arc<Node>, to: &Incarnation, message: &PeerMessage) {
+        let address = node.state().members.get(to).map(|member| Arc::clone(&member.row.peer));
+        let Some(address) = address else { return };
+        let Some(bytes) = frame(node, message) else {
+            return;
+        };
+        if let Some(outbox) = self.outboxes.lock().get(&address) {
+            push(node, outbox, &bytes);
+        }
+    }
+
+    fn send_where(&self, node: &Arc<Node>, message: &PeerMessage, near: bool, far: bool) {
+        let here = node.data_centre();
+        let near_addresses: Vec<Name> = {
+            let state = node.state();
+            let members = state.members.values();
+            let here = members.filter(|member| member.row.data_centre == *here);
+            here.map(|member| Arc::clone(&member.row.peer)).collect()
+        };
+        let Some(bytes) = frame(node, message) else {
+            return;
+        };
+        for (address, outbox) in &*self.outboxes.lock() {
+            if if near_addresses.contains(address) { near } else { far } {
+                push(node, outbox, &bytes);
+            }
+        }
+    }
+}
+
+fn push(node: &Node, outbox: &mpsc::Sender<Encoded>, bytes: &Encoded) {
+    if outbox.try_send(Arc::clone(bytes)).is_ok() {
+        node.metrics.peer_bytes.inc_by(bytes.len() as u64);
+    } else {
+        node.metrics.peer_dropped.inc();
+    }
+}
+
+fn frame(node: &Node, message: &PeerMessage) -> Option<Encoded> {
+    let mut state = node.state();
+    let frame = PeerFrame {
+        from: node.who.clone(),
+        data_centre: node.data_centre().clone(),
+        stamp: state.timeline.clock().now(wall_ms()),
+        revision: state.revision(),
+        message: message.clone(),
+    };
+    drop(state);
+    encode(&frame).ok().map(Arc::new)
+}
+
+/// Sends heartbeats until the process drains.
+pub async fn run_heartbeats(node: Arc<Node>) {
+    let mut beat = 0;
+    loop {
+        node.links.connect_missing(&node);
+        let message = PeerMessage::Heartbeat(heartbeat(&node));
+        node.links.send_where(&node, &message, true, beat % FAR_EVERY == 0);
+        beat += 1;
+        tokio::time::sleep(Duration::from_millis(NEAR_HEARTBEAT_MS)).await;
+        if node.state().phase == Phase::Draining {
+            return;
+        }
+    }
+}
+
+/// Makes the heartbeat; its sequence number is the clock at which it was sent.
+fn heartbeat(node: &Node) -> Heartbeat {
+    let now_ms = node.now_ms();
+    let state = node.state();
+    Heartbeat {
+        sequence: now_ms,
+        withdrawn_digest: state.withdrawn_digest(),
+        quiet: react::quiet_instances(&state),
+        platform: state.reaches_platform(now_ms),
+    }
+}
--- /dev/null
+++ b/crates/masticfall-entry/src/peers/inbound.rs
@@ -0,0 +1,74 @@
+//! The receiving side of channels.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use masticfall_wire::decode;
+use masticfall_wire::peer::PeerFrame;
+use subtle::ConstantTimeEq;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_tungstenite::accept_hdr_async_with_config;
+use tokio_tungstenite::tungstenite::handshake::server::{ErrorResponse, Request, Response};
+use tokio_tungstenite::tungstenite::http::StatusCode;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+
+use super::{MAX_MESSAGE_BYTES, SECRET_HEADER, react};
+use crate::context::Node;
+
+/// Longest handshake, in milliseconds.
+const HANDSHAKE_MS: u64 = 2_000;
+
+/// Longest silence of a peer before its channel is closed, in milliseconds.
+const SILENCE_MS: u64 = 30_000;
+
+/// Accepts channels for the life of the process.
+pub async fn accept(node: Arc<Node>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let node = Arc::clone(&node);
+        tokio::spawn(async move { receive(&node, stream).await });
+    }
+}
+
+#[expect(clippy::result_large_err, reason = "the library's callback has this type")]
+async fn receive(node: &Arc<Node>, stream: TcpStream) {
+    let config = WebSocketConfig::default().max_message_size(Some(MAX_MESSAGE_BYTES));
+    let check = |request: &Request, response: Response| check_secret(node, request, response);
+    let handshake = accept_hdr_async_with_config(stream, check, Some(config));
+    let handshake = tokio::time::timeout(Duration::from_millis(HANDSHAKE_MS), handshake).await;
+    let Ok(Ok(mut channel)) = handshake else {
+        return;
+    };
+    while let Ok(Some(Ok(message))) =
+        tokio::time::timeout(Duration::from_millis(SILENCE_MS), channel.next()).await
+    {
+        if !message.is_binary() {
+            continue;
+        }
+        match decode::<PeerFrame>(&message.into_data()) {
+            Ok(frame) => react::receive(node, frame),
+            Err(error) => {
+                tracing::warn!(name: "peer.message.malformed", error = %error, "message dropped");
+            }
+        }
+    }
+}
+
+#[expect(clippy::result_large_err, reason = "the library's callback has this type")]
+fn check_secret(
+    node: &Node,
+    request: &Request,
+    response: Response,
+) -> Result<Response, ErrorResponse> {
+    let given = request.headers().get(SECRET_HEADER).map(|value| value.as_bytes().to_vec());
+    let expected = node.settings.peer_secret.as_bytes();
+    if given.is_some_and(|given| given.ct_eq(expected).into()) {
+        return Ok(response);
+    }
+    let mut refused = ErrorResponse::new(None);
+    *refused.status_mut() = StatusCode::UNAUTHORIZED;
+    Err(refused)
+}
--- /dev/null
+++ b/crates/masticfall-entry/src/peers/react.rs
@@ -0,0 +1,87 @@
+//! What a process does on a peer's message.
+
+use std::sync::Arc;
+
+use indexmap::IndexSet;
+use masticfall_core::id::{Incarnation, InstanceName};
+use masticfall_core::instance::LifeState;
+use masticfall_wire::peer::{Heartbeat, PeerFrame, PeerMessage};
+
+use crate::context::{Node, wall_ms};
+use crate::state::State;
+use crate::sync;
+
+/// Handles one message.
+pub fn receive(node: &Arc<Node>, frame: PeerFrame) {
+    let behind = hear(node, &frame);
+    let from = frame.from;
+    if behind && !matches!(frame.message, PeerMessage::Config(_)) {
+        node.links.send(node, &from, &PeerMessage::FetchConfig);
+    }
+    match frame.message {
+        PeerMessage::Heartbeat(heartbeat) => on_heartbeat(node, &from, heartbeat),
+        PeerMessage::Acknowledge { sequence } => {
+            node.state().guard.acknowledged(&from, sequence);
+        }
+        PeerMessage::Config(row) => sync::adopt_config(node, row),
+        PeerMessage::Withdrawn(keys) => sync::adopt_withdrawals(node, keys),
+        PeerMessage::FetchConfig => send_config(node, &from),
+    }
+}
+
+/// Notes that a peer was heard; returns whether it has a newer configuration.
+fn hear(node: &Node, frame: &PeerFrame) -> bool {
+    let now_ms = node.now_ms();
+    let mut state = node.state();
+    state.peer_ms = Some(now_ms);
+    state.timeline.clock().observe(frame.stamp, wall_ms());
+    if let Some(member) = state.members.get_mut(&frame.from) {
+        member.heard_ms = Some(now_ms);
+        member.revision = member.revision.max(frame.revision);
+    }
+    frame.revision > state.revision()
+}
+
+fn on_heartbeat(node: &Arc<Node>, from: &Incarnation, heartbeat: Heartbeat) {
+    let now_ms = node.now_ms();
+    let mut state = node.state();
+    let differs = heartbeat.withdrawn_digest != state.withdrawn_digest();
+    let withdrawals = differs.then(|| state.withdrawals.clone());
+    let here = node.data_centre();
+    let Some(member) = state.members.get_mut(from) else {
+        return;
+    };
+    member.withdrawn_digest = heartbeat.withdrawn_digest;
+    member.quiet = heartbeat.quiet;
+    let near = member.row.data_centre == *here && !member.reclaiming;
+    if near {
+        member.promised_ms = Some(now_ms);
+    }
+    drop(state);
+    if near {
+        let sequence = heartbeat.sequence;
+        node.links.send(node, from, &PeerMessage::Acknowledge { sequence });
+    }
+    if let Some(withdrawals) = withdrawals.filter(|keys| !keys.is_empty()) {
+        node.links.send(node, from, &PeerMessage::Withdrawn(withdrawals));
+    }
+}
+
+fn send_config(node: &Arc<Node>, to: &Incarnation) {
+    let row = node.state().config_row.clone();
+    if let Some(row) = row {
+        node.links.send(node, to, &PeerMessage::Config(row));
+    }
+}
+
+/// Returns the leaving instances that this process has nothing in flight to.
+pub fn quiet_instances(state: &State) -> IndexSet<InstanceName> {
+    let leaving = state.instances.iter().filter(|(_, (_, row))| row.state == LifeState::Leaving);
+    let quiet = leaving.filter(|(name, _)| {
+        let busy = state.services.values().any(|service| {
+            service.targets.targets().get(*name).is_some_and(|target| target.in_flight > 0)
+        });
+        !busy
+    });
+    quiet.map(|(name, _)| name.clone()).collect()
+}
--- /dev/null
+++ b/crates/masticfall-entry/src/planner/instances.rs
@@ -0,0 +1,172 @@
+//! Instances through their life: registered, drained, moved, rebooted, returned.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use masticfall_core::id::{Incarnation, InstanceName};
+use masticfall_core::instance::{InstanceKind, InstanceRow, LifeState};
+use masticfall_core::lease::{LEASE_MS, observer_length_ms};
+use masticfall_core::timeline::EventKind;
+use masticfall_platform::{Commit, ListedInstance, Result, Row};
+use masticfall_wire::rows::{instance_key, instances_prefix};
+
+use super::lease::PlannerLease;
+use super::pools::put_instance;
+use crate::context::Node;
+use crate::state::Member;
+
+/// Time after which an instance that did not return from a reboot has failed, in milliseconds.
+const REBOOT_TIMEOUT_MS: u64 = 10 * 60 * 1_000;
+
+/// When this planner first saw each instance rebooting.
+#[derive(Debug, Default)]
+pub struct RebootTable {
+    since_ms: IndexMap<InstanceName, u64>,
+}
+
+impl RebootTable {
+    /// Tells whether an instance did not return in time.
+    pub fn is_overdue(&self, name: &InstanceName, now_ms: u64) -> bool {
+        self.since_ms.get(name).is_some_and(|since| now_ms >= since + REBOOT_TIMEOUT_MS)
+    }
+}
+
+/// Takes every instance of the data centre one step further.
+pub async fn step(node: &Arc<Node>, lease: &PlannerLease, reboots: &mut RebootTable) -> Result<()> {
+    if node.state().config.is_none() {
+        return Ok(());
+    }
+    register(node, lease).await?;
+    let moving: Vec<InstanceName> = {
+        let state = node.state();
+        let moving = state.instances.iter().filter(|(_, (_, row))| !row.takes_work());
+        moving.map(|(name, _)| name.clone()).collect()
+    };
+    let now_ms = node.now_ms();
+    reboots.since_ms.retain(|name, _| moving.contains(name));
+    for name in moving {
+        let state = advance(node, lease, &name).await?;
+        if state == Some(LifeState::Rebooting) {
+            reboots.since_ms.entry(name).or_insert(now_ms);
+        }
+    }
+    Ok(())
+}
+
+/// Writes rows for listed instances that have none or whose facts changed.
+async fn register(node: &Arc<Node>, lease: &PlannerLease) -> Result<()> {
+    let (new, changed): (Vec<ListedInstance>, Vec<ListedInstance>) = {
+        let state = node.state();
+        let listed = || state.listed.values();
+        let known = |entry: &&ListedInstance| state.instances.contains_key(&entry.name);
+        let new = listed().filter(|entry| !known(entry)).cloned().collect();
+        let differs = |entry: &&ListedInstance| {
+            state.instances.get(&entry.name).is_some_and(|(_, row)| row.facts != entry.facts)
+        };
+        (new, listed().filter(differs).cloned().collect())
+    };
+    for entry in new {
+        register_one(node, lease, entry).await?;
+    }
+    for entry in changed {
+        let Some((read, mut row)) = read_instance(node, &entry.name).await? else {
+            continue;
+        };
+        row.facts = entry.facts;
+        write(node, lease, &entry.name, &read, &row).await?;
+    }
+    Ok(())
+}
+
+async fn register_one(node: &Arc<Node>, lease: &PlannerLease, entry: ListedInstance) -> Result<()> {
+    let pool = {
+        let state = node.state();
+        let Some(config) = &state.config else {
+            return Ok(());
+        };
+        let first = config.pools.contains_key(&entry.first_pool).then_some(&entry.first_pool);
+        let Some(pool) = first.or(config.spare_pool.as_ref()) else {
+            return Ok(());
+        };
+        pool.clone()
+    };
+    let row = InstanceRow::joining(entry.facts, pool);
+    let transaction = put_instance(lease.transaction(node)?, &entry.name, None, &row)?;
+    // A conflict means that the row is there and will be read.
+    let _: Commit = (node.platform.tables.transact)(transaction).await?;
+    Ok(())
+}
+
+async fn read_instance(node: &Node, name: &InstanceName) -> Result<Option<(Row, InstanceRow)>> {
+    let key = instance_key(node.data_centre(), name);
+    debug_assert!(key.starts_with(&instances_prefix(node.data_centre())));
+    node.platform.tables.get_as(&key).await
+}
+
+/// Takes one instance a step further; returns its state after it.
+async fn advance(
+    node: &Arc<Node>,
+    lease: &PlannerLease,
+    name: &InstanceName,
+) -> Result<Option<LifeState>> {
+    let Some((read, mut row)) = read_instance(node, name).await? else {
+        return Ok(None);
+    };
+    let boot = node.state().listed.get(name).map(|listed| listed.boot);
+    let allowed = match row.state {
+        LifeState::Leaving => is_quiet(node, name, &row) && row.drained().is_ok(),
+        LifeState::Drained => boot.is_some_and(|boot| row.proceed(boot).is_ok()),
+        LifeState::Rebooting => {
+            if let Some(boot) = row.boot_before {
+                (node.platform.instances.reboot)((name.clone(), boot)).await?;
+            }
+            boot.is_some_and(|boot| row.returned(boot).is_ok())
+        }
+        LifeState::InPool => false,
+    };
+    if allowed {
+        write(node, lease, name, &read, &row).await?;
+    }
+    Ok(Some(row.state))
+}
+
+async fn write(
+    node: &Arc<Node>,
+    lease: &PlannerLease,
+    name: &InstanceName,
+    read: &Row,
+    row: &InstanceRow,
+) -> Result<()> {
+    let transaction = put_instance(lease.transaction(node)?, name, Some(read), row)?;
+    let commit = (node.platform.tables.transact)(transaction).await?;
+    if matches!(commit, Commit::Done(_)) {
+        let text = format!("{} in {}", row.state, row.pool);
+        let labels = [("instance", name.as_str()), ("state", &text)];
+        node.record(EventKind::InstanceChanged, &labels);
+    }
+    Ok(())
+}
+
+/// Tells whether nothing runs on a leaving instance and nothing can start there.
+fn is_quiet(node: &Arc<Node>, name: &InstanceName, row: &InstanceRow) -> bool {
+    if row.facts.kind == InstanceKind::Worker {
+        return !node.state().busy_workers.contains(name);
+    }
+    let now_ms = node.now_ms();
+    let state = node.state();
+    let own = crate::peers::quiet_instances(&state);
+    let here = node.data_centre();
+    let members = || state.members.iter().filter(|(_, member)| member.row.data_centre == *here);
+    let max_deadline_ms = state.config.as_ref().map_or(0, |config| config.max_deadline_ms);
+    let is_quiet = |(_, member): (&Incarnation, &Member)| {
+        member.quiet.contains(name) || has_lapsed(member, max_deadline_ms, now_ms)
+    };
+    own.contains(name) && members().all(is_quiet)
+}
+
+/// Tells whether a silent process has stopped to dispatch, and what it dispatched has ended.
+fn has_lapsed(member: &Member, max_deadline_ms: u64, now_ms: u64) -> bool {
+    let silent_ms = observer_length_ms(LEASE_MS) + max_deadline_ms;
+    let heard_ms = member.heard_ms.unwrap_or(0).max(member.promised_ms.unwrap_or(0));
+    member.lease.is_expired(silent_ms, now_ms) && now_ms >= heard_ms + silent_ms
+}
--- /dev/null
+++ b/crates/masticfall-entry/src/settings.rs
@@ -0,0 +1,94 @@
+//! Settings of one process, read from an INI file.
+
+use std::net::SocketAddr;
+
+use masticfall_core::config::{Document, Fault};
+use masticfall_core::id::{DataCentre, Name};
+
+/// Settings of an entry process.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Data centre of the process.
+    pub data_centre: DataCentre,
+    /// Address for callers and operators.
+    pub http: SocketAddr,
+    /// Address for other entry processes.
+    pub peer: SocketAddr,
+    /// Address of the platform, `ip:port`.
+    pub platform: SocketAddr,
+    /// Secret by which entry processes know each other.
+    pub peer_secret: Name,
+    /// Peers to ask for the configuration while the platform is away.
+    pub seed_peers: Vec<SocketAddr>,
+    /// Time for which a leaving process still takes requests, in milliseconds.
+    pub leave_delay_ms: u64,
+    /// Largest body of a request, in bytes.
+    pub max_body_bytes: u64,
+}
+
+/// Result of reading settings: the settings, or all faults.
+pub type Result<T> = std::result::Result<T, Vec<Fault>>;
+
+/// Shortest peer secret, in characters.
+const MIN_SECRET_CHARS: usize = 16;
+
+const MAX_BODY_BYTES: u64 = 256 * 1024 * 1024;
+const DEFAULT_BODY_BYTES: u64 = 16 * 1024 * 1024;
+
+impl Settings {
+    /// Reads settings from the text of an INI file.
+    ///
+    /// # Errors
+    /// Every fault of the file.
+    pub fn read(text: &str) -> Result<Self> {
+        let mut doc = Document::parse(text).map_err(|fault| vec![fault])?;
+        let settings = Self {
+            data_centre: DataCentre::from(doc.required("entry", "data_centre")),
+            http: address(&mut doc, "http"),
+            peer: address(&mut doc, "peer"),
+            platform: address(&mut doc, "platform"),
+            peer_secret: Name::from(doc.required("entry", "peer_secret")),
+            seed_peers: seeds(&mut doc),
+            leave_delay_ms: doc.number("entry", "leave_delay_ms", 2_000, (0, 60_000)),
+            max_body_bytes: doc.number(
+                "entry",
+                "max_body_bytes",
+                DEFAULT_BODY_BYTES,
+                (1, MAX_BODY_BYTES),
+            ),
+        };
+        if settings.http == settings.peer && settings.http.port() != 0 {
+            doc.fault("entry", "peer", "has to differ from `http`".to_string());
+        }
+        let secret = settings.peer_secret.len();
+        if (1..MIN_SECRET_CHARS).contains(&secret) {
+            let message = format!("has {secret} characters; allowed: {MIN_SECRET_CHARS} or more");
+            doc.fault("entry", "peer_secret", message);
+        }
+        let faults = doc.finish(&[], &["entry"]);
+        if faults.is_empty() { Ok(settings) } else { Err(faults) }
+    }
+}
+
+const ADDRESS_FORM: &str = "an IP number and a port, such as 10.0.0.7:8080";
+
+fn address(doc: &mut Document<'_>, key: &str) -> SocketAddr {
+    let unset = SocketAddr::from(([0, 0, 0, 0], 0));
+    if doc.required("entry", key).is_empty() {
+        return unset;
+    }
+    doc.value("entry", key, unset, ADDRESS_FORM)
+}
+
+fn seeds(doc: &mut Document<'_>) -> Vec<SocketAddr> {
+    let mut addresses = Vec::new();
+    for item in doc.list("entry", "seed_peers") {
+        if let Ok(address) = item.parse() {
+            addresses.push(address);
+        } else {
+            let message = format!("`{item}` is not allowed; allowed: {ADDRESS_FORM}");
+            doc.fault("entry", "seed_peers", message);
+        }
+    }
+    addresses
+}
--- /dev/null
+++ b/crates/masticfall-entry/src/state.rs
@@ -0,0 +1,259 @@
+//! Tables of an entry process.
+
+use std::sync::Arc;
+
+use indexmap::{IndexMap, IndexSet};
+use masticfall_core::config::{FleetConfig, WhenIsolated};
+use masticfall_core::escrow::Account;
+use masticfall_core::guard::SelfGuard;
+use masticfall_core::id::{
+    DataCentre, Incarnation, InstanceName, KeyId, Revision, ServiceName, TeamName,
+};
+use masticfall_core::instance::InstanceRow;
+use masticfall_core::key::KeyTable;
+use masticfall_core::lease::{LEASE_MS, ObservedLease};
+use masticfall_core::routing::{RetryBudget, TargetTable};
+use masticfall_core::share::FairQueue;
+use masticfall_core::timeline::Timeline;
+use masticfall_platform::ListedInstance;
+use masticfall_wire::rows::{ConfigRow, MemberRow, Withdrawal};
+use tokio::sync::oneshot;
+
+/// Where a process is in its life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Has no configuration yet.
+    Starting,
+    /// Serves.
+    Ready,
+    /// Is listed as leaving and serves on for a short time.
+    Leaving,
+    /// Takes nothing new.
+    Draining,
+}
+
+/// Another entry process.
+#[derive(Debug, Clone)]
+pub struct Member {
+    /// Its row as last read.
+    pub row: MemberRow,
+    /// Its lease as observed here.
+    pub lease: ObservedLease,
+    /// When it was last heard over the peers' channel.
+    pub heard_ms: Option<u64>,
+    /// When it was last sent an acknowledgement.
+    pub promised_ms: Option<u64>,
+    /// Whether its units are being taken back, so that no promise may be given.
+    pub reclaiming: bool,
+    /// Revision in force there.
+    pub revision: Revision,
+    /// Digest of the withdrawals known there.
+    pub withdrawn_digest: u64,
+    /// Leaving instances that it has nothing in flight to.
+    pub quiet: IndexSet<InstanceName>,
+}
+
+/// Requests and targets of one service.
+#[derive(Debug)]
+pub struct ServiceState {
+    /// Targets in this data centre.
+    pub targets: TargetTable,
+    /// Requests that wait for a slot.
+    pub queue: FairQueue,
+    /// Where to hand the slot to, by ticket.
+    pub waiters: IndexMap<u64, oneshot::Sender<InstanceName>>,
+    /// Retries left.
+    pub retries: RetryBudget,
+    /// Mean time a request holds a slot, in milliseconds.
+    pub mean_hold_ms: f64,
+}
+
+/// Initial bound on waiting requests, until a queue's configuration is read.
+const INITIAL_MAX_WAITING: usize = 1_000;
+
+/// Initial mean time a request holds a slot, in milliseconds.
+const INITIAL_HOLD_MS: f64 = 5.0;
+
+impl Default for ServiceState {
+    fn default() -> Self {
+        Self {
+            targets: TargetTable::default(),
+            queue: FairQueue::new(INITIAL_MAX_WAITING),
+            waiters: IndexMap::new(),
+            retries: RetryBudget::default(),
+            mean_hold_ms: INITIAL_HOLD_MS,
+        }
+    }
+}
+
+/// Which parts of the slots are usable.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GuardMode {
+    /// Base and elastic units.
+    All,
+    /// Base units.
+    Base,
+    /// None.
+    Closed,
+}
+
+/// All tables of a process.
+#[derive(Debug)]
+pub struct State {
+    /// Where the process is in its life.
+    pub phase: Phase,
+    /// Configuration in force.
+    pub config: Option<Arc<FleetConfig>>,
+    /// The row it was read from.
+    pub config_row: Option<ConfigRow>,
+    /// Keys and withdrawals.
+    pub keys: KeyTable,
+    /// Withdrawals with who and when.
+    pub withdrawals: IndexMap<KeyId, Withdrawal>,
+    /// Other entry processes.
+    pub members: IndexMap<Incarnation, Member>,
+    /// Guard of the process's own units.
+    pub guard: SelfGuard,
+    /// Accounts of team limits.
+    pub limits: IndexMap<TeamName, Account>,
+    /// Accounts of target slots.
+    pub slots: IndexMap<InstanceName, Account>,
+    /// Which parts of the slots the target tables reflect.
+    pub slots_mode: GuardMode,
+    /// Services.
+    pub services: IndexMap<ServiceName, ServiceState>,
+    /// Instances of this data centre, with the version of their rows.
+    pub instances: IndexMap<InstanceName, (u64, InstanceRow)>,
+    /// Instances of this data centre as the platform lists them.
+    pub listed: IndexMap<InstanceName, ListedInstance>,
+    /// Workers that run tasks, as this process's planner knows.
+    pub busy_workers: IndexSet<InstanceName>,
+    /// When the platform last answered.
+    pub platform_ms: Option<u64>,
+    /// When a peer was last heard.
+    pub peer_ms: Option<u64>,
+    /// Units held by processes that are silent.
+    pub stranded_units: u64,
+    /// Requests admitted and not answered yet.
+    pub in_flight: u64,
+    /// Number for the next ticket.
+    pub next_ticket: u64,
+    /// Events.
+    pub timeline: Timeline,
+}
+
+impl State {
+    /// Makes empty tables.
+    pub fn new(who: Incarnation, ring_events: usize) -> Self {
+        Self {
+            phase: Phase::Starting,
+            config: None,
+            config_row: None,
+            keys: KeyTable::default(),
+            withdrawals: IndexMap::new(),
+            members: IndexMap::new(),
+            guard: SelfGuard::default(),
+            limits: IndexMap::new(),
+            slots: IndexMap::new(),
+            slots_mode: GuardMode::Closed,
+            services: IndexMap::new(),
+            instances: IndexMap::new(),
+            listed: IndexMap::new(),
+            busy_workers: IndexSet::new(),
+            platform_ms: None,
+            peer_ms: None,
+            stranded_units: 0,
+            in_flight: 0,
+            next_ticket: 0,
+            timeline: Timeline::new(who, ring_events),
+        }
+    }
+
+    /// Returns the revision in force.
+    pub fn revision(&self) -> Revision {
+        self.config_row.as_ref().map(|row| row.revision).unwrap_or_default()
+    }
+
+    /// Puts a configuration in force; `false` when it is not newer.
+    pub fn put_in_force(&mut self, row: ConfigRow, config: FleetConfig) -> bool {
+        if row.revision <= self.revision() {
+            return false;
+        }
+        let keys = config.keys.iter();
+        self.keys.replace(keys.map(|(id, key)| (key.hash.clone(), id.clone(), key.team.clone())));
+        for queue in config.queues.values() {
+            if let Some(service) = &queue.service {
+                let state = self.services.entry(service.clone()).or_default();
+                state.queue.set_max_waiting(queue.max_waiting as usize);
+            }
+        }
+        self.config = Some(Arc::new(config));
+        self.config_row = Some(row);
+        if self.phase == Phase::Starting {
+            self.phase = Phase::Ready;
+        }
+        true
+    }
+
+    /// Adds a withdrawal; `false` when it was known.
+    pub fn withdraw(&mut self, key: KeyId, withdrawal: Withdrawal) -> bool {
+        if !self.keys.withdraw(key.clone()) {
+            return false;
+        }
+        self.withdrawals.insert(key, withdrawal);
+        true
+    }
+
+    /// Returns a digest of the withdrawals known, independent of their order.
+    pub fn withdrawn_digest(&self) -> u64 {
+        let digests = self.withdrawals.keys().map(|key| {
+            let hash = blake3::hash(key.as_str().as_bytes());
+            let mut first = [0; 8];
+            first.copy_from_slice(&hash.as_bytes()[..8]);
+            u64::from_le_bytes(first)
+        });
+        digests.fold(0, |all, one| all ^ one)
+    }
+
+    /// Tells whether neither the platform nor any peer was heard for a lease length.
+    pub fn is_isolated(&self, now_ms: u64) -> bool {
+        let recent = |at: Option<u64>| at.is_some_and(|at| now_ms < at + LEASE_MS);
+        !recent(self.platform_ms) && !recent(self.peer_ms)
+    }
+
+    /// Tells whether the platform answered within a lease length.
+    pub fn reaches_platform(&self, now_ms: u64) -> bool {
+        self.platform_ms.is_some_and(|at| now_ms < at + LEASE_MS)
+    }
+
+    /// Tells whether a team's requests are refused because the process is cut off.
+    pub fn refuses_isolated(&self, team: &TeamName, now_ms: u64) -> bool {
+        let policy = self.config.as_ref().and_then(|config| config.teams.get(team));
+        let refuses = policy.is_some_and(|team| team.when_isolated == WhenIsolated::Refuse);
+        refuses && self.is_isolated(now_ms)
+    }
+
+    /// Returns which parts of the units are usable.
+    pub fn guard_mode(&self, now_ms: u64) -> GuardMode {
+        if self.guard.elastic_usable(now_ms) {
+            GuardMode::All
+        } else if self.guard.base_usable(now_ms) {
+            GuardMode::Base
+        } else {
+            GuardMode::Closed
+        }
+    }
+
+    /// Returns the live entry processes of a data centre, without this one.
+    pub fn live_members<'a>(
+        &'a self,
+        data_centre: &'a DataCentre,
+        now_ms: u64,
+    ) -> impl Iterator<Item = (&'a Incarnation, &'a Member)> {
+        self.members.iter().filter(move |(_, member)| {
+            member.row.data_centre == *data_centre
+                && !member.row.leaving
+                && !member.lease.is_expired(LEASE_MS, now_ms)
+        })
+    }
+}
--- /dev/null
+++ b/crates/masticfall-entry/src/sync.rs
@@ -0,0 +1,223 @@
+//! Reads configuration, withdrawals and instances from the platform.
+//!
+//! Small head rows tell what changed, so that a quiet fleet costs one read of
+//! a few rows per period and process.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use masticfall_core::config::read_fleet;
+use masticfall_core::id::{InstanceName, Revision};
+use masticfall_core::instance::InstanceRow;
+use masticfall_core::timeline::EventKind;
+use masticfall_platform::{Commit, ListedInstance, Result, Row, Transaction};
+use masticfall_wire::peer::PeerMessage;
+use masticfall_wire::rows::{
+    CONFIG_HEAD_KEY, ConfigRow, WITHDRAWN_KEY, WithdrawnRow, config_key, instances_head_key,
+    instances_prefix,
+};
+
+use crate::context::{Node, wall_ms};
+use crate::slots;
+use crate::state::Phase;
+
+/// Period of the reads, in milliseconds.
+const SYNC_MS: u64 = 500;
+
+/// Period at which the list of instances is read, in sync periods.
+const LIST_EVERY: u64 = 2;
+
+/// Reads until the process drains.
+pub async fn run(node: Arc<Node>) {
+    let mut heads = Heads::default();
+    let mut period = 0;
+    loop {
+        let sent_ms = node.now_ms();
+        let result = step(&node, &mut heads, period).await;
+        node.note_platform(sent_ms, &result);
+        period += 1;
+        tokio::time::sleep(Duration::from_millis(SYNC_MS)).await;
+        if node.state().phase == Phase::Draining {
+            return;
+        }
+    }
+}
+
+/// Versions of the head rows at the last read.
+#[derive(Debug, Default)]
+struct Heads {
+    instances: Option<u64>,
+    withdrawn: Option<u64>,
+}
+
+async fn step(node: &Arc<Node>, heads: &mut Heads, period: u64) -> Result<()> {
+    let instances_head = instances_head_key(node.data_centre());
+    let keys = vec![CONFIG_HEAD_KEY.to_string(), WITHDRAWN_KEY.to_string(), instances_head];
+    let rows = (node.platform.tables.read)(keys).await?;
+    let [config, withdrawn, instances] = rows.as_slice() else {
+        return Ok(());
+    };
+    sync_config(node, config.as_ref()).await?;
+    sync_withdrawn(node, heads, withdrawn.as_ref()).await?;
+    let version = instances.as_ref().map(|row| row.version);
+    let changed = version != heads.instances;
+    if changed {
+        sync_instances(node).await?;
+        heads.instances = version;
+    }
+    let listed = period.is_multiple_of(LIST_EVERY);
+    if listed {
+        sync_list(node).await?;
+    }
+    if changed || listed {
+        refresh_targets(node);
+    }
+    Ok(())
+}
+
+async fn sync_config(node: &Arc<Node>, head: Option<&Row>) -> Result<()> {
+    let Some(head) = head else { return Ok(()) };
+    let revision: Revision = head.decode()?;
+    if revision <= node.state().revision() {
+        return Ok(());
+    }
+    let key = config_key(revision);
+    if let Some((_, row)) = node.platform.tables.get_as::<ConfigRow>(&key).await? {
+        adopt_config(node, row);
+    }
+    Ok(())
+}
+
+/// Puts a configuration in force if it is newer, and tells the peers.
+pub fn adopt_config(node: &Arc<Node>, row: ConfigRow) {
+    if row.revision <= node.state().revision() {
+        return;
+    }
+    let config = match read_fleet(&row.text) {
+        Ok(config) => config,
+        Err(faults) => {
+            let count = faults.len();
+            tracing::error!(name: "config.unreadable", revision = %row.revision, faults = count, "accepted configuration cannot be read");
+            return;
+        }
+    };
+    let revision = row.revision;
+    let message = PeerMessage::Config(row.clone());
+    let mut state = node.state();
+    if !state.put_in_force(row, config) {
+        return;
+    }
+    slots::refresh(&mut state, node.now_ms());
+    let text = revision.to_string();
+    state.timeline.record(wall_ms(), EventKind::RevisionInForce, &[("revision", &text)]);
+    drop(state);
+    node.metrics.revision.set(revision.0 as i64);
+    node.units_wanted.notify_one();
+    node.links.broadcast(node, &message);
+    tracing::info!(name: "config.in_force", revision = %revision, "configuration in force");
+}
+
+async fn sync_withdrawn(node: &Arc<Node>, heads: &mut Heads, row: Option<&Row>) -> Result<()> {
+    let version = row.map(|row| row.version);
+    if version != heads.withdrawn {
+        if let Some(row) = row {
+            let withdrawn: WithdrawnRow = row.decode()?;
+            adopt_withdrawals(node, withdrawn.keys);
+        }
+        heads.withdrawn = version;
+    }
+    publish_withdrawals(node, row).await
+}
+
+/// Adds withdrawals, whatever the way they came, and tells the peers of new ones.
+pub fn adopt_withdrawals(
+    node: &Arc<Node>,
+    keys: IndexMap<masticfall_core::id::KeyId, masticfall_wire::rows::Withdrawal>,
+) {
+    let mut news = IndexMap::new();
+    let mut state = node.state();
+    for (key, withdrawal) in keys {
+        if state.withdraw(key.clone(), withdrawal.clone()) {
+            let labels = [("key", key.as_str())];
+            state.timeline.record(wall_ms(), EventKind::KeyWithdrawn, &labels);
+            news.insert(key, withdrawal);
+        }
+    }
+    drop(state);
+    if !news.is_empty() {
+        node.links.broadcast(node, &PeerMessage::Withdrawn(news));
+    }
+}
+
+/// Writes withdrawals that did not come from the platform's row.
+async fn publish_withdrawals(node: &Arc<Node>, row: Option<&Row>) -> Result<()> {
+    let mut known = match row {
+        Some(row) => row.decode()?,
+        None => WithdrawnRow::default(),
+    };
+    let before = known.keys.len();
+    for (key, withdrawal) in &node.state().withdrawals {
+        known.keys.entry(key.clone()).or_insert_with(|| withdrawal.clone());
+    }
+    if known.keys.len() == before {
+        return Ok(());
+    }
+    let transaction = Transaction::new().replace(WITHDRAWN_KEY, row, &known)?;
+    // After a conflict the next period reads the row and tries again.
+    let _: Commit = (node.platform.tables.transact)(transaction).await?;
+    Ok(())
+}
+
+async fn sync_instances(node: &Arc<Node>) -> Result<()> {
+    let prefix = instances_prefix(node.data_centre());
+    let rows = (node.platform.tables.scan)(prefix.clone()).await?;
+    let mut instances: IndexMap<InstanceName, (u64, InstanceRow)> = IndexMap::new();
+    for row in rows {
+        let name = InstanceName::from(row.key[prefix.len()..].to_string());
+        instances.insert(name, (row.version, row.decode()?));
+    }
+    let mut state = node.state();
+    for (name, (version, row)) in instances {
+        adopt_instance(&mut state, name, version, row);
+    }
+    // Under the same lock: a heartbeat must not call an instance quiet that is still routed to.
+    slots::refresh(&mut state, node.now_ms());
+    Ok(())
+}
+
+/// Takes over an instance's row if it is newer than the one known.
+pub fn adopt_instance(
+    state: &mut crate::state::State,
+    name: InstanceName,
+    version: u64,
+    row: InstanceRow,
+) {
+    let known = state.instances.get(&name);
+    if known.is_some_and(|(known_version, _)| *known_version >= version) {
+        return;
+    }
+    let text = format!("{} in {}", row.state, row.pool);
+    let labels = [("instance", name.as_str()), ("state", &text)];
+    state.timeline.record(wall_ms(), EventKind::InstanceChanged, &labels);
+    state.instances.insert(name, (version, row));
+}
+
+async fn sync_list(node: &Arc<Node>) -> Result<()> {
+    let list = (node.platform.instances.list)(node.data_centre().clone()).await?;
+    let listed = list.into_iter().map(|entry: ListedInstance| (entry.name.clone(), entry));
+    node.state().listed = listed.collect();
+    Ok(())
+}
+
+fn refresh_targets(node: &Arc<Node>) {
+    let now_ms = node.now_ms();
+    let mut state = node.state();
+    slots::refresh(&mut state, now_ms);
+    let services: Vec<_> = state.services.keys().cloned().collect();
+    for service in services {
+        slots::serve_waiting(&mut state, &service, now_ms);
+    }
+    drop(state);
+    node.units_wanted.notify_one();
+}
--- /dev/null
+++ b/crates/masticfall-platform/src/lib.rs
@@ -0,0 +1,48 @@
+//! The seam to the platform.
+//!
+//! One struct of closures per service of the platform, and one file per
+//! adapter. The users' own platform needs one more file beside [`http`].
+
+pub mod counted;
+pub mod error;
+pub mod http;
+pub mod instances;
+pub mod objects;
+pub mod serve;
+pub mod tables;
+pub mod workers;
+
+use std::sync::Arc;
+
+use futures_util::future::BoxFuture;
+
+pub use error::{PlatformError, Result};
+pub use instances::{InstanceList, ListedInstance, ListedState};
+pub use objects::ObjectStore;
+pub use tables::{Check, Commit, Condition, Row, TableService, Transaction, Write};
+pub use workers::{StartOutcome, StartTask, TaskState, TaskStatus, WorkerPool};
+
+/// An asynchronous operation of the platform.
+pub type Operation<A, R> = Arc<dyn Fn(A) -> BoxFuture<'static, Result<R>> + Send + Sync>;
+
+/// Wraps an asynchronous function as an [`Operation`].
+pub fn operation<A, R, F, Fut>(function: F) -> Operation<A, R>
+where
+    F: Fn(A) -> Fut + Send + Sync + 'static,
+    Fut: Future<Output = Result<R>> + Send + 'static,
+{
+    Arc::new(move |argument| Box::pin(function(argument)))
+}
+
+/// All services of the platform.
+#[derive(Debug, Clone)]
+pub struct Platform {
+    /// Transactional table service.
+    pub tables: TableService,
+    /// Object store.
+    pub objects: ObjectStore,
+    /// Lagging list of instances.
+    pub instances: InstanceList,
+    /// Workers that run tasks under leases.
+    pub workers: WorkerPool,
+}
--- /dev/null
+++ b/crates/masticfall-standin/src/worker.rs
@@ -0,0 +1,138 @@
+//! Stand-in workers: tasks with leases that end after a set time.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use indexmap::IndexMap;
+use masticfall_core::id::{InstanceName, JobId};
+use masticfall_platform::{StartOutcome, StartTask, TaskState, TaskStatus};
+use tokio::time::Instant;
+
+use crate::cloud::Cloud;
+
+/// Run time of a task whose payload names none, in milliseconds.
+const DEFAULT_TASK_MS: u64 = 50;
+
+#[derive(Debug)]
+struct Task {
+    worker: InstanceName,
+    state: TaskState,
+    lease_until: Instant,
+}
+
+/// All tasks that workers were asked to run.
+#[derive(Debug, Default)]
+pub(crate) struct WorkerTasks {
+    tasks: IndexMap<(JobId, u32), Task>,
+}
+
+impl WorkerTasks {
+    pub(crate) fn finished_attempts(&self) -> Vec<(String, u32)> {
+        let finished = self.tasks.iter().filter(|(_, task)| task.state == TaskState::Finished);
+        finished.map(|((job, attempt), _)| (job.to_string(), *attempt)).collect()
+    }
+
+    fn report(&self, worker: &InstanceName) -> Vec<TaskStatus> {
+        let of_worker = self.tasks.iter().filter(|(_, task)| task.worker == *worker);
+        let status = of_worker.map(|((job, attempt), task)| TaskStatus {
+            job: job.clone(),
+            attempt: *attempt,
+            state: task.state,
+        });
+        status.collect()
+    }
+}
+
+impl Cloud {
+    /// Starts a task; `None` when the worker cannot be reached.
+    pub(crate) fn start_task(&self, start: StartTask) -> Option<StartOutcome> {
+        let mut state = self.state.lock();
+        if state.faults.silent_workers.contains(&start.worker) {
+            return None;
+        }
+        if state.instances.get(&start.worker).is_none_or(|worker| worker.state.is_none()) {
+            return Some(StartOutcome::Refused);
+        }
+        let key = (start.job.clone(), start.attempt);
+        if state.workers.tasks.contains_key(&key) {
+            return Some(StartOutcome::Started);
+        }
+        let lease_until = Instant::now() + Duration::from_millis(start.lease_ms);
+        let task = Task { worker: start.worker.clone(), state: TaskState::Running, lease_until };
+        state.workers.tasks.insert(key, task);
+        let payload = state.objects.get(&*start.payload).cloned().unwrap_or_default();
+        drop(state);
+        let cloud = self.clone();
+        tokio::spawn(async move { cloud.run_task(start, payload).await });
+        Some(StartOutcome::Started)
+    }
+
+    async fn run_task(&self, start: StartTask, payload: Bytes) {
+        let text = String::from_utf8_lossy(&payload).into_owned();
+        let end = Instant::now() + Duration::from_millis(task_ms(&text));
+        let key = (start.job.clone(), start.attempt);
+        loop {
+            let wake = {
+                let mut state = self.state.lock();
+                let failing = state.faults.failing_workers.contains(&start.worker);
+                let Some(task) = state.workers.tasks.get_mut(&key) else {
+                    return;
+                };
+                if task.state != TaskState::Running {
+                    return;
+                }
+                if Instant::now() >= task.lease_until {
+                    task.state = TaskState::Stopped;
+                    return;
+                }
+                if Instant::now() >= end {
+                    task.state = if failing || text.contains("fail") {
+                        TaskState::Failed
+                    } else {
+                        TaskState::Finished
+                    };
+                    if task.state == TaskState::Finished {
+                        let result = Bytes::from(format!("result of {text}"));
+                        state.objects.insert(start.result.to_string(), result);
+                    }
+                    return;
+                }
+                task.lease_until.min(end)
+            };
+            tokio::time::sleep_until(wake).await;
+        }
+    }
+
+    /// Renews a worker's leases; `None` when the worker cannot be reached.
+    pub(crate) fn renew_tasks(
+        &self,
+        worker: &InstanceName,
+        lease_ms: u64,
+    ) -> Option<Vec<TaskStatus>> {
+        let mut state = self.state.lock();
+        if state.faults.silent_workers.contains(worker) {
+            return None;
+        }
+        let until = Instant::now() + Duration::from_millis(lease_ms);
+        for task in state.workers.tasks.values_mut().filter(|task| task.worker == *worker) {
+            task.lease_until = until;
+        }
+        Some(state.workers.report(worker))
+    }
+
+    /// Stops a task.
+    pub(crate) fn stop_task(&self, job: &JobId, attempt: u32) {
+        let mut state = self.state.lock();
+        if let Some(task) = state.workers.tasks.get_mut(&(job.clone(), attempt))
+            && task.state == TaskState::Running
+        {
+            task.state = TaskState::Stopped;
+        }
+    }
+}
+
+/// Reads `run_ms=N` out of a payload.
+fn task_ms(payload: &str) -> u64 {
+    let value = payload.split_whitespace().find_map(|word| word.strip_prefix("run_ms="));
+    value.and_then(|text| text.parse().ok()).unwrap_or(DEFAULT_TASK_MS)
+}
--- /dev/null
+++ b/crates/masticfall-wire/src/rows.rs
@@ -0,0 +1,194 @@
+//! Rows on the platform's table service, and their keys.
+
+use indexmap::{IndexMap, IndexSet};
+use masticfall_core::escrow::GrantRow;
+use masticfall_core::id::{
+    DataCentre, Incarnation, InstanceName, JobId, KeyId, Name, PoolName, Revision, TeamName,
+    WaveName,
+};
+use masticfall_core::key::KeyHash;
+use serde::{Deserialize, Serialize};
+
+/// Key of the number of the configuration in force.
+pub const CONFIG_HEAD_KEY: &str = "config/head";
+/// Prefix of accepted configurations.
+pub const CONFIG_PREFIX: &str = "config/revision/";
+/// Key of the set of withdrawn keys.
+pub const WITHDRAWN_KEY: &str = "keys/withdrawn";
+/// Prefix of the rows of entry processes.
+pub const MEMBER_PREFIX: &str = "member/";
+/// Prefix of the rows of instances.
+pub const INSTANCE_PREFIX: &str = "instance/";
+/// Prefix of the rows of waves.
+pub const WAVE_PREFIX: &str = "wave/";
+/// Prefix of the rows of team limits.
+pub const LIMIT_PREFIX: &str = "limit/";
+/// Prefix of the rows of target slots, one per data centre.
+pub const SLOTS_PREFIX: &str = "slots/";
+
+/// Returns the key of an accepted configuration; the order of keys is that of revisions.
+pub fn config_key(revision: Revision) -> String {
+    format!("{CONFIG_PREFIX}{:012}", revision.0)
+}
+
+/// Returns the key of a row that changes with every change of a data centre's instances.
+pub fn instances_head_key(data_centre: &DataCentre) -> String {
+    format!("head/instances/{data_centre}")
+}
+
+/// Returns the key of a row that changes with every change of a data centre's jobs by callers.
+pub fn jobs_head_key(data_centre: &DataCentre) -> String {
+    format!("head/jobs/{data_centre}")
+}
+
+/// Returns the key of a row that changes whenever an instance is taken out of a pool.
+pub fn pool_key(pool: &PoolName) -> String {
+    format!("pool/{pool}")
+}
+
+/// Returns the key of an entry process's row.
+pub fn member_key(who: &Incarnation) -> String {
+    format!("{MEMBER_PREFIX}{who}")
+}
+
+/// Returns the prefix of the rows of a data centre's instances.
+pub fn instances_prefix(data_centre: &DataCentre) -> String {
+    format!("{INSTANCE_PREFIX}{data_centre}/")
+}
+
+/// Returns the key of an instance's row.
+pub fn instance_key(data_centre: &DataCentre, name: &InstanceName) -> String {
+    format!("{INSTANCE_PREFIX}{data_centre}/{name}")
+}
+
+/// Returns the prefix of the rows of a data centre's jobs that are not final.
+pub fn active_jobs_prefix(data_centre: &DataCentre) -> String {
+    format!("job/active/{data_centre}/")
+}
+
+/// Returns the key of a job that is not final.
+pub fn active_job_key(data_centre: &DataCentre, job: &JobId) -> String {
+    format!("job/active/{data_centre}/{job}")
+}
+
+/// Returns the key of a job that is final.
+pub fn final_job_key(job: &JobId) -> String {
+    format!("job/final/{job}")
+}
+
+/// Returns the key of a wave.
+pub fn wave_key(wave: &WaveName) -> String {
+    format!("{WAVE_PREFIX}{wave}")
+}
+
+/// Returns the key of a team's limit.
+pub fn limit_key(team: &TeamName) -> String {
+    format!("{LIMIT_PREFIX}{team}")
+}
+
+/// Returns the key of a data centre's target slots.
+pub fn slots_key(data_centre: &DataCentre) -> String {
+    format!("{SLOTS_PREFIX}{data_centre}")
+}
+
+/// Returns the key of a data centre's planner lease.
+pub fn planner_key(data_centre: &DataCentre) -> String {
+    format!("planner/{data_centre}")
+}
+
+/// Returns the key of an idempotency record. The caller's key is hashed, since it may hold anything.
+pub fn idempotency_key(team: &TeamName, caller_key: &str) -> String {
+    format!("order/{team}/{}", KeyHash::of(caller_key).as_str())
+}
+
+/// An accepted configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigRow {
+    /// Its number.
+    pub revision: Revision,
+    /// The INI document.
+    pub text: Name,
+    /// Operator who applied it.
+    pub by: Name,
+    /// Wall clock when it was accepted, in milliseconds since the Unix epoch.
+    pub wall_ms: u64,
+    /// Why, in the operator's words.
+    pub note: Name,
+}
+
+/// A key's withdrawal.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Withdrawal {
+    /// Operator who withdrew it.
+    pub by: Name,
+    /// Wall clock, in milliseconds since the Unix epoch.
+    pub wall_ms: u64,
+}
+
+/// All withdrawals; it only grows.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct WithdrawnRow {
+    /// Withdrawals by key.
+    pub keys: IndexMap<KeyId, Withdrawal>,
+}
+
+/// An entry process's lease and addresses.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberRow {
+    /// Data centre of the process.
+    pub data_centre: DataCentre,
+    /// Address of its HTTP port, `ip:port`.
+    pub http: Name,
+    /// Address of its peer port, `ip:port`.
+    pub peer: Name,
+    /// Number of renewals so far.
+    pub renewals: u64,
+    /// Processes that may reclaim its base units.
+    pub members: IndexSet<Incarnation>,
+    /// Whether it is shutting down.
+    pub leaving: bool,
+    /// Configuration that is in force there.
+    pub revision: Revision,
+}
+
+/// A planner's lease.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlannerRow {
+    /// Process that holds it.
+    pub holder: Incarnation,
+    /// Fencing number; it grows with each holder.
+    pub epoch: u64,
+    /// Number of renewals so far.
+    pub renewals: u64,
+}
+
+/// Slots of all targets of a data centre.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct SlotsRow {
+    /// Grants by target.
+    pub targets: IndexMap<InstanceName, GrantRow>,
+}
+
+/// An answer kept for a repeated request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeptAnswer {
+    /// HTTP status code.
+    pub status: u16,
+    /// Headers.
+    pub headers: Vec<(String, String)>,
+    /// Object that holds the body.
+    pub body: Name,
+}
+
+/// An idempotency record.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderRow {
+    /// Unique number of the attempt that wrote it.
+    pub attempt_id: Name,
+    /// Hash of method, path and body.
+    pub fingerprint: Name,
+    /// The answer, once there is one.
+    pub answer: Option<KeptAnswer>,
+    /// Wall clock at dispatch, in milliseconds since the Unix epoch.
+    pub wall_ms: u64,
+}
--- /dev/null
+++ b/crates/masticfall/src/commands.rs
@@ -0,0 +1,51 @@
+//! One file per subcommand.
+
+mod completions;
+mod config;
+mod init;
+mod instances;
+mod keys;
+mod members;
+mod timeline;
+mod try_fleet;
+mod waves;
+
+use clap::{ArgMatches, Command};
+
+use crate::error::{CliError, Result};
+
+/// Returns all subcommands.
+pub fn all() -> Vec<Command> {
+    vec![
+        try_fleet::command(),
+        init::command(),
+        config::command(),
+        keys::command(),
+        members::command(),
+        instances::command(),
+        waves::command(),
+        timeline::command(),
+        completions::command(),
+    ]
+}
+
+/// Runs the subcommand that was named.
+///
+/// # Errors
+/// The subcommand's failure.
+pub fn run(matches: &ArgMatches) -> Result<()> {
+    let Some((name, args)) = matches.subcommand() else {
+        return Err(CliError::Failed { message: "no subcommand".to_string() });
+    };
+    match name {
+        "try" => try_fleet::run(args),
+        "init" => init::run(args),
+        "config" => config::run(args),
+        "keys" => keys::run(args),
+        "members" => members::run(args),
+        "instances" => instances::run(args),
+        "waves" => waves::run(args),
+        "timeline" => timeline::run(args),
+        _ => completions::run(args),
+    }
+}
--- /dev/null
+++ b/crates/masticfall/src/commands/config.rs
@@ -0,0 +1,168 @@
+//! `masticfall config`: checks, shows and applies the fleet's configuration.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use http::Method;
+use masticfall_core::config::{Fault, read_fleet};
+use serde::Deserialize;
+use snafu::ResultExt;
+use tokio::time::Instant;
+
+use super::members::Member;
+use crate::cli::{block_on, text};
+use crate::client::ApiClient;
+use crate::error::{CliError, FileSnafu, Result};
+use crate::report::{table, wall_clock};
+
+/// Longest wait for an accepted configuration to be in force everywhere, in milliseconds.
+const CONFIRM_MS: u64 = 13_000;
+
+/// Period at which confirmations are read, in milliseconds.
+const POLL_MS: u64 = 200;
+
+pub fn command() -> Command {
+    let file = || {
+        Arg::new("file")
+            .required(true)
+            .value_name("FILE.ini")
+            .value_parser(value_parser!(PathBuf))
+            .help("The configuration")
+    };
+    Command::new("config")
+        .about("Check, show and apply the fleet's configuration")
+        .subcommand_required(true)
+        .subcommand(Command::new("check").about("Check a file; prints every fault").arg(file()))
+        .subcommand(Command::new("show").about("Print the configuration in force"))
+        .subcommand(Command::new("history").about("List accepted revisions"))
+        .subcommand(
+            Command::new("apply")
+                .about("Apply a file, and wait until it is in force everywhere")
+                .arg(file())
+                .arg(
+                    Arg::new("expect")
+                        .long("expect")
+                        .required(true)
+                        .value_name("REVISION")
+                        .value_parser(value_parser!(u64))
+                        .help("Revision that was changed; 0 for the first"),
+                )
+                .arg(Arg::new("note").long("note").default_value("").help("Why")),
+        )
+}
+
+pub fn run(args: &ArgMatches) -> Result<()> {
+    match args.subcommand() {
+        Some(("check", args)) => check(args),
+        Some(("show", args)) => block_on(show(args)),
+        Some(("history", args)) => block_on(history(args)),
+        Some((_, args)) => block_on(apply(args)),
+        None => Ok(()),
+    }
+}
+
+fn read(args: &ArgMatches) -> Result<(PathBuf, String)> {
+    let path = args.get_one::<PathBuf>("file").cloned().unwrap_or_default();
+    let text =
+        std::fs::read_to_string(&path).context(FileSnafu { action: "read", path: path.clone() })?;
+    Ok((path, text))
+}
+
+/// Checks a document.
+///
+/// # Errors
+/// [`CliError::Faults`] with every fault.
+pub fn check_text(what: &str, text: &str) -> Result<()> {
+    read_fleet(text).map(|_| ()).map_err(|faults| {
+        let lines: Vec<String> =
+            faults.iter().map(|fault: &Fault| format!("  {what}: {fault}")).collect();
+        CliError::Faults { what: what.to_string(), faults: lines.join("\n") }
+    })
+}
+
+fn check(args: &ArgMatches) -> Result<()> {
+    let (path, text) = read(args)?;
+    check_text(&path.display().to_string(), &text)?;
+    println!("{}: ok", path.display());
+    Ok(())
+}
+
+async fn show(args: &ArgMatches) -> Result<()> {
+    let client = ApiClient::from_args(args);
+    let answer = client.send(Method::GET, "/admin/v1/config", &[], "").await?.accepted()?;
+    let revision = answer.headers.get("etag").and_then(|tag| tag.to_str().ok()).unwrap_or("?");
+    eprintln!("revision {}", revision.trim_matches('"'));
+    print!("{}", answer.text());
+    Ok(())
+}
+
+#[derive(Debug, Deserialize)]
+struct Accepted {
+    revision: u64,
+    by: String,
+    wall_ms: u64,
+    note: String,
+}
+
+async fn history(args: &ArgMatches) -> Result<()> {
+    let client = ApiClient::from_args(args);
+    let answer = client.send(Method::GET, "/admin/v1/config/history", &[], "").await?.accepted()?;
+    if args.get_flag("json") {
+        println!("{}", answer.text());
+        return Ok(());
+    }
+    let rows: Vec<Vec<String>> = answer
+        .json::<Vec<Accepted>>()?
+        .into_iter()
+        .map(|row| vec![row.revision.to_string(), wall_clock(row.wall_ms), row.by, row.note])
+        .collect();
+    print!("{}", table(&["REVISION", "ACCEPTED (UTC)", "BY", "NOTE"], &rows));
+    Ok(())
+}
+
+#[derive(Debug, Deserialize)]
+struct Applied {
+    revision: u64,
+}
+
+async fn apply(args: &ArgMatches) -> Result<()> {
+    let (path, document) = read(args)?;
+    check_text(&path.display().to_string(), &document)?;
+    let client = ApiClient::from_args(args);
+    let expect = args.get_one::<u64>("expect").copied().unwrap_or_default().to_string();
+    let headers = [("if-match", expect.as_str()), ("masticfall-note", text(args, "note"))];
+    let answer = client.send(Method::PUT, "/admin/v1/config", &headers, document).await?;
+    let applied: Applied = answer.accepted()?.json()?;
+    println!("revision {} accepted", applied.revision);
+    confirm(&client, applied.revision).await
+}
+
+/// Waits until every live process has a revision in force.
+async fn confirm(client: &ApiClient, revision: u64) -> Result<()> {
+    let started = Instant::now();
+    loop {
+        let members: Vec<Member> = match client.get("/admin/v1/members").await {
+            Err(CliError::Refused { kind, .. }) if kind == "unauthorized" => {
+                println!("this key ended with the revision; see `members` with an operator's key");
+                return Ok(());
+            }
+            other => other?,
+        };
+        let behind: Vec<String> = members
+            .iter()
+            .filter(|member| member.live && member.revision < revision)
+            .map(|member| format!("{} ({})", member.process, member.data_centre))
+            .collect();
+        if behind.is_empty() {
+            let live = members.iter().filter(|member| member.live).count();
+            println!("in force on {live} of {} processes", members.len());
+            return Ok(());
+        }
+        if started.elapsed() > Duration::from_millis(CONFIRM_MS) {
+            let message = format!("not confirmed in time by: {}", behind.join(", "));
+            return Err(CliError::Failed { message });
+        }
+        tokio::time::sleep(Duration::from_millis(POLL_MS)).await;
+    }
+}
--- /dev/null
+++ b/crates/masticfall/src/commands/try_fleet.rs
@@ -0,0 +1,58 @@
+//! `masticfall try`: a whole fleet on this machine, on loopback ports.
+
+use std::net::SocketAddr;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+
+use crate::cli::block_on;
+use crate::error::{CliError, Result};
+use crate::trial::{Trial, once, platform_only};
+
+pub fn command() -> Command {
+    Command::new("try")
+        .about("Run a whole fleet on this machine until it is stopped")
+        .arg(
+            Arg::new("once")
+                .long("once")
+                .action(ArgAction::SetTrue)
+                .help("Send requests and a job through it, print what came back, and end"),
+        )
+        .arg(
+            Arg::new("platform-only")
+                .long("platform-only")
+                .action(ArgAction::SetTrue)
+                .conflicts_with("once")
+                .help("Run only the stand-in platform, targets and workers"),
+        )
+        .arg(
+            Arg::new("listen")
+                .long("listen")
+                .value_name("IP:PORT")
+                .default_value("127.0.0.1:7700")
+                .value_parser(value_parser!(SocketAddr))
+                .help("Address of the stand-in platform, with --platform-only"),
+        )
+}
+
+pub fn run(args: &ArgMatches) -> Result<()> {
+    if args.get_flag("once") {
+        return block_on(once::run());
+    }
+    if args.get_flag("platform-only") {
+        let listen = args.get_one::<SocketAddr>("listen").copied();
+        let listen = listen.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 7700)));
+        return block_on(platform_only::run(listen));
+    }
+    block_on(stay())
+}
+
+async fn stay() -> Result<()> {
+    let trial = Trial::start().await?;
+    print!("{}", trial.describe());
+    println!("stop with Ctrl-C");
+    tokio::signal::ctrl_c().await.map_err(|error| CliError::Failed {
+        message: format!("cannot listen for signals: {error}"),
+    })?;
+    trial.stop().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/masticfall/src/trial.rs
@@ -0,0 +1,200 @@
+//! A fleet on trial: stand-in platform, targets and workers with two entry processes.
+
+pub mod once;
+pub mod platform_only;
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::Method;
+use masticfall_core::id::{DataCentre, InstanceName, Name, PoolName};
+use masticfall_core::instance::{InstanceFacts, InstanceKind};
+use masticfall_core::key::KeyHash;
+use masticfall_entry::state::Phase;
+use masticfall_entry::{RunningEntry, Settings};
+use masticfall_standin::{Cloud, TargetServer};
+
+use crate::client::ApiClient;
+use crate::error::{CliError, Result};
+
+/// Key of team `red` on trial.
+pub const RED_KEY: &str = "mf_try_red";
+/// Key of team `blue` on trial.
+pub const BLUE_KEY: &str = "mf_try_blue";
+/// Key of the operator on trial.
+pub const OPERATOR_KEY: &str = "mf_try_operator";
+/// Secret of the entry processes on trial.
+pub const PEER_SECRET: &str = "trial-peer-secret";
+
+/// Data centres on trial.
+pub const DATA_CENTRES: [&str; 2] = ["dc-a", "dc-b"];
+
+const TARGETS_PER_DATA_CENTRE: usize = 2;
+const WORKERS_PER_DATA_CENTRE: usize = 2;
+
+/// Longest wait for the trial fleet to serve, in milliseconds.
+const READY_MS: u64 = 10_000;
+
+/// Returns the configuration on trial.
+pub fn fleet_text() -> String {
+    let hash = |key: &str| KeyHash::of(key).as_str().to_string();
+    format!(
+        include_str!("../../../examples/try/fleet.ini.in"),
+        red = hash(RED_KEY),
+        blue = hash(BLUE_KEY),
+        operator = hash(OPERATOR_KEY)
+    )
+}
+
+/// Stand-in instances of the fleet on trial.
+#[derive(Debug)]
+pub struct Backends {
+    /// The platform.
+    pub cloud: Cloud,
+    /// Targets, by instance name.
+    pub targets: Vec<(InstanceName, TargetServer)>,
+}
+
+impl Backends {
+    /// Starts targets and lists them with workers on a new platform.
+    ///
+    /// # Errors
+    /// [`CliError::Trial`] when no port can be bound.
+    pub async fn start() -> Result<Self> {
+        let cloud = Cloud::new(1);
+        let mut targets = Vec::new();
+        for data_centre in DATA_CENTRES {
+            for index in 0..TARGETS_PER_DATA_CENTRE {
+                let server = TargetServer::start().await.map_err(|error| trial_error(&error))?;
+                let name = InstanceName::from(format!("{data_centre}-target-{index}"));
+                let address = server.address.to_string();
+                let facts = facts(InstanceKind::Target, data_centre, index, &address);
+                cloud.add_instance(name.clone(), facts, PoolName::from("preview"));
+                targets.push((name, server));
+            }
+            for index in 0..WORKERS_PER_DATA_CENTRE {
+                let name = InstanceName::from(format!("{data_centre}-worker-{index}"));
+                let facts = facts(InstanceKind::Worker, data_centre, index, "127.0.0.1:1");
+                cloud.add_instance(name, facts, PoolName::from("workers"));
+            }
+        }
+        Ok(Self { cloud, targets })
+    }
+}
+
+fn facts(kind: InstanceKind, data_centre: &str, index: usize, address: &str) -> InstanceFacts {
+    InstanceFacts {
+        kind,
+        data_centre: DataCentre::from(data_centre),
+        rack: Name::from(format!("rack-{index}")),
+        address: Name::from(address),
+        cores: 16,
+        memory_mib: 32 * 1024,
+        accelerators: 2,
+    }
+}
+
+fn trial_error(error: &dyn std::error::Error) -> CliError {
+    CliError::Trial { reason: error.to_string() }
+}
+
+/// A fleet that runs in this process.
+#[derive(Debug)]
+pub struct Trial {
+    /// Stand-ins.
+    pub backends: Backends,
+    /// Entry processes, one per data centre.
+    pub entries: Vec<RunningEntry>,
+}
+
+impl Trial {
+    /// Starts the fleet and applies its configuration.
+    ///
+    /// # Errors
+    /// [`CliError::Trial`] when it does not come up.
+    pub async fn start() -> Result<Self> {
+        let backends = Backends::start().await?;
+        let mut entries = Vec::new();
+        for data_centre in DATA_CENTRES {
+            let platform = backends.cloud.platform(&DataCentre::from(data_centre));
+            let entry = masticfall_entry::start(settings(data_centre), platform).await;
+            entries.push(entry.map_err(|error| trial_error(&error))?);
+        }
+        let trial = Self { backends, entries };
+        let bootstrap = ApiClient::new(trial.address(0), PEER_SECRET);
+        let headers = [("if-match", "0"), ("masticfall-note", "trial")];
+        let put = bootstrap.send(Method::PUT, "/admin/v1/config", &headers, fleet_text());
+        put.await?.accepted()?;
+        trial.wait_until_ready().await?;
+        Ok(trial)
+    }
+
+    /// Returns the HTTP address of an entry process.
+    pub fn address(&self, index: usize) -> String {
+        self.entries[index].node.addresses.http.to_string()
+    }
+
+    /// Waits until every entry process is ready and has slots of its targets.
+    async fn wait_until_ready(&self) -> Result<()> {
+        let ready = async {
+            while !self.entries.iter().all(is_ready) {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let waited = tokio::time::timeout(Duration::from_millis(READY_MS), ready).await;
+        waited.map_err(|elapsed| CliError::Trial {
+            reason: format!("the fleet did not come up: {elapsed}"),
+        })
+    }
+
+    /// Describes the fleet for people.
+    pub fn describe(&self) -> String {
+        let mut text = String::new();
+        for (entry, data_centre) in self.entries.iter().zip(DATA_CENTRES) {
+            let addresses = &entry.node.addresses;
+            // Writing to a `String` cannot fail.
+            writeln!(text, "entry   {data_centre}  http://{}", addresses.http).unwrap_or_default();
+        }
+        for (name, server) in &self.backends.targets {
+            writeln!(text, "target  {name}  http://{}", server.address).unwrap_or_default();
+        }
+        let lines = [
+            format!("team red      key {RED_KEY}"),
+            format!("team blue     key {BLUE_KEY}"),
+            format!("operator      key {OPERATOR_KEY}"),
+            "queues        preview, walk-in (open to all), overnight (long)".to_string(),
+        ];
+        text.push_str(&lines.join("\n"));
+        text.push('\n');
+        text
+    }
+
+    /// Stops the fleet gracefully.
+    pub async fn stop(self) {
+        for entry in self.entries {
+            entry.stop().await;
+        }
+    }
+}
+
+fn is_ready(entry: &RunningEntry) -> bool {
+    let state = entry.node.state();
+    let slots: u32 = state.services.values().map(|service| service.targets.free_slots()).sum();
+    let units: u32 = state.limits.values().map(|account| account.units.total()).sum();
+    state.phase == Phase::Ready && slots > 0 && units > 0
+}
+
+fn settings(data_centre: &str) -> Settings {
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    Settings {
+        data_centre: DataCentre::from(data_centre),
+        http: any_port,
+        peer: any_port,
+        platform: any_port,
+        peer_secret: Name::from(PEER_SECRET),
+        seed_peers: Vec::new(),
+        leave_delay_ms: 100,
+        max_body_bytes: 16 * 1024 * 1024,
+    }
+}
