--- a/crates/masticfall-standin/src/target.rs
+++ b/crates/masticfall-standin/src/target.rs
@@ -35,6 +35,8 @@
     pub requests: u64,
     /// Whether every request fails.
     pub failing: bool,
+    /// Whether the connection is cut before every answer.
+    pub hanging_up: bool,
     /// Whether the connection is cut in the middle of every answer.
     pub truncating: bool,
 }
@@ -121,13 +123,15 @@
         let id_text = id.as_ref().and_then(|value| value.to_str().ok()).unwrap_or_default();
         let running = Running::start(&self.record, id_text);
         let path = request.uri().path().trim_start_matches('/').to_string();
-        let (failing, truncating) = {
+        let (failing, truncating, hanging_up) = {
             let record = self.record.lock();
-            (record.failing, record.truncating)
+            (record.failing, record.truncating, record.hanging_up)
         };
         let (verb, number) = path.split_once('/').unwrap_or((&path, "0"));
         let number: u64 = number.parse().unwrap_or(0);
         let mut response = match verb {
+            // The server closes the connection of a task that panics.
+            _ if hanging_up => std::panic::panic_any("the stand-in hangs up"),
             _ if failing => status(StatusCode::INTERNAL_SERVER_ERROR),
             "fail" => status(StatusCode::INTERNAL_SERVER_ERROR),
             "echo" => echo(request).await,
