--- a/crates/masticfall-entry/src/membership.rs
+++ b/crates/masticfall-entry/src/membership.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 use masticfall_core::id::Incarnation;
 use masticfall_core::lease::{LEASE_MS, ObservedLease, RENEWAL_MS};
 use masticfall_core::timeline::EventKind;
@@ -177,7 +177,7 @@
         reclaiming: false,
         revision,
         withdrawn_digest: 0,
-        quiet: IndexSet::new(),
+        quiet: IndexMap::new(),
     };
     state.members.insert(who, member);
 }
--- a/crates/masticfall-entry/src/peers/react.rs
+++ b/crates/masticfall-entry/src/peers/react.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use indexmap::IndexSet;
+use indexmap::IndexMap;
 use masticfall_core::id::{Incarnation, InstanceName};
 use masticfall_core::instance::LifeState;
 use masticfall_wire::peer::{Heartbeat, PeerFrame, PeerMessage};
@@ -77,7 +77,10 @@
 }
 
 /// Returns the leaving instances that this process has nothing in flight to.
-pub fn quiet_instances(state: &State) -> IndexSet<InstanceName> {
+///
+/// Each comes with the version of the row by which it leaves, so that an old
+/// report is not taken for one about a later time.
+pub fn quiet_instances(state: &State) -> IndexMap<InstanceName, u64> {
     let leaving = state.instances.iter().filter(|(_, (_, row))| row.state == LifeState::Leaving);
     let quiet = leaving.filter(|(name, _)| {
         let busy = state.services.values().any(|service| {
@@ -85,5 +88,5 @@
         });
         !busy
     });
-    quiet.map(|(name, _)| name.clone()).collect()
+    quiet.map(|(name, (version, _))| (name.clone(), *version)).collect()
 }
--- a/crates/masticfall-entry/src/planner/instances.rs
+++ b/crates/masticfall-entry/src/planner/instances.rs
@@ -114,7 +114,7 @@
     };
     let boot = node.state().listed.get(name).map(|listed| listed.boot);
     let allowed = match row.state {
-        LifeState::Leaving => is_quiet(node, name, &row) && row.drained().is_ok(),
+        LifeState::Leaving => is_quiet(node, name, &read, &row) && row.drained().is_ok(),
         LifeState::Drained => boot.is_some_and(|boot| row.proceed(boot).is_ok()),
         LifeState::Rebooting => {
             if let Some(boot) = row.boot_before {
@@ -148,7 +148,7 @@
 }
 
 /// Tells whether nothing runs on a leaving instance and nothing can start there.
-fn is_quiet(node: &Arc<Node>, name: &InstanceName, row: &InstanceRow) -> bool {
+fn is_quiet(node: &Arc<Node>, name: &InstanceName, read: &Row, row: &InstanceRow) -> bool {
     if row.facts.kind == InstanceKind::Worker {
         return !node.state().busy_workers.contains(name);
     }
@@ -159,9 +159,9 @@
     let members = || state.members.iter().filter(|(_, member)| member.row.data_centre == *here);
     let max_deadline_ms = state.config.as_ref().map_or(0, |config| config.max_deadline_ms);
     let is_quiet = |(_, member): (&Incarnation, &Member)| {
-        member.quiet.contains(name) || has_lapsed(member, max_deadline_ms, now_ms)
+        member.quiet.get(name) == Some(&read.version) || has_lapsed(member, max_deadline_ms, now_ms)
     };
-    own.contains(name) && members().all(is_quiet)
+    own.get(name) == Some(&read.version) && members().all(is_quiet)
 }
 
 /// Tells whether a silent process has stopped to dispatch, and what it dispatched has ended.
--- a/crates/masticfall-entry/src/state.rs
+++ b/crates/masticfall-entry/src/state.rs
@@ -49,8 +49,8 @@
     pub revision: Revision,
     /// Digest of the withdrawals known there.
     pub withdrawn_digest: u64,
-    /// Leaving instances that it has nothing in flight to.
-    pub quiet: IndexSet<InstanceName>,
+    /// Leaving instances that it has nothing in flight to, with the version of their rows.
+    pub quiet: IndexMap<InstanceName, u64>,
 }
 
 /// Requests and targets of one service.
--- a/crates/masticfall-entry/tests/suite/limits.rs
+++ b/crates/masticfall-entry/tests/suite/limits.rs
@@ -237,7 +237,7 @@
                 let node = Arc::clone(&process.node);
                 let number = seed * 100 + loaded.len() as u64;
                 let load = load(node, Arc::clone(&record), number, Arc::clone(&stop));
-                tokio::spawn(async move { load.await });
+                tokio::spawn(load);
             }
         }
     };
--- a/crates/masticfall-entry/tests/suite/main.rs
+++ b/crates/masticfall-entry/tests/suite/main.rs
@@ -4,6 +4,8 @@
 //! messages between processes carried in memory. The invariants are checked on
 //! records that the system under test does not write.
 
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+
 mod config;
 mod jobs;
 mod keys;
--- a/crates/masticfall-entry/tests/suite/pools.rs
+++ b/crates/masticfall-entry/tests/suite/pools.rs
@@ -202,11 +202,11 @@
                 drop(move_instance::run(node, &name, pool.into()).await);
             }
             5 => lab.processes[0].freeze(),
-            _ => lab.processes.values().for_each(|process| process.thaw()),
+            _ => lab.processes.values().for_each(crate::lab::Process::thaw),
         }
     }
     lab.cloud.set_faults(|faults| *faults = masticfall_standin::Faults::default());
-    lab.processes.values().for_each(|process| process.thaw());
+    lab.processes.values().for_each(crate::lab::Process::thaw);
     for name in ["w1", "w2"] {
         watch(&lab, name, 600_000).await;
         assert_eq!(wave(&lab, name).state, WaveState::Done, "seed {seed}, {name}");
--- a/crates/masticfall-entry/tests/suite/targets.rs
+++ b/crates/masticfall-entry/tests/suite/targets.rs
@@ -130,7 +130,7 @@
 /// Sends requests of up to half a second at one process for a minute.
 async fn load(node: Arc<Node>, running: Running, seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed);
-    let end = tokio::time::Instant::now() + std::time::Duration::from_secs(60);
+    let end = tokio::time::Instant::now() + std::time::Duration::from_mins(1);
     while tokio::time::Instant::now() < end {
         sleep_ms(rng.random_range(1..10)).await;
         let Ok(taken) = slot(&node, 200).await else { continue };
--- a/crates/masticfall-wire/src/peer.rs
+++ b/crates/masticfall-wire/src/peer.rs
@@ -1,6 +1,6 @@
 //! Messages between entry processes.
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use masticfall_core::id::{DataCentre, Incarnation, InstanceName, KeyId, Revision};
 use masticfall_core::timeline::Stamp;
 use serde::{Deserialize, Serialize};
@@ -48,8 +48,9 @@
     pub sequence: u64,
     /// Digest of the withdrawals known.
     pub withdrawn_digest: u64,
-    /// Leaving instances that the sender sends nothing to and waits for nothing from.
-    pub quiet: IndexSet<InstanceName>,
+    /// Leaving instances that the sender sends nothing to and waits for nothing from,
+    /// with the version of the row by which they leave.
+    pub quiet: IndexMap<InstanceName, u64>,
     /// Whether the sender reached the platform within a lease length.
     pub platform: bool,
 }
--- a/crates/masticfall/tests/suite/main.rs
+++ b/crates/masticfall/tests/suite/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the operators' command line against a fleet on trial.
 
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+
 mod cli;
 mod config;
 mod fleet;
