--- a/crates/masticfall-core/tests/suite/config.rs
+++ b/crates/masticfall-core/tests/suite/config.rs
@@ -31,7 +31,11 @@
 
 #[rstest]
 #[case("name = x\n", "name = x\nnmae = y\n", "unknown key; did you mean `name`?")]
-#[case("service = web\n[team", "service = wbe\n[team", "`wbe` is not configured; did you mean `web`?")]
+#[case(
+    "service = web\n[team",
+    "service = wbe\n[team",
+    "`wbe` is not configured; did you mean `web`?"
+)]
 #[case("limit = 3", "limit = -3", "`-3` is not allowed; allowed: a whole number from 0")]
 #[case("[data_centre a]\n", "", "at least one [data_centre NAME] is required")]
 #[case("[team t]", "[team t t]", "a name is 1 to 64 letters")]
--- a/crates/masticfall-core/tests/suite/escrow.rs
+++ b/crates/masticfall-core/tests/suite/escrow.rs
@@ -72,7 +72,9 @@
         later in prop::collection::vec(step(), 0..60),
     ) {
         let mut row = GrantRow::default();
-        steps.iter().for_each(|step| apply(&mut row, step, 40));
+        for step in &steps {
+            apply(&mut row, step, 40);
+        }
         let mut granted = row.granted();
         for step in &later {
             apply(&mut row, step, lower);
--- a/crates/masticfall-core/tests/suite/main.rs
+++ b/crates/masticfall-core/tests/suite/main.rs
@@ -1,7 +1,5 @@
 //! Invariants of the decisions, over generated schedules.
 
-#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
-
 mod config;
 mod errors;
 mod escrow;
--- /dev/null
+++ b/crates/masticfall-entry/benches/request_path.rs
@@ -0,0 +1,263 @@
+//! Throughput and latency that one entry process adds, beside a direct call and a
+//! bare pass-through on the same libraries, in one run.
+//!
+//! The entry process and the pass-through have one worker thread each, the
+//! target and the callers two each. Times are reported, not gated.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::Method;
+use http_body_util::BodyExt;
+use masticfall_core::id::{DataCentre, InstanceName, Name, PoolName};
+use masticfall_core::instance::{InstanceFacts, InstanceKind};
+use masticfall_core::key::KeyHash;
+use masticfall_entry::Settings;
+use masticfall_entry::ops::apply_config::{self, ApplyConfig};
+use masticfall_platform::serve::{ServePhase, bind, serve};
+use masticfall_standin::{Cloud, TargetServer};
+use motore::service::Service;
+use tokio::runtime::{Builder, Runtime};
+use tokio::sync::watch;
+use volo_http::body::Body;
+use volo_http::client::Client;
+use volo_http::context::ServerContext;
+use volo_http::request::Request;
+use volo_http::response::Response;
+
+#[global_allocator]
+static GLOBAL: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+const KEY: &str = "mf_bench";
+const LOOPBACK: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+const WARM_UP: Duration = Duration::from_millis(500);
+
+fn runtime(threads: usize, name: &str) -> Runtime {
+    Builder::new_multi_thread()
+        .worker_threads(threads)
+        .thread_name(name)
+        .enable_all()
+        .build()
+        .expect("a runtime starts")
+}
+
+/// Passes requests on to one target and adds nothing.
+#[derive(Clone)]
+struct PassThrough {
+    client: Client,
+    target: SocketAddr,
+}
+
+impl Service<ServerContext, Request> for PassThrough {
+    type Response = Response;
+    type Error = Infallible;
+
+    async fn call(&self, _: &mut ServerContext, request: Request) -> Result<Response, Infallible> {
+        let (parts, body) = request.into_parts();
+        let body = body.collect().await.map(http_body_util::Collected::to_bytes);
+        let uri = format!("http://{}{}", self.target, parts.uri.path());
+        let sent =
+            self.client.request(parts.method, uri).body(Body::from(body.unwrap_or_default()));
+        Ok(sent.send::<Body>().await.unwrap_or_default())
+    }
+}
+
+async fn start_pass_through(target: SocketAddr) -> (SocketAddr, watch::Sender<ServePhase>) {
+    let listener = bind(LOOPBACK).await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (phase, seen) = watch::channel(ServePhase::Open);
+    drop(serve(listener, PassThrough { client: Client::default(), target }, seen));
+    (address, phase)
+}
+
+fn settings() -> Settings {
+    Settings {
+        data_centre: DataCentre::from("a"),
+        http: LOOPBACK,
+        peer: LOOPBACK,
+        platform: LOOPBACK,
+        peer_secret: Name::from("benchmark-secret"),
+        seed_peers: Vec::new(),
+        leave_delay_ms: 0,
+        max_body_bytes: 16 * 1024 * 1024,
+    }
+}
+
+fn fleet_text() -> String {
+    let hash = KeyHash::of(KEY);
+    format!(
+        "[fleet]\nname = bench\n[data_centre a]\n[service web]\n[pool web]\nservice = web\n\
+         [queue web]\nservice = web\n[team t]\nlimit = 10000\n[key k]\nteam = t\nhash = {}\n",
+        hash.as_str()
+    )
+}
+
+async fn start_entry(target: SocketAddr) -> masticfall_entry::RunningEntry {
+    let cloud = Cloud::new(1);
+    let facts = InstanceFacts {
+        kind: InstanceKind::Target,
+        data_centre: DataCentre::from("a"),
+        rack: Name::from("r"),
+        address: Name::from(target.to_string()),
+        cores: 1,
+        memory_mib: 1,
+        accelerators: 0,
+    };
+    cloud.add_instance(InstanceName::from("t"), facts, PoolName::from("web"));
+    let platform = cloud.platform(&DataCentre::from("a"));
+    let entry = masticfall_entry::start(settings(), platform).await.expect("the entry starts");
+    let apply = ApplyConfig {
+        expected: masticfall_core::id::Revision(0),
+        text: Name::from(fleet_text()),
+        by: Name::from("bench"),
+        note: Name::from(""),
+    };
+    apply_config::run(&entry.node, apply).await.expect("the configuration is accepted");
+    entry
+}
+
+/// Latencies of one run, sorted, and its rate.
+struct Figures {
+    latencies_us: Vec<u64>,
+    failed: u64,
+    per_second: f64,
+}
+
+impl Figures {
+    fn quantile_us(&self, quantile: f64) -> u64 {
+        let last = self.latencies_us.len().saturating_sub(1);
+        let index = (last as f64 * quantile) as usize;
+        self.latencies_us.get(index).copied().unwrap_or_default()
+    }
+}
+
+#[derive(Clone, Copy)]
+struct Load {
+    callers: usize,
+    body_bytes: usize,
+    length: Duration,
+    /// Requests per second over all callers; none for as fast as they come.
+    rate: Option<f64>,
+}
+
+fn measure(callers: &Runtime, url: &str, load: Load) -> Figures {
+    let client = Client::default();
+    let failed = Arc::new(AtomicU64::new(0));
+    let started = Instant::now();
+    let tasks: Vec<_> = (0..load.callers)
+        .map(|_| {
+            let (client, url, failed) = (client.clone(), url.to_string(), Arc::clone(&failed));
+            callers.spawn(call_in_a_loop(client, url, load, failed))
+        })
+        .collect();
+    let mut latencies_us = Vec::new();
+    for task in tasks {
+        latencies_us.extend(callers.block_on(task).expect("a caller ends"));
+    }
+    latencies_us.sort_unstable();
+    let seconds = started.elapsed().saturating_sub(WARM_UP).as_secs_f64();
+    let per_second = latencies_us.len() as f64 / seconds;
+    Figures { latencies_us, failed: failed.load(Ordering::Relaxed), per_second }
+}
+
+async fn call_in_a_loop(
+    client: Client,
+    url: String,
+    load: Load,
+    failed: Arc<AtomicU64>,
+) -> Vec<u64> {
+    let body = Bytes::from(vec![b'x'; load.body_bytes]);
+    let started = Instant::now();
+    let mut latencies_us = Vec::new();
+    let mut due = tokio::time::Instant::now();
+    while started.elapsed() < WARM_UP + load.length {
+        if let Some(rate) = load.rate {
+            due += Duration::from_secs_f64(load.callers as f64 / rate);
+            tokio::time::sleep_until(due).await;
+        }
+        let sent = Instant::now();
+        let request = client
+            .request(Method::PUT, url.as_str())
+            .header("authorization", format!("Bearer {KEY}"))
+            .body(Body::from(body.clone()));
+        let whole = match request.send::<Body>().await {
+            Ok(response) if response.status().is_success() => {
+                response.into_body().collect().await.is_ok()
+            }
+            _ => false,
+        };
+        if !whole {
+            failed.fetch_add(1, Ordering::Relaxed);
+        } else if started.elapsed() > WARM_UP {
+            latencies_us.push(sent.elapsed().as_micros() as u64);
+        }
+    }
+    latencies_us
+}
+
+fn print(name: &str, load: Load, figures: &Figures) {
+    println!(
+        "{name:<13} callers {:>3}  body {:>7} B  {:>8.0} req/s  p50 {:>6} us  p99 {:>6} us  p999 {:>6} us  failed {}",
+        load.callers,
+        load.body_bytes,
+        figures.per_second,
+        figures.quantile_us(0.5),
+        figures.quantile_us(0.99),
+        figures.quantile_us(0.999),
+        figures.failed,
+    );
+}
+
+fn main() {
+    let seconds: f64 =
+        std::env::var("BENCH_SECONDS").ok().and_then(|text| text.parse().ok()).unwrap_or(0.5);
+    let length = Duration::from_secs_f64(seconds);
+    let (targets, callers) = (runtime(2, "target"), runtime(2, "caller"));
+    let (bare_runtime, entry_runtime) = (runtime(1, "bare"), runtime(1, "entry"));
+    let target = targets.block_on(TargetServer::start()).expect("a target");
+    let (bare, _bare_phase) = bare_runtime
+        .block_on(bare_runtime.spawn(start_pass_through(target.address)))
+        .expect("bare");
+    let entry =
+        entry_runtime.block_on(entry_runtime.spawn(start_entry(target.address))).expect("entry");
+    std::thread::sleep(Duration::from_secs(3));
+    let urls = [
+        ("direct", format!("http://{}/echo", target.address)),
+        ("pass-through", format!("http://{bare}/echo")),
+        ("entry", format!("http://{}/v1/queues/web/requests/echo", entry.node.addresses.http)),
+    ];
+    let mut rates = [0.0; 3];
+    for body_bytes in [5, 1024 * 1024] {
+        for count in [1, 32, 256] {
+            let load = Load { callers: count, body_bytes, length, rate: None };
+            for (index, (name, url)) in urls.iter().enumerate() {
+                let figures = measure(&callers, url, load);
+                print(name, load, &figures);
+                if body_bytes == 5 {
+                    rates[index] = figures.per_second;
+                }
+            }
+            if body_bytes == 5 && count > 1 {
+                println!("entry / pass-through at {count} callers: {:.3}", rates[2] / rates[1]);
+            }
+        }
+    }
+    half_load(&callers, &urls, rates[2] / 2.0, length);
+}
+
+/// Reports the latency added at half of the entry's own rate.
+fn half_load(callers: &Runtime, urls: &[(&str, String); 3], rate: f64, length: Duration) {
+    let load = Load { callers: 32, body_bytes: 5, length, rate: Some(rate) };
+    let mut p99_us = [0; 3];
+    for (index, (name, url)) in urls.iter().enumerate() {
+        let figures = measure(callers, url, load);
+        print(name, load, &figures);
+        p99_us[index] = figures.quantile_us(0.99);
+    }
+    println!("added p99 at half load: {} us", p99_us[2].saturating_sub(p99_us[0]));
+}
