A changed revision is announced, not sent, between peers

Cause: each process that took over a configuration sent the whole document to every peer, the square of their number in bytes. Ruled out: heartbeats (9 KB/s of the 96). Change: frames announce the number; a process behind reads the platform, and asks the peer only while that is away or slow.

--- a/crates/masticfall-entry/src/context.rs
+++ b/crates/masticfall-entry/src/context.rs
@@ -50,6 +50,8 @@
     pub units_wanted: Notify,
     /// Wakes requests that wait for units of a limit.
     pub units_changed: Notify,
+    /// Wakes the system that reads the configuration.
+    pub config_wanted: Notify,
     /// Wakes the system that reads the rows of processes.
     pub members_wanted: Notify,
     /// Wakes the planner.
@@ -87,6 +89,7 @@
             links: Links::new(dial),
             units_wanted: Notify::new(),
             units_changed: Notify::new(),
+            config_wanted: Notify::new(),
             members_wanted: Notify::new(),
             plan_wanted: Notify::new(),
             start: Instant::now(),
--- a/crates/masticfall-entry/src/peers/react.rs
+++ b/crates/masticfall-entry/src/peers/react.rs
@@ -11,14 +11,18 @@
 use crate::state::State;
 use crate::sync;
 
+/// Time for which the platform is preferred as the source of a configuration, in milliseconds.
+const PLATFORM_FETCH_MS: u64 = 400;
+
 /// Handles one message.
 pub fn receive(node: &Arc<Node>, frame: PeerFrame) {
     let behind = hear(node, &frame);
     let from = frame.from;
     if behind && !matches!(frame.message, PeerMessage::Config(_)) {
-        node.links.send(node, &from, &PeerMessage::FetchConfig);
+        fetch_config(node, &from);
     }
     match frame.message {
+        PeerMessage::Announce => {}
         PeerMessage::Heartbeat(heartbeat) => on_heartbeat(node, &from, heartbeat),
         PeerMessage::Acknowledge { sequence } => {
             node.state().guard.acknowledged(&from, sequence);
@@ -44,6 +48,25 @@
     frame.revision > state.revision()
 }
 
+/// Fetches a newer configuration: from the platform, or from the peer while that is away.
+///
+/// The platform is tried first, since a document sent between all peers costs
+/// the square of their number. A peer that is heard again while this process is
+/// still behind is asked itself.
+fn fetch_config(node: &Arc<Node>, from: &Incarnation) {
+    let now_ms = node.now_ms();
+    let mut state = node.state();
+    let asked_ms = *state.behind_since_ms.get_or_insert(now_ms);
+    let platform_slow = now_ms >= asked_ms + PLATFORM_FETCH_MS;
+    if state.reaches_platform(now_ms) && !platform_slow {
+        drop(state);
+        node.config_wanted.notify_one();
+        return;
+    }
+    drop(state);
+    node.links.send(node, from, &PeerMessage::FetchConfig);
+}
+
 fn on_heartbeat(node: &Arc<Node>, from: &Incarnation, heartbeat: Heartbeat) {
     let now_ms = node.now_ms();
     let mut state = node.state();
--- a/crates/masticfall-entry/src/state.rs
+++ b/crates/masticfall-entry/src/state.rs
@@ -130,6 +130,8 @@
     pub busy_workers: IndexSet<InstanceName>,
     /// When the platform last answered.
     pub platform_ms: Option<u64>,
+    /// Since when a newer configuration is known to exist.
+    pub behind_since_ms: Option<u64>,
     /// When a peer was last heard.
     pub peer_ms: Option<u64>,
     /// Units held by processes that are silent.
@@ -161,6 +163,7 @@
             listed: IndexMap::new(),
             busy_workers: IndexSet::new(),
             platform_ms: None,
+            behind_since_ms: None,
             peer_ms: None,
             stranded_units: 0,
             in_flight: 0,
@@ -189,6 +192,7 @@
         }
         self.config = Some(Arc::new(config));
         self.config_row = Some(row);
+        self.behind_since_ms = None;
         if self.phase == Phase::Starting {
             self.phase = Phase::Ready;
         }
--- a/crates/masticfall-entry/src/sync.rs
+++ b/crates/masticfall-entry/src/sync.rs
@@ -37,13 +37,19 @@
         let result = step(&node, &mut heads, period).await;
         node.note_platform(sent_ms, &result);
         period += 1;
-        tokio::time::sleep(Duration::from_millis(SYNC_MS)).await;
+        wait(&node).await;
         if node.state().phase == Phase::Draining {
             return;
         }
     }
 }
 
+/// Waits for the next period, or until a peer tells of a newer configuration.
+async fn wait(node: &Arc<Node>) {
+    let wanted = node.config_wanted.notified();
+    drop(tokio::time::timeout(Duration::from_millis(SYNC_MS), wanted).await);
+}
+
 /// Versions of the head rows at the last read.
 #[derive(Debug, Default)]
 struct Heads {
@@ -103,7 +109,6 @@
         }
     };
     let revision = row.revision;
-    let message = PeerMessage::Config(row.clone());
     let mut state = node.state();
     if !state.put_in_force(row, config) {
         return;
@@ -114,7 +119,7 @@
     drop(state);
     node.metrics.revision.set(revision.0 as i64);
     node.units_wanted.notify_one();
-    node.links.broadcast(node, &message);
+    node.links.broadcast(node, &PeerMessage::Announce);
     tracing::info!(name: "config.in_force", revision = %revision, "configuration in force");
 }
 
--- a/crates/masticfall-wire/src/peer.rs
+++ b/crates/masticfall-wire/src/peer.rs
@@ -33,7 +33,9 @@
         /// Sequence number of the heartbeat.
         sequence: u64,
     },
-    /// A configuration, newer than the receiver's.
+    /// Tells at once that the revision in force has changed; every frame carries it.
+    Announce,
+    /// The configuration in force, for a receiver that asked for it.
     Config(ConfigRow),
     /// Withdrawals of keys.
     Withdrawn(IndexMap<KeyId, Withdrawal>),
