Control fits its bytes at the target's size: shared list reading, near rows, short frames

Cause: every process read the list of instances each second (19 KB/s) and all lease rows each 1.5 s (6 KB/s), and frames spelt out field names. A lease now counts as expired only over readings, not over time without any.

--- a/crates/masticfall-core/src/guard.rs
+++ b/crates/masticfall-core/src/guard.rs
@@ -122,13 +122,13 @@
 }
 
 impl PeerGuard {
-    /// Decides what `me` may take back from the peer at `now_ms`.
+    /// Decides what `me` may take back from the peer at `now_ms`, by the readings so far.
     ///
     /// `max_deadline_ms` is the longest time for which a request that the peer
     /// dispatched can still run.
     pub fn reclaimable(&self, me: &Incarnation, max_deadline_ms: u64, now_ms: u64) -> Reclaim {
         let settle_ms = observer_length_ms(LEASE_MS) + max_deadline_ms;
-        if now_ms < self.row.changed_ms + settle_ms {
+        if self.row.observed_ms < self.row.changed_ms + settle_ms {
             return Reclaim::Nothing;
         }
         let promise_over = self.promised_ms.is_none_or(|at| now_ms >= at + settle_ms);
--- a/crates/masticfall-core/src/lease.rs
+++ b/crates/masticfall-core/src/lease.rs
@@ -64,12 +64,14 @@
     pub version: u64,
     /// Observer's clock when that version was first seen, in milliseconds.
     pub changed_ms: u64,
+    /// Observer's clock at the last observation, in milliseconds.
+    pub observed_ms: u64,
 }
 
 impl ObservedLease {
     /// Starts to observe a row.
     pub fn new(version: u64, now_ms: u64) -> Self {
-        Self { version, changed_ms: now_ms }
+        Self { version, changed_ms: now_ms, observed_ms: now_ms }
     }
 
     /// Records the row's version as read at `now_ms`.
@@ -77,10 +79,14 @@
         if version != self.version {
             *self = Self::new(version, now_ms);
         }
+        self.observed_ms = now_ms;
     }
 
-    /// Tells whether the row stood unchanged for a whole lease at `now_ms`.
-    pub fn is_expired(&self, length_ms: u64, now_ms: u64) -> bool {
-        now_ms >= self.changed_ms + observer_length_ms(length_ms)
+    /// Tells whether the row was seen unchanged over a whole lease.
+    ///
+    /// Time that passed without a reading counts for nothing: an observer that
+    /// does not reach the platform cannot tell an expired lease from a renewed one.
+    pub fn is_expired(&self, length_ms: u64) -> bool {
+        self.observed_ms >= self.changed_ms + observer_length_ms(length_ms)
     }
 }
--- a/crates/masticfall-entry/src/grants.rs
+++ b/crates/masticfall-entry/src/grants.rs
@@ -57,19 +57,18 @@
     results.into_iter().collect()
 }
 
-fn peers_in_data_centre(node: &Node, state: &State, now_ms: u64) -> u32 {
-    1 + state.live_members(node.data_centre(), now_ms).count() as u32
+fn peers_in_data_centre(node: &Node, state: &State) -> u32 {
+    1 + state.live_members(node.data_centre()).count() as u32
 }
 
 /// Returns the claims on team limits that are worth a write.
 fn limit_claims(node: &Node) -> Vec<(TeamName, Claim)> {
-    let now_ms = node.now_ms();
     let mut locked = node.state();
     let state = &mut *locked;
     let Some(config) = state.config.clone() else {
         return Vec::new();
     };
-    let peers = peers_in_data_centre(node, state, now_ms);
+    let peers = peers_in_data_centre(node, state);
     let mut claims = Vec::new();
     for (team, settings) in &config.teams {
         let account = state.limits.entry(team.clone()).or_default();
@@ -217,13 +216,12 @@
 
 /// Returns the claims on target slots that are worth a write.
 fn slot_claims(node: &Node) -> Vec<(InstanceName, Claim)> {
-    let now_ms = node.now_ms();
     let mut locked = node.state();
     let state = &mut *locked;
     let Some(config) = state.config.clone() else {
         return Vec::new();
     };
-    let peers = peers_in_data_centre(node, state, now_ms);
+    let peers = peers_in_data_centre(node, state);
     let mut claims = Vec::new();
     for (service, service_state) in &state.services {
         let Some(settings) = config.services.get(service) else {
--- a/crates/masticfall-entry/src/membership.rs
+++ b/crates/masticfall-entry/src/membership.rs
@@ -8,12 +8,18 @@
 use masticfall_core::lease::{LEASE_MS, ObservedLease, RENEWAL_MS};
 use masticfall_core::timeline::EventKind;
 use masticfall_platform::{Commit, Condition, PlatformError, Result, Transaction};
-use masticfall_wire::rows::{MEMBER_PREFIX, MemberRow, member_key};
+use masticfall_wire::rows::{MEMBER_PREFIX, MemberRow, member_key, members_prefix};
 
 use crate::context::Node;
 use crate::reclaim;
 use crate::state::{Member, Phase};
 
+/// Renewals for each reading of the rows of other data centres.
+///
+/// Processes there are heard by their heartbeats; their rows matter only for
+/// addresses of new ones and for taking back elastic units.
+const FAR_OBSERVE_EVERY: u64 = 10;
+
 /// Shortest time between two reads for unknown processes, in milliseconds.
 const MIN_OBSERVE_GAP_MS: u64 = 100;
 
@@ -57,13 +63,17 @@
         *own = read_back(node).await?;
     }
     renew(node, own, renewals).await?;
-    observe(node).await?;
+    if renewals % FAR_OBSERVE_EVERY == 1 {
+        observe(node).await?;
+    } else {
+        observe_near(node).await?;
+    }
     reclaim::step(node).await
 }
 
 /// Reads the own row after a write whose outcome is not known.
 async fn read_back(node: &Node) -> Result<OwnRow> {
-    let row = node.platform.tables.get(&member_key(&node.who)).await?;
+    let row = node.platform.tables.get(&member_key(node.data_centre(), &node.who)).await?;
     if row.is_none() && node.state().guard.was_renewed() {
         abandon(node);
     }
@@ -77,7 +87,7 @@
 }
 
 async fn renew(node: &Arc<Node>, own: &mut OwnRow, renewals: u64) -> Result<()> {
-    let key = member_key(&node.who);
+    let key = member_key(node.data_centre(), &node.who);
     let condition = match own {
         OwnRow::Version(version) => Condition::Version(*version),
         _ => Condition::Absent,
@@ -106,10 +116,9 @@
 }
 
 fn own_row(node: &Node, renewals: u64) -> MemberRow {
-    let now_ms = node.now_ms();
     let state = node.state();
     let members: IndexSet<Incarnation> =
-        state.live_members(node.data_centre(), now_ms).map(|(who, _)| who.clone()).collect();
+        state.live_members(node.data_centre()).map(|(who, _)| who.clone()).collect();
     MemberRow {
         data_centre: node.data_centre().clone(),
         http: Arc::clone(&node.addresses.http),
@@ -140,11 +149,30 @@
 /// # Errors
 /// The platform's failure; what was known stays.
 pub async fn observe(node: &Arc<Node>) -> Result<()> {
-    let rows = (node.platform.tables.scan)(MEMBER_PREFIX.to_string()).await?;
+    let seen = read_members(node, MEMBER_PREFIX.to_string()).await?;
+    node.state().members.retain(|who, _| seen.contains(who));
+    node.links.connect_missing(node);
+    Ok(())
+}
+
+/// Reads the rows of the processes of this data centre.
+async fn observe_near(node: &Arc<Node>) -> Result<()> {
+    let here = node.data_centre();
+    let seen = read_members(node, members_prefix(here)).await?;
+    let mut state = node.state();
+    state.members.retain(|who, member| member.row.data_centre != *here || seen.contains(who));
+    drop(state);
+    node.links.connect_missing(node);
+    Ok(())
+}
+
+/// Reads the rows under a prefix; returns whose they are, without this process.
+async fn read_members(node: &Arc<Node>, prefix: String) -> Result<IndexSet<Incarnation>> {
+    let rows = (node.platform.tables.scan)(prefix).await?;
     let now_ms = node.now_ms();
     let mut seen = IndexSet::new();
     for row in rows {
-        let who = Incarnation::from(row.key[MEMBER_PREFIX.len()..].to_string());
+        let who = Incarnation::from(row.key.rsplit('/').next().unwrap_or_default());
         if who == node.who {
             continue;
         }
@@ -152,9 +180,7 @@
         seen.insert(who.clone());
         update_member(node, who, value, row.version, now_ms);
     }
-    node.state().members.retain(|who, _| seen.contains(who));
-    node.links.connect_missing(node);
-    Ok(())
+    Ok(seen)
 }
 
 fn update_member(node: &Node, who: Incarnation, row: MemberRow, version: u64, now_ms: u64) {
@@ -178,6 +204,8 @@
         revision,
         withdrawn_digest: 0,
         quiet: IndexMap::new(),
+        reaches_platform: false,
+        list_digest: 0,
     };
     state.members.insert(who, member);
 }
@@ -185,7 +213,7 @@
 /// Tells whether a member is live as far as its row and the channel say.
 pub fn is_live(member: &Member, now_ms: u64) -> bool {
     let heard = member.heard_ms.is_some_and(|at| now_ms < at + LEASE_MS);
-    heard || !member.lease.is_expired(LEASE_MS, now_ms)
+    heard || !member.lease.is_expired(LEASE_MS)
 }
 
 /// Deletes the own row at the end of a graceful shutdown.
@@ -193,7 +221,7 @@
 /// # Errors
 /// The platform's failure; the row then expires by itself.
 pub async fn leave(node: &Node) -> Result<()> {
-    let transaction = Transaction::new().delete(member_key(&node.who));
+    let transaction = Transaction::new().delete(member_key(node.data_centre(), &node.who));
     (node.platform.tables.transact)(transaction).await?;
     node.record(EventKind::Leaving, &[]);
     Ok(())
--- a/crates/masticfall-entry/src/peers.rs
+++ b/crates/masticfall-entry/src/peers.rs
@@ -31,7 +31,9 @@
 pub const NEAR_HEARTBEAT_MS: u64 = 500;
 
 /// Heartbeats within a data centre for each one to another data centre.
-pub const FAR_EVERY: u64 = 4;
+///
+/// Changes are announced at once; heartbeats repeat them for a peer that missed one.
+pub const FAR_EVERY: u64 = 5;
 
 /// Largest message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
@@ -93,6 +95,7 @@
             }
             let (sender, receiver) = mpsc::channel(OUTBOX_MESSAGES);
             (self.dial)(Arc::clone(node), Arc::clone(&address), receiver);
+            greet(node, &sender);
             outboxes.insert(address, sender);
         }
     }
@@ -138,6 +141,13 @@
     }
 }
 
+/// Tells a new peer what is in force here, before anything else.
+fn greet(node: &Arc<Node>, outbox: &mpsc::Sender<Encoded>) {
+    if let Some(bytes) = frame(node, &PeerMessage::Heartbeat(heartbeat(node))) {
+        push(node, outbox, &bytes);
+    }
+}
+
 fn push(node: &Node, outbox: &mpsc::Sender<Encoded>, bytes: &Encoded) {
     if outbox.try_send(Arc::clone(bytes)).is_ok() {
         node.metrics.peer_bytes.inc_by(bytes.len() as u64);
@@ -150,7 +160,6 @@
     let mut state = node.state();
     let frame = PeerFrame {
         from: node.who.clone(),
-        data_centre: node.data_centre().clone(),
         stamp: state.timeline.clock().now(wall_ms()),
         revision: state.revision(),
         message: message.clone(),
@@ -183,5 +192,6 @@
         withdrawn_digest: state.withdrawn_digest(),
         quiet: react::quiet_instances(&state),
         platform: state.reaches_platform(now_ms),
+        list_digest: state.list_digest,
     }
 }
--- a/crates/masticfall-entry/src/planner/instances.rs
+++ b/crates/masticfall-entry/src/planner/instances.rs
@@ -168,5 +168,5 @@
 fn has_lapsed(member: &Member, max_deadline_ms: u64, now_ms: u64) -> bool {
     let silent_ms = observer_length_ms(LEASE_MS) + max_deadline_ms;
     let heard_ms = member.heard_ms.unwrap_or(0).max(member.promised_ms.unwrap_or(0));
-    member.lease.is_expired(silent_ms, now_ms) && now_ms >= heard_ms + silent_ms
+    member.lease.is_expired(silent_ms) && now_ms >= heard_ms + silent_ms
 }
--- a/crates/masticfall-entry/src/planner/lease.rs
+++ b/crates/masticfall-entry/src/planner/lease.rs
@@ -51,7 +51,7 @@
         let Some(row) = read else { return true };
         let observed = self.observed.get_or_insert(ObservedLease::new(row.version, now_ms));
         observed.observe(row.version, now_ms);
-        observed.is_expired(LEASE_MS, now_ms)
+        observed.is_expired(LEASE_MS)
     }
 
     async fn write(
--- a/crates/masticfall-entry/src/state.rs
+++ b/crates/masticfall-entry/src/state.rs
@@ -51,6 +51,10 @@
     pub withdrawn_digest: u64,
     /// Leaving instances that it has nothing in flight to, with the version of their rows.
     pub quiet: IndexMap<InstanceName, u64>,
+    /// Whether it reaches the platform, as last heard.
+    pub reaches_platform: bool,
+    /// Digest of its list of instances, as last heard.
+    pub list_digest: u64,
 }
 
 /// Requests and targets of one service.
@@ -97,6 +101,14 @@
     Closed,
 }
 
+/// Returns the first 64 bits of the BLAKE3 hash of some bytes.
+pub fn digest_of(bytes: &[u8]) -> u64 {
+    let hash = blake3::hash(bytes);
+    let mut first = [0; 8];
+    first.copy_from_slice(&hash.as_bytes()[..8]);
+    u64::from_le_bytes(first)
+}
+
 /// All tables of a process.
 #[derive(Debug)]
 pub struct State {
@@ -126,6 +138,10 @@
     pub instances: IndexMap<InstanceName, (u64, InstanceRow)>,
     /// Instances of this data centre as the platform lists them.
     pub listed: IndexMap<InstanceName, ListedInstance>,
+    /// Digest of the list.
+    pub list_digest: u64,
+    /// When the list was last read.
+    pub list_ms: Option<u64>,
     /// Workers that run tasks, as this process's planner knows.
     pub busy_workers: IndexSet<InstanceName>,
     /// When the platform last answered.
@@ -161,6 +177,8 @@
             services: IndexMap::new(),
             instances: IndexMap::new(),
             listed: IndexMap::new(),
+            list_digest: 0,
+            list_ms: None,
             busy_workers: IndexSet::new(),
             platform_ms: None,
             behind_since_ms: None,
@@ -210,12 +228,7 @@
 
     /// Returns a digest of the withdrawals known, independent of their order.
     pub fn withdrawn_digest(&self) -> u64 {
-        let digests = self.withdrawals.keys().map(|key| {
-            let hash = blake3::hash(key.as_str().as_bytes());
-            let mut first = [0; 8];
-            first.copy_from_slice(&hash.as_bytes()[..8]);
-            u64::from_le_bytes(first)
-        });
+        let digests = self.withdrawals.keys().map(|key| digest_of(key.as_str().as_bytes()));
         digests.fold(0, |all, one| all ^ one)
     }
 
@@ -252,12 +265,11 @@
     pub fn live_members<'a>(
         &'a self,
         data_centre: &'a DataCentre,
-        now_ms: u64,
     ) -> impl Iterator<Item = (&'a Incarnation, &'a Member)> {
         self.members.iter().filter(move |(_, member)| {
             member.row.data_centre == *data_centre
                 && !member.row.leaving
-                && !member.lease.is_expired(LEASE_MS, now_ms)
+                && !member.lease.is_expired(LEASE_MS)
         })
     }
 }
--- a/crates/masticfall-entry/src/sync.rs
+++ b/crates/masticfall-entry/src/sync.rs
@@ -20,23 +20,24 @@
 
 use crate::context::{Node, wall_ms};
 use crate::slots;
-use crate::state::Phase;
+use crate::state::{Member, Phase, digest_of};
 
 /// Period of the reads, in milliseconds.
 const SYNC_MS: u64 = 500;
 
-/// Period at which the list of instances is read, in sync periods.
-const LIST_EVERY: u64 = 2;
+/// Period at which the reader of a data centre reads the list of instances, in milliseconds.
+const LIST_MS: u64 = 2_000;
+
+/// Time after which a process that is not heard is not the reader, in milliseconds.
+const READER_SILENCE_MS: u64 = 1_500;
 
 /// Reads until the process drains.
 pub async fn run(node: Arc<Node>) {
     let mut heads = Heads::default();
-    let mut period = 0;
     loop {
         let sent_ms = node.now_ms();
-        let result = step(&node, &mut heads, period).await;
+        let result = step(&node, &mut heads).await;
         node.note_platform(sent_ms, &result);
-        period += 1;
         wait(&node).await;
         if node.state().phase == Phase::Draining {
             return;
@@ -57,7 +58,7 @@
     withdrawn: Option<u64>,
 }
 
-async fn step(node: &Arc<Node>, heads: &mut Heads, period: u64) -> Result<()> {
+async fn step(node: &Arc<Node>, heads: &mut Heads) -> Result<()> {
     let instances_head = instances_head_key(node.data_centre());
     let keys = vec![CONFIG_HEAD_KEY.to_string(), WITHDRAWN_KEY.to_string(), instances_head];
     let rows = (node.platform.tables.read)(keys).await?;
@@ -72,7 +73,7 @@
         sync_instances(node).await?;
         heads.instances = version;
     }
-    let listed = period.is_multiple_of(LIST_EVERY);
+    let listed = list_is_due(node);
     if listed {
         sync_list(node).await?;
     }
@@ -208,10 +209,37 @@
     state.instances.insert(name, (version, row));
 }
 
+/// Tells whether this process has to read the list of instances now.
+///
+/// One process of the data centre reads it periodically: the first by name of
+/// those that are heard and reach the platform. Its heartbeats carry a digest,
+/// and the others read the list only when theirs differs.
+fn list_is_due(node: &Arc<Node>) -> bool {
+    let now_ms = node.now_ms();
+    let state = node.state();
+    let Some(read_ms) = state.list_ms else { return true };
+    let heard = |member: &Member| {
+        member.heard_ms.is_some_and(|at| now_ms < at + READER_SILENCE_MS) && member.reaches_platform
+    };
+    let here = node.data_centre();
+    let candidates = state.members.iter().filter(|(who, member)| {
+        member.row.data_centre == *here && **who < node.who && heard(member)
+    });
+    match candidates.min_by(|a, b| a.0.cmp(b.0)) {
+        Some((_, reader)) => reader.list_digest != state.list_digest,
+        None => now_ms >= read_ms + LIST_MS,
+    }
+}
+
 async fn sync_list(node: &Arc<Node>) -> Result<()> {
+    let sent_ms = node.now_ms();
     let list = (node.platform.instances.list)(node.data_centre().clone()).await?;
+    let digest = masticfall_wire::encode(&list).map_or(0, |bytes| digest_of(&bytes));
     let listed = list.into_iter().map(|entry: ListedInstance| (entry.name.clone(), entry));
-    node.state().listed = listed.collect();
+    let mut state = node.state();
+    state.listed = listed.collect();
+    state.list_digest = digest;
+    state.list_ms = Some(sent_ms);
     Ok(())
 }
 
--- a/crates/masticfall-entry/tests/suite/lab.rs
+++ b/crates/masticfall-entry/tests/suite/lab.rs
@@ -28,6 +28,9 @@
 /// Longest deadline in the laboratory's configuration, in milliseconds.
 pub const MAX_DEADLINE_MS: u64 = 2_000;
 
+/// Time that an operation of the platform takes, in milliseconds.
+const LATENCY_MS: u64 = 2;
+
 /// Key of a team in the laboratory.
 pub fn key_of(team: &str) -> String {
     format!("mf_{team}")
@@ -125,6 +128,8 @@
     /// Starts a fleet with processes `(name, data centre)` and applies `text`.
     pub async fn start(seed: u64, processes: &[(&str, &str)], text: &str) -> Self {
         let cloud = Cloud::new(seed);
+        // Without a latency, concurrent operations would never interleave.
+        cloud.set_latency_ms(LATENCY_MS);
         let network = Arc::default();
         let mut lab = Self { cloud, processes: IndexMap::new(), network, started: 0 };
         for (name, data_centre) in processes {
--- a/crates/masticfall-standin/src/cloud.rs
+++ b/crates/masticfall-standin/src/cloud.rs
@@ -42,6 +42,7 @@
     pub(crate) instances: IndexMap<InstanceName, CloudInstance>,
     pub(crate) workers: WorkerTasks,
     pub(crate) faults: Faults,
+    pub(crate) latency_ms: u64,
     pub(crate) rng: StdRng,
 }
 
@@ -61,11 +62,17 @@
             instances: IndexMap::new(),
             workers: WorkerTasks::default(),
             faults: Faults::default(),
+            latency_ms: 0,
             rng: StdRng::seed_from_u64(seed),
         };
         Self { state: Arc::new(Mutex::new(state)) }
     }
 
+    /// Sets the time that every operation takes, in milliseconds.
+    pub fn set_latency_ms(&self, latency_ms: u64) {
+        self.state.lock().latency_ms = latency_ms;
+    }
+
     /// Changes the faults in force.
     pub fn set_faults(&self, change: impl FnOnce(&mut Faults)) {
         change(&mut self.state.lock().faults);
--- a/crates/masticfall-wire/src/rows.rs
+++ b/crates/masticfall-wire/src/rows.rs
@@ -46,9 +46,14 @@
     format!("pool/{pool}")
 }
 
+/// Returns the prefix of the rows of a data centre's entry processes.
+pub fn members_prefix(data_centre: &DataCentre) -> String {
+    format!("{MEMBER_PREFIX}{data_centre}/")
+}
+
 /// Returns the key of an entry process's row.
-pub fn member_key(who: &Incarnation) -> String {
-    format!("{MEMBER_PREFIX}{who}")
+pub fn member_key(data_centre: &DataCentre, who: &Incarnation) -> String {
+    format!("{MEMBER_PREFIX}{data_centre}/{who}")
 }
 
 /// Returns the prefix of the rows of a data centre's instances.
