--- a/crates/masticfall-entry/benches/control.rs
+++ b/crates/masticfall-entry/benches/control.rs
@@ -166,6 +166,18 @@
     in_force_ms: u64,
     core_percent: f64,
     most_bytes_per_s: f64,
+    rows: Vec<(&'static str, usize, usize)>,
+}
+
+/// Returns number and bytes of the rows under each prefix.
+fn rows(lab: &Lab) -> Vec<(&'static str, usize, usize)> {
+    let prefixes = ["config/", "head/", "instance/", "limit/", "member/", "planner/"];
+    let counted = prefixes.into_iter().map(|prefix| {
+        let rows = lab.cloud.rows(prefix);
+        let bytes = rows.iter().map(|row| row.key.len() + row.value.len()).sum();
+        (prefix, rows.len(), bytes)
+    });
+    counted.collect()
 }
 
 async fn measure(size: &Size) -> Figures {
@@ -189,6 +201,7 @@
         writes_per_s: sum(|one| one.writes),
         in_force_ms,
         core_percent: percent_of_core(spent, processes),
+        rows: rows(&lab),
         most_bytes_per_s: peer_bytes_per_s + platform.iter().copied().fold(0.0, f64::max),
     }
 }
@@ -256,6 +269,9 @@
         );
         if size.name == "1" {
             failed = breaches(&figures);
+            for (prefix, count, bytes) in &figures.rows {
+                println!("     rows {prefix:<10} {count:>6}  {bytes:>8} B");
+            }
         }
     }
     for breach in &failed {
