Instances follow demand between pools where the configuration allows it; four measures

Decisions in core (fading peak, buffer, least lack and stay by weighting), carried out by the planner within the availability budgets.

--- a/crates/masticfall-core/src/config/model.rs
+++ b/crates/masticfall-core/src/config/model.rs
@@ -143,6 +143,8 @@
     pub max_deadline_ms: u64,
     /// Which measures weigh more.
     pub weighting: Weighting,
+    /// Whether the planner moves instances between pools by itself.
+    pub auto_moves: bool,
     /// Data centres.
     pub data_centres: IndexMap<DataCentre, DataCentreConfig>,
     /// Services.
--- a/crates/masticfall-core/src/config/read.rs
+++ b/crates/masticfall-core/src/config/read.rs
@@ -44,6 +44,7 @@
         spare_pool: doc.text("fleet", "spare_pool").map(PoolName::from),
         max_deadline_ms: doc.number("fleet", "max_deadline_ms", 30_000, (100, MAX_DEADLINE_MS)),
         weighting: choice(doc, "fleet", "weighting", Weighting::Share),
+        auto_moves: doc.value("fleet", "auto_moves", false, "true, false"),
         data_centres: named(doc, "data_centre", |doc, section| DataCentreConfig {
             near: doc.list(section, "near").into_iter().map(Into::into).collect(),
         }),
--- a/crates/masticfall-core/src/lib.rs
+++ b/crates/masticfall-core/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod prelude;
 pub mod routing;
 pub mod share;
+pub mod sizing;
 pub mod timeline;
 pub mod wave;
--- a/crates/masticfall-core/src/timeline.rs
+++ b/crates/masticfall-core/src/timeline.rs
@@ -62,6 +62,7 @@
     RevisionInForce,
     KeyWithdrawn,
     InstanceChanged,
+    MovePlanned,
     JobAccepted,
     JobPlaced,
     JobFinished,
--- a/crates/masticfall-core/tests/suite/main.rs
+++ b/crates/masticfall-core/tests/suite/main.rs
@@ -10,5 +10,6 @@
 mod lease;
 mod routing;
 mod share;
+mod sizing;
 mod timeline;
 mod waves;
--- a/crates/masticfall-entry/src/membership.rs
+++ b/crates/masticfall-entry/src/membership.rs
@@ -204,6 +204,7 @@
         revision,
         withdrawn_digest: 0,
         quiet: IndexMap::new(),
+        demand: IndexMap::new(),
         reaches_platform: false,
         list_digest: 0,
     };
--- a/crates/masticfall-entry/src/peers.rs
+++ b/crates/masticfall-entry/src/peers.rs
@@ -173,8 +173,12 @@
     let mut beat = 0;
     loop {
         node.links.connect_missing(&node);
-        let message = PeerMessage::Heartbeat(heartbeat(&node));
-        node.links.send_where(&node, &message, true, beat % FAR_EVERY == 0);
+        let near = heartbeat(&node);
+        let far = Heartbeat { demand: IndexMap::new(), ..near.clone() };
+        node.links.send_where(&node, &PeerMessage::Heartbeat(near), true, false);
+        if beat % FAR_EVERY == 0 {
+            node.links.send_where(&node, &PeerMessage::Heartbeat(far), false, true);
+        }
         beat += 1;
         tokio::time::sleep(Duration::from_millis(NEAR_HEARTBEAT_MS)).await;
         if node.state().phase == Phase::Draining {
@@ -191,6 +195,7 @@
         sequence: now_ms,
         withdrawn_digest: state.withdrawn_digest(),
         quiet: react::quiet_instances(&state),
+        demand: state.demand(),
         platform: state.reaches_platform(now_ms),
         list_digest: state.list_digest,
     }
--- a/crates/masticfall-entry/src/peers/react.rs
+++ b/crates/masticfall-entry/src/peers/react.rs
@@ -79,6 +79,7 @@
     };
     member.withdrawn_digest = heartbeat.withdrawn_digest;
     member.quiet = heartbeat.quiet;
+    member.demand = heartbeat.demand;
     member.reaches_platform = heartbeat.platform;
     member.list_digest = heartbeat.list_digest;
     let near = member.row.data_centre == *here && !member.reclaiming;
--- a/crates/masticfall-entry/src/planner.rs
+++ b/crates/masticfall-entry/src/planner.rs
@@ -8,6 +8,7 @@
 mod jobs;
 pub mod lease;
 pub mod pools;
+mod sizes;
 mod waves;
 
 use std::sync::Arc;
@@ -27,6 +28,7 @@
     lease: lease::PlannerLease,
     jobs: jobs::JobTable,
     instances: instances::RebootTable,
+    sizes: sizes::DemandTable,
 }
 
 /// Plans until the process drains.
@@ -51,10 +53,12 @@
     if !memory.lease.acquire(node).await? {
         memory.jobs = jobs::JobTable::default();
         memory.instances = instances::RebootTable::default();
+        memory.sizes = sizes::DemandTable::default();
         return Ok(());
     }
     // Jobs first: a leaving worker is drained only once its tasks are known.
     jobs::step(node, &memory.lease, &mut memory.jobs).await?;
     instances::step(node, &memory.lease, &mut memory.instances).await?;
-    waves::step(node, &memory.lease, &memory.instances).await
+    waves::step(node, &memory.lease, &memory.instances).await?;
+    sizes::step(node, &memory.lease, &mut memory.sizes).await
 }
--- a/crates/masticfall-entry/src/state.rs
+++ b/crates/masticfall-entry/src/state.rs
@@ -51,6 +51,8 @@
     pub withdrawn_digest: u64,
     /// Leaving instances that it has nothing in flight to, with the version of their rows.
     pub quiet: IndexMap<InstanceName, u64>,
+    /// Its demand by service, as last heard.
+    pub demand: IndexMap<ServiceName, u32>,
     /// Whether it reaches the platform, as last heard.
     pub reaches_platform: bool,
     /// Digest of its list of instances, as last heard.
@@ -235,6 +237,16 @@
         true
     }
 
+    /// Returns the requests in flight and waiting here, by service.
+    pub fn demand(&self) -> IndexMap<ServiceName, u32> {
+        let services = self.services.iter().map(|(name, service)| {
+            let targets = service.targets.targets().values();
+            let in_flight: u32 = targets.map(|target| target.in_flight).sum();
+            (name.clone(), in_flight + service.queue.len() as u32)
+        });
+        services.filter(|(_, demand)| *demand > 0).collect()
+    }
+
     /// Returns a digest of the withdrawals known, independent of their order.
     pub fn withdrawn_digest(&self) -> u64 {
         let digests = self.withdrawals.keys().map(|key| digest_of(key.as_str().as_bytes()));
--- a/crates/masticfall-entry/tests/suite/pools.rs
+++ b/crates/masticfall-entry/tests/suite/pools.rs
@@ -111,6 +111,39 @@
     assert!(available(&lab, "web") >= SIZE / 2);
 }
 
+/// A configuration in which the planner moves instances by itself.
+fn moving_text() -> String {
+    let text = fleet_text(1_000, 100);
+    text.replace("[fleet]\n", "[fleet]\nauto_moves = true\nweighting = share\n")
+}
+
+#[tokio::test(start_paused = true)]
+async fn spare_instance_follows_demand_and_the_budget_holds() {
+    let lab = Lab::start(8, &[("a1", "a"), ("a2", "a")], &moving_text()).await;
+    for index in 0..2 {
+        lab.add_instance(&format!("t{index}"), InstanceKind::Target, "a", "r0", "web");
+        lab.add_instance(&format!("s{index}"), InstanceKind::Target, "a", "r1", "spare");
+    }
+    sleep_ms(15_000).await;
+    assert_eq!(available(&lab, "web"), 2, "no demand, no move");
+    let mut held = Vec::new();
+    for name in ["a1", "a2"] {
+        for _ in 0..20 {
+            let node = std::sync::Arc::clone(lab.node(name));
+            held.push(tokio::spawn(async move {
+                let slot = crate::targets::slot(&node, 20_000).await;
+                sleep_ms(20_000).await;
+                drop(slot);
+            }));
+        }
+    }
+    sleep_ms(6_000).await;
+    assert_eq!(available(&lab, "web"), 4, "40 requests want five instances of 8 slots");
+    let rows = rows(&lab);
+    assert!(rows.iter().all(|(_, row)| row.state == LifeState::InPool));
+    held.iter().for_each(tokio::task::JoinHandle::abort);
+}
+
 #[tokio::test(start_paused = true)]
 async fn wave_maintains_every_instance_within_the_budget() {
     let lab = lab_with_pool(4).await;
--- a/crates/masticfall-entry/tests/suite/targets.rs
+++ b/crates/masticfall-entry/tests/suite/targets.rs
@@ -30,7 +30,8 @@
     lab
 }
 
-async fn slot(node: &Arc<Node>, wait_ms: u64) -> Result<SlotGuard> {
+/// Takes a slot of service `web`.
+pub async fn slot(node: &Arc<Node>, wait_ms: u64) -> Result<SlotGuard> {
     let request = SlotRequest {
         service: &ServiceName::from("web"),
         team: &TeamName::from("red"),
--- a/crates/masticfall-wire/src/peer.rs
+++ b/crates/masticfall-wire/src/peer.rs
@@ -4,7 +4,7 @@
 //! their size times the square of the number of processes is what control costs.
 
 use indexmap::{IndexMap, IndexSet};
-use masticfall_core::id::{Incarnation, InstanceName, KeyId, Revision, TeamName};
+use masticfall_core::id::{Incarnation, InstanceName, KeyId, Revision, ServiceName, TeamName};
 use masticfall_core::timeline::Stamp;
 use serde::{Deserialize, Serialize};
 
@@ -77,6 +77,9 @@
     /// with the version of the row by which they leave.
     #[serde(rename = "q", default, skip_serializing_if = "IndexMap::is_empty")]
     pub quiet: IndexMap<InstanceName, u64>,
+    /// Requests in flight and waiting at the sender, by service; none to far peers.
+    #[serde(rename = "d", default, skip_serializing_if = "IndexMap::is_empty")]
+    pub demand: IndexMap<ServiceName, u32>,
     /// Whether the sender reached the platform within a lease length.
     #[serde(rename = "p")]
     pub platform: bool,
