A request without a slot here spills over to a near data centre, once

The admitting process keeps the team's unit and the caller; a request is forwarded only while it certainly did not run, and the outcome of the forwarded one is told truthfully. Found by the test of one story over two processes: events of one millisecond came out of order, since HTTP carried no clock; the forwarding process's clock now goes along in a header.

--- a/crates/masticfall-core/src/timeline.rs
+++ b/crates/masticfall-core/src/timeline.rs
@@ -1,6 +1,8 @@
 //! The time line: typed events in a bounded ring, ordered by a hybrid logical clock.
 
 use std::collections::VecDeque;
+use std::fmt;
+use std::str::FromStr;
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -20,6 +22,28 @@
     pub counter: u32,
 }
 
+impl fmt::Display for Stamp {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.wall_ms, self.counter)
+    }
+}
+
+/// Text that is not a reading of a hybrid logical clock.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NotAStamp;
+
+impl FromStr for Stamp {
+    type Err = NotAStamp;
+
+    fn from_str(text: &str) -> Result<Self, NotAStamp> {
+        let (wall_ms, counter) = text.split_once('.').ok_or(NotAStamp)?;
+        match (wall_ms.parse(), counter.parse()) {
+            (Ok(wall_ms), Ok(counter)) => Ok(Self { wall_ms, counter }),
+            _ => Err(NotAStamp),
+        }
+    }
+}
+
 /// A hybrid logical clock.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct HybridClock {
@@ -56,6 +80,7 @@
     Refused,
     Dispatched,
     Retried,
+    Forwarded,
     Answered,
     GrantChanged,
     GrantReclaimed,
--- a/crates/masticfall-core/tests/suite/timeline.rs
+++ b/crates/masticfall-core/tests/suite/timeline.rs
@@ -22,6 +22,14 @@
     }
 }
 
+#[test]
+fn stamp_is_read_back_from_its_text() {
+    let stamp = Stamp { wall_ms: 17, counter: 3 };
+    assert_eq!(stamp.to_string().parse(), Ok(stamp));
+    assert!("17".parse::<Stamp>().is_err());
+    assert!("17.x".parse::<Stamp>().is_err());
+}
+
 #[test]
 fn full_ring_drops_the_oldest_and_counts_them() {
     let mut timeline = Timeline::new(Incarnation::from("p"), 3);
--- a/crates/masticfall-entry/src/dispatch.rs
+++ b/crates/masticfall-entry/src/dispatch.rs
@@ -23,6 +23,7 @@
 use crate::guards::{GuardedBody, SlotGuard, UnitGuard};
 use crate::refusal::{Refusal, Result};
 use crate::slots::{self, SlotRequest};
+use crate::spill;
 use crate::state::{GuardMode, Phase, State};
 
 /// Longest wait for units of a limit that another process holds, in milliseconds.
@@ -80,6 +81,15 @@
     pub body: Bytes,
     /// Time until the caller gives up, if it named one, in milliseconds.
     pub timeout_ms: Option<u64>,
+    /// Set when another entry process admitted the request and forwards it.
+    pub forwarded: Option<Forwarded>,
+}
+
+/// What a forwarding process says of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Forwarded {
+    /// Team that the request was admitted for; it holds a unit there.
+    pub team: Option<TeamName>,
 }
 
 /// A request that was admitted.
@@ -169,7 +179,7 @@
 fn try_admit(node: &Arc<Node>, call: &Call, started_ms: u64) -> Result<Admitted> {
     let now_ms = node.now_ms();
     let mut state = node.state();
-    let (config, team) = authenticate(&state, &call.queue, call.key.as_ref(), now_ms)?;
+    let (config, team) = caller_of(&state, call, now_ms)?;
     let queue = &config.queues[&call.queue];
     let service = interactive_service(queue, &call.queue)?;
     let timeout_ms = call.timeout_ms.unwrap_or(queue.deadline_ms).min(config.max_deadline_ms);
@@ -177,13 +187,44 @@
     if deadline_ms <= now_ms {
         return Err(Refusal::new(ErrorKind::DeadlineNotRun, "deadline passed before admission"));
     }
-    let weight = take_unit(&mut state, &config, team.as_ref(), now_ms)?;
+    let weight = match &call.forwarded {
+        Some(_) => weight_of(&config, team.as_ref()),
+        None => take_unit(&mut state, &config, team.as_ref(), now_ms)?,
+    };
     state.in_flight += 1;
     drop(state);
-    let unit = UnitGuard::new(node, team.clone());
+    // A forwarded request holds its team's unit where it was admitted.
+    let held = team.clone().filter(|_| call.forwarded.is_none());
+    let unit = UnitGuard::new(node, held);
     Ok(Admitted { team, service, weight, deadline_ms, unit })
 }
 
+/// Returns the configuration in force and the team of a request.
+///
+/// # Errors
+/// What [`authenticate`] returns; a forwarded request was authenticated before.
+pub fn caller_of(
+    state: &State,
+    call: &Call,
+    now_ms: u64,
+) -> Result<(Arc<FleetConfig>, Option<TeamName>)> {
+    let Some(forwarded) = &call.forwarded else {
+        return authenticate(state, &call.queue, call.key.as_ref(), now_ms);
+    };
+    let ready = matches!(state.phase, Phase::Ready | Phase::Leaving);
+    let config =
+        state.config.clone().filter(|config| ready && config.queues.contains_key(&call.queue));
+    let Some(config) = config else {
+        return Err(Refusal::new(ErrorKind::NotReady, "this instance takes no requests now"));
+    };
+    Ok((config, forwarded.team.clone()))
+}
+
+fn weight_of(config: &FleetConfig, team: Option<&TeamName>) -> f64 {
+    let settings = team.and_then(|team| config.teams.get(team));
+    settings.map_or(1.0, |team| f64::from(team.share))
+}
+
 fn interactive_service(queue: &QueueConfig, name: &QueueName) -> Result<ServiceName> {
     if let (QueueClass::Interactive, Some(service)) = (&queue.class, &queue.service) {
         Ok(service.clone())
@@ -231,14 +272,14 @@
             Err(refusal) if may_have_run => {
                 return Err(Refusal::new(ErrorKind::AnswerLost, refusal.detail));
             }
-            Err(refusal) => return Err(refusal),
+            Err(refusal) => return spill::forward(node, call, admitted, refusal).await,
         };
         let target = slot.target.clone();
         note(node, call, EventKind::Dispatched, &target);
         let failure = match send(node, call, &admitted, slot).await {
             Ok((response, slot)) => {
                 note(node, call, EventKind::Answered, &target);
-                return Ok(guarded(node, response, slot, admitted));
+                return Ok(guarded(node, response, Some(slot), admitted));
             }
             Err(failure) => failure,
         };
@@ -366,7 +407,8 @@
     }
 }
 
-fn set_own_headers(headers: &mut HeaderMap, call: &Call, admitted: &Admitted, left_ms: u64) {
+/// Sets the headers by which a target knows a request.
+pub fn set_own_headers(headers: &mut HeaderMap, call: &Call, admitted: &Admitted, left_ms: u64) {
     if let Ok(id) = HeaderValue::from_str(&call.request_id) {
         headers.insert(REQUEST_ID, id);
     }
@@ -378,7 +420,13 @@
     }
 }
 
-fn guarded(node: &Node, response: Response, slot: SlotGuard, admitted: Admitted) -> Response {
+/// Returns an answer whose body holds the request's slot and unit.
+pub fn guarded(
+    node: &Node,
+    response: Response,
+    slot: Option<SlotGuard>,
+    admitted: Admitted,
+) -> Response {
     let deadline: Instant = node.instant(admitted.deadline_ms);
     let (mut parts, body) = response.into_parts();
     remove_headers(&mut parts.headers, CONNECTION_HEADERS);
--- a/crates/masticfall-entry/src/guards.rs
+++ b/crates/masticfall-entry/src/guards.rs
@@ -93,14 +93,14 @@
 }
 
 impl GuardedBody {
-    /// Wraps an answer's body, which is cut off with an error at the deadline.
+    /// Wraps an answer's body with the slot that it holds here, if any, which is cut off with an error at the deadline.
     pub fn new(
         inner: volo_http::body::Body,
-        slot: SlotGuard,
+        slot: Option<SlotGuard>,
         unit: UnitGuard,
         deadline: Instant,
     ) -> Self {
-        Self { inner, slot: Some(slot), unit: Some(unit), deadline, timer: None }
+        Self { inner, slot, unit: Some(unit), deadline, timer: None }
     }
 
     /// Tells whether the deadline passed; most answers are whole before it is asked.
--- a/crates/masticfall-entry/src/http/requests.rs
+++ b/crates/masticfall-entry/src/http/requests.rs
@@ -15,10 +15,11 @@
 
 use super::{bearer, header_text, problem, read_body};
 use crate::context::Node;
-use crate::dispatch::{self, Admitted, Call, REQUEST_ID, REQUEST_TIMEOUT};
+use crate::dispatch::{self, Admitted, Call, Forwarded, REQUEST_ID, REQUEST_TIMEOUT};
 use crate::metrics::RequestEnd;
 use crate::orders::{self, Order};
 use crate::refusal::{Refusal, Result};
+use crate::spill;
 
 /// Longest request id or idempotency key taken from a caller, in bytes.
 const MAX_ID_BYTES: usize = 128;
@@ -76,9 +77,10 @@
     request_id: &Name,
 ) -> Result<Response> {
     let idempotency_key = idempotency_key(&parts)?;
-    let mut call = read_call(queue, parts, request_id)?;
+    let forwarded = spill::forwarded(node, &parts.headers);
+    let mut call = read_call(queue, parts, request_id, forwarded)?;
     // The key is judged before the body is read, so that a stranger costs no memory.
-    dispatch::authenticate(&node.state(), &call.queue, call.key.as_ref(), node.now_ms())?;
+    dispatch::caller_of(&node.state(), &call, node.now_ms())?;
     call.body = read_body(node, body).await?;
     let admitted = dispatch::admit(node, &call).await?;
     let team = admitted.team.as_ref().map(|team| ("team", Name::clone(team.name())));
@@ -90,7 +92,12 @@
     run_apart(node, call, admitted, idempotency_key).await
 }
 
-fn read_call(queue: &str, parts: Parts, request_id: &Name) -> Result<Call> {
+fn read_call(
+    queue: &str,
+    parts: Parts,
+    request_id: &Name,
+    forwarded: Option<Forwarded>,
+) -> Result<Call> {
     let prefix = format!("/v1/queues/{queue}/requests");
     let full = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let rest = full.strip_prefix(&prefix).unwrap_or("/");
@@ -105,6 +112,7 @@
     let key = bearer(&parts).map(KeyHash::of);
     let mut headers = parts.headers;
     dispatch::strip_headers(&mut headers);
+    spill::strip(&mut headers);
     Ok(Call {
         request_id: Arc::clone(request_id),
         queue: QueueName::from(queue),
@@ -114,6 +122,7 @@
         headers,
         body: bytes::Bytes::new(),
         timeout_ms,
+        forwarded,
     })
 }
 
--- a/crates/masticfall-entry/src/lib.rs
+++ b/crates/masticfall-entry/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod settings;
 pub mod shutdown;
 pub mod slots;
+pub mod spill;
 pub mod state;
 pub mod sync;
 
--- a/crates/masticfall-entry/src/peers/react.rs
+++ b/crates/masticfall-entry/src/peers/react.rs
@@ -110,8 +110,13 @@
 }
 
 fn send_config(node: &Arc<Node>, to: &Incarnation) {
-    let row = node.state().config_row.clone();
+    let (row, withdrawals) = {
+        let state = node.state();
+        (state.config_row.clone(), state.withdrawals.clone())
+    };
+    // In this order on one channel: whoever starts with the configuration knows them.
     if let Some(row) = row {
+        node.links.send(node, to, &PeerMessage::Withdrawn(withdrawals));
         node.links.send(node, to, &PeerMessage::Config(row));
     }
 }
--- a/crates/masticfall-entry/src/sync.rs
+++ b/crates/masticfall-entry/src/sync.rs
@@ -65,8 +65,9 @@
     let [config, withdrawn, instances] = rows.as_slice() else {
         return Ok(());
     };
-    sync_config(node, config.as_ref()).await?;
+    // Withdrawals first: a process that starts must not serve without them.
     sync_withdrawn(node, heads, withdrawn.as_ref()).await?;
+    sync_config(node, config.as_ref()).await?;
     let version = instances.as_ref().map(|row| row.version);
     let changed = version != heads.instances;
     if changed {
--- a/crates/masticfall-entry/tests/suite/lab.rs
+++ b/crates/masticfall-entry/tests/suite/lab.rs
@@ -310,6 +310,7 @@
         headers: HeaderMap::new(),
         body: Bytes::new(),
         timeout_ms: None,
+        forwarded: None,
     }
 }
 
--- a/crates/masticfalld/tests/suite/main.rs
+++ b/crates/masticfalld/tests/suite/main.rs
@@ -8,3 +8,4 @@
 mod orders;
 mod settings;
 mod shutdown;
+mod spill;
