--- a/crates/masticfall-entry/src/http/admin.rs
+++ b/crates/masticfall-entry/src/http/admin.rs
@@ -20,7 +20,7 @@
 use super::{admin_waves, bearer, expect_method, header_text, read_body, reply};
 use crate::context::Node;
 use crate::membership::{is_live, observe};
-use crate::ops::{apply_config, give_key, move_instance, withdraw_key};
+use crate::ops::{apply_config, give_key, handover, move_instance, withdraw_key};
 use crate::reclaim;
 use crate::refusal::{Refusal, Result};
 
@@ -67,6 +67,10 @@
         ["instances"] => instances(node).await,
         ["instances", name, "move"] => move_to(node, parts, name, body).await,
         ["waves", rest @ ..] => admin_waves::handle(node, &operator, rest, parts, body).await,
+        ["handover"] => {
+            let report = handover::run(node, since(parts)?).await?;
+            reply::json(StatusCode::OK, &report)
+        }
         ["timeline"] => timeline(node, parts),
         _ => Err(Refusal::new(ErrorKind::NotFound, "no such resource")),
     }
@@ -288,17 +292,20 @@
     events: Vec<Event>,
 }
 
-/// `GET timeline?since=WALL_MS`.
-fn timeline(node: &Arc<Node>, parts: &Parts) -> Result<Response> {
+/// Reads `?since=WALL_MS`; 0 when it is not there.
+fn since(parts: &Parts) -> Result<u64> {
     let query = parts.uri.query().unwrap_or_default();
     let since = query.split('&').find_map(|pair| pair.strip_prefix("since="));
-    let wall_ms = match since {
-        Some(text) => text.parse().map_err(|error| {
-            let detail = format!("since is a wall clock in milliseconds: {error}");
-            Refusal::new(ErrorKind::BadRequest, detail)
-        })?,
-        None => 0,
-    };
+    let parsed = since.map_or(Ok(0), str::parse);
+    parsed.map_err(|error| {
+        let detail = format!("since is a wall clock in milliseconds: {error}");
+        Refusal::new(ErrorKind::BadRequest, detail)
+    })
+}
+
+/// `GET timeline?since=WALL_MS`.
+fn timeline(node: &Arc<Node>, parts: &Parts) -> Result<Response> {
+    let wall_ms = since(parts)?;
     let state = node.state();
     let view = TimelineView {
         process: node.who.clone(),
--- a/crates/masticfall-entry/src/ops.rs
+++ b/crates/masticfall-entry/src/ops.rs
@@ -3,6 +3,7 @@
 pub mod apply_config;
 pub mod cancel_job;
 pub mod give_key;
+pub mod handover;
 pub mod move_instance;
 pub mod show_job;
 pub mod submit_job;
--- /dev/null
+++ b/crates/masticfall-entry/src/ops/handover.rs
@@ -0,0 +1,168 @@
+//! What the operators who come on have to know.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use masticfall_core::id::{DataCentre, Incarnation, JobId, Name, Revision, TeamName, WaveName};
+use masticfall_core::job::{JobRow, JobState};
+use masticfall_core::wave::WaveState;
+use masticfall_wire::rows::{CONFIG_PREFIX, ConfigRow};
+use serde::{Deserialize, Serialize};
+
+use super::waves;
+use crate::context::Node;
+use crate::membership::{is_live, observe};
+use crate::refusal::Result;
+
+/// Prefix of the rows of jobs that are not final, over all data centres.
+const ACTIVE_JOBS_PREFIX: &str = "job/active/";
+
+/// A wave that is not over.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OpenWave {
+    /// Its name.
+    pub name: WaveName,
+    /// Where it is in its life.
+    pub state: WaveState,
+    /// Instances still to be maintained.
+    pub pending: usize,
+    /// Instances that did not return.
+    pub failed: usize,
+    /// Why it is halted.
+    pub reason: Option<Name>,
+}
+
+/// A job that waits for an operator.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ParkedJob {
+    /// Its identifier.
+    pub id: JobId,
+    /// Its team.
+    pub team: TeamName,
+    /// Why it is parked.
+    pub reason: Option<Name>,
+}
+
+/// An entry process that needs attention.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OddMember {
+    /// The process.
+    pub process: Incarnation,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// What is odd: `silent`, `old revision` or `withdrawals not confirmed`.
+    pub what: Name,
+}
+
+/// An accepted change of the configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// Its revision.
+    pub revision: Revision,
+    /// Operator.
+    pub by: Name,
+    /// Wall clock, in milliseconds since the Unix epoch.
+    pub wall_ms: u64,
+    /// Why, in the operator's words.
+    pub note: Name,
+}
+
+/// The report.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Handover {
+    /// Waves that are not over.
+    pub waves: Vec<OpenWave>,
+    /// Jobs that wait for an operator.
+    pub parked: Vec<ParkedJob>,
+    /// Entry processes that need attention.
+    pub members: Vec<OddMember>,
+    /// Units in use by team, where this process uses all it may.
+    pub teams_at_limit: IndexMap<TeamName, u32>,
+    /// Changes since the time asked for.
+    pub changes: Vec<Change>,
+}
+
+/// Makes the report, with the changes since a wall clock.
+///
+/// # Errors
+/// The platform's failure.
+pub async fn run(node: &Arc<Node>, since_wall_ms: u64) -> Result<Handover> {
+    observe(node).await?;
+    Ok(Handover {
+        waves: open_waves(node).await?,
+        parked: parked_jobs(node).await?,
+        members: odd_members(node),
+        teams_at_limit: teams_at_limit(node),
+        changes: changes(node, since_wall_ms).await?,
+    })
+}
+
+async fn open_waves(node: &Arc<Node>) -> Result<Vec<OpenWave>> {
+    let all = waves::list(node).await?;
+    let open = all
+        .into_iter()
+        .filter(|(_, wave)| !matches!(wave.state, WaveState::Done | WaveState::Stopped));
+    let views = open.map(|(name, wave)| OpenWave {
+        name,
+        state: wave.state,
+        pending: wave.pending.len(),
+        failed: wave.failed.len(),
+        reason: wave.reason,
+    });
+    Ok(views.collect())
+}
+
+async fn parked_jobs(node: &Arc<Node>) -> Result<Vec<ParkedJob>> {
+    let mut parked = Vec::new();
+    for row in (node.platform.tables.scan)(ACTIVE_JOBS_PREFIX.to_string()).await? {
+        let job: JobRow = row.decode()?;
+        if job.state == JobState::Parked {
+            let id = JobId::from(row.key.rsplit('/').next().unwrap_or_default());
+            parked.push(ParkedJob { id, team: job.team, reason: job.reason });
+        }
+    }
+    Ok(parked)
+}
+
+fn odd_members(node: &Arc<Node>) -> Vec<OddMember> {
+    let now_ms = node.now_ms();
+    let state = node.state();
+    let (revision, digest) = (state.revision(), state.withdrawn_digest());
+    let odd = state.members.iter().filter_map(|(who, member)| {
+        let what = if !is_live(member, now_ms) {
+            "silent"
+        } else if member.revision < revision {
+            "old revision"
+        } else if member.withdrawn_digest != digest {
+            "withdrawals not confirmed"
+        } else {
+            return None;
+        };
+        Some(OddMember {
+            process: who.clone(),
+            data_centre: member.row.data_centre.clone(),
+            what: Name::from(what),
+        })
+    });
+    odd.collect()
+}
+
+fn teams_at_limit(node: &Arc<Node>) -> IndexMap<TeamName, u32> {
+    let now_ms = node.now_ms();
+    let state = node.state();
+    let full = state.limits.iter().filter(|(_, account)| {
+        account.in_use > 0 && account.in_use >= state.guard.usable(account.units, now_ms)
+    });
+    full.map(|(team, account)| (team.clone(), account.in_use)).collect()
+}
+
+async fn changes(node: &Arc<Node>, since_wall_ms: u64) -> Result<Vec<Change>> {
+    let mut changes = Vec::new();
+    for row in (node.platform.tables.scan)(CONFIG_PREFIX.to_string()).await? {
+        let ConfigRow { revision, by, wall_ms, note, .. } = row.decode()?;
+        if wall_ms >= since_wall_ms {
+            changes.push(Change { revision, by, wall_ms, note });
+        }
+    }
+    Ok(changes)
+}
--- a/crates/masticfall/src/commands.rs
+++ b/crates/masticfall/src/commands.rs
@@ -2,6 +2,7 @@
 
 mod completions;
 mod config;
+mod handover;
 mod init;
 mod instances;
 mod keys;
@@ -25,6 +26,7 @@
         instances::command(),
         waves::command(),
         timeline::command(),
+        handover::command(),
         completions::command(),
     ]
 }
@@ -46,6 +48,7 @@
         "instances" => instances::run(args),
         "waves" => waves::run(args),
         "timeline" => timeline::run(args),
+        "handover" => handover::run(args),
         _ => completions::run(args),
     }
 }
--- a/crates/masticfall/tests/suite/main.rs
+++ b/crates/masticfall/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod cli;
 mod config;
 mod fleet;
+mod handover;
 mod help;
 mod init;
 mod timeline;
