Readiness says why; settings have a builder; a departure needs a report of its own

/readyz names an unreachable platform and a data centre that is not configured. Tests of processes listen on hosts of their own, since a free port of 127.0.0.1 could become the near end of another connection before it was bound (seen once as a fleet that did not start).

--- a/crates/masticfall-entry/benches/request_path.rs
+++ b/crates/masticfall-entry/benches/request_path.rs
@@ -76,16 +76,8 @@
 }
 
 fn settings() -> Settings {
-    Settings {
-        data_centre: DataCentre::from("a"),
-        http: LOOPBACK,
-        peer: LOOPBACK,
-        platform: LOOPBACK,
-        peer_secret: Name::from("benchmark-secret"),
-        seed_peers: Vec::new(),
-        leave_delay_ms: 0,
-        max_body_bytes: 16 * 1024 * 1024,
-    }
+    let builder = Settings::builder(DataCentre::from("a"));
+    builder.peer_secret("benchmark-secret").leave_delay_ms(0).build()
 }
 
 fn fleet_text() -> String {
--- a/crates/masticfall-entry/src/context.rs
+++ b/crates/masticfall-entry/src/context.rs
@@ -126,16 +126,25 @@
     /// `sent_ms` is when the operation was sent; a late answer says nothing
     /// about the present.
     pub fn note_platform<T>(&self, sent_ms: u64, result: &Result<T, PlatformError>) {
-        let Err(error) = result else {
-            let mut state = self.state();
-            let was_back = state.reaches_platform(sent_ms);
-            state.platform_ms = state.platform_ms.max(Some(sent_ms));
-            if !was_back {
-                state.timeline.record(wall_ms(), EventKind::PlatformBack, &[]);
+        let mut state = self.state();
+        match result {
+            Ok(_) => {
+                state.platform_ms = state.platform_ms.max(Some(sent_ms));
+                if std::mem::take(&mut state.platform_failed) {
+                    state.timeline.record(wall_ms(), EventKind::PlatformBack, &[]);
+                    tracing::info!(name: "platform.back", "the platform answers again");
+                }
             }
-            return;
-        };
-        tracing::debug!(name: "platform.operation.failed", error = %error, "platform operation failed");
+            Err(error) if !state.platform_failed => {
+                state.platform_failed = true;
+                state.timeline.record(wall_ms(), EventKind::PlatformLost, &[]);
+                let platform = self.settings.platform;
+                tracing::warn!(name: "platform.lost", %platform, error = %error, "the platform does not answer");
+            }
+            Err(error) => {
+                tracing::debug!(name: "platform.failed", error = %error, "operation failed");
+            }
+        }
     }
 }
 
--- a/crates/masticfall-entry/src/http.rs
+++ b/crates/masticfall-entry/src/http.rs
@@ -87,9 +87,20 @@
 }
 
 fn ready(node: &Arc<Node>) -> Result<Response> {
-    match node.state().phase {
+    let state = node.state();
+    match state.phase {
         Phase::Ready => Ok(reply::text("ready\n")),
-        Phase::Starting => Err(Refusal::new(ErrorKind::NotReady, "no configuration yet")),
+        Phase::Starting => {
+            let here = node.data_centre();
+            let detail = match (&state.config, state.platform_failed) {
+                (Some(_), _) => format!("data centre `{here}` is not configured"),
+                (None, true) => {
+                    format!("no configuration: platform {} not reached", node.settings.platform)
+                }
+                (None, false) => "no configuration was applied yet".to_string(),
+            };
+            Err(Refusal::new(ErrorKind::NotReady, detail))
+        }
         Phase::Leaving | Phase::Draining => Err(Refusal::new(ErrorKind::NotReady, "leaving")),
     }
 }
--- a/crates/masticfall-entry/src/http/admin.rs
+++ b/crates/masticfall-entry/src/http/admin.rs
@@ -100,6 +100,12 @@
         .map_err(|error| Refusal::new(ErrorKind::BadRequest, error.to_string()))
 }
 
+async fn read_text(node: &Arc<Node>, body: Body) -> Result<String> {
+    let bytes = read_body(node, body).await?;
+    String::from_utf8(bytes.to_vec())
+        .map_err(|error| Refusal::new(ErrorKind::BadRequest, error.to_string()))
+}
+
 async fn config(
     node: &Arc<Node>,
     operator: &Operator,
@@ -115,9 +121,7 @@
     }
     expect_method(parts, &Method::PUT)?;
     let expected = expected_revision(parts)?;
-    let bytes = read_body(node, body).await?;
-    let text = String::from_utf8(bytes.to_vec())
-        .map_err(|error| Refusal::new(ErrorKind::BadRequest, error.to_string()))?;
+    let text = read_text(node, body).await?;
     let apply = apply_config::ApplyConfig {
         expected,
         text: Name::from(text),
@@ -148,8 +152,7 @@
 }
 
 async fn check(node: &Arc<Node>, body: Body) -> Result<Response> {
-    let bytes = read_body(node, body).await?;
-    let text = String::from_utf8_lossy(&bytes);
+    let text = read_text(node, body).await?;
     match read_fleet(&text) {
         Ok(_) => Ok(reply::text("ok\n")),
         Err(faults) => Err(Refusal::new(ErrorKind::InvalidConfig, apply_config::describe(&faults))),
--- a/crates/masticfall-entry/src/settings.rs
+++ b/crates/masticfall-entry/src/settings.rs
@@ -33,9 +33,69 @@
 const MIN_SECRET_CHARS: usize = 16;
 
 const MAX_BODY_BYTES: u64 = 256 * 1024 * 1024;
+const DEFAULT_LEAVE_DELAY_MS: u64 = 2_000;
 const DEFAULT_BODY_BYTES: u64 = 16 * 1024 * 1024;
 
+/// Builds settings in code; what is not set has the default of the file.
+#[derive(Debug, Clone)]
+pub struct SettingsBuilder {
+    settings: Settings,
+}
+
+impl SettingsBuilder {
+    /// Sets the address for callers and operators.
+    pub fn http(mut self, http: SocketAddr) -> Self {
+        self.settings.http = http;
+        self
+    }
+
+    /// Sets the address for other entry processes.
+    pub fn peer(mut self, peer: SocketAddr) -> Self {
+        self.settings.peer = peer;
+        self
+    }
+
+    /// Sets the secret by which entry processes know each other.
+    pub fn peer_secret(mut self, secret: impl Into<Name>) -> Self {
+        self.settings.peer_secret = secret.into();
+        self
+    }
+
+    /// Sets the peers to ask for the configuration while the platform is away.
+    pub fn seed_peers(mut self, seeds: Vec<SocketAddr>) -> Self {
+        self.settings.seed_peers = seeds;
+        self
+    }
+
+    /// Sets the time for which a leaving process still takes requests, in milliseconds.
+    pub fn leave_delay_ms(mut self, leave_delay_ms: u64) -> Self {
+        self.settings.leave_delay_ms = leave_delay_ms;
+        self
+    }
+
+    /// Returns the settings.
+    pub fn build(self) -> Settings {
+        self.settings
+    }
+}
+
 impl Settings {
+    /// Starts to build settings for a process on free loopback ports.
+    pub fn builder(data_centre: DataCentre) -> SettingsBuilder {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        let settings = Self {
+            data_centre,
+            http: any_port,
+            peer: any_port,
+            platform: any_port,
+            peer_secret: Name::from(""),
+            seed_peers: Vec::new(),
+            leave_delay_ms: DEFAULT_LEAVE_DELAY_MS,
+            max_body_bytes: DEFAULT_BODY_BYTES,
+        };
+        SettingsBuilder { settings }
+    }
+
     /// Reads settings from the text of an INI file.
     ///
     /// # Errors
@@ -49,7 +109,12 @@
             platform: address(&mut doc, "platform"),
             peer_secret: Name::from(doc.required("entry", "peer_secret")),
             seed_peers: seeds(&mut doc),
-            leave_delay_ms: doc.number("entry", "leave_delay_ms", 2_000, (0, 60_000)),
+            leave_delay_ms: doc.number(
+                "entry",
+                "leave_delay_ms",
+                DEFAULT_LEAVE_DELAY_MS,
+                (0, 60_000),
+            ),
             max_body_bytes: doc.number(
                 "entry",
                 "max_body_bytes",
--- a/crates/masticfall-entry/src/state.rs
+++ b/crates/masticfall-entry/src/state.rs
@@ -118,6 +118,8 @@
     pub phase: Phase,
     /// Configuration in force.
     pub config: Option<Arc<FleetConfig>>,
+    /// Whether the configuration names this process's data centre.
+    pub is_configured: bool,
     /// The row it was read from.
     pub config_row: Option<ConfigRow>,
     /// Keys and withdrawals.
@@ -154,6 +156,8 @@
     pub busy_workers: IndexSet<InstanceName>,
     /// When the platform last answered.
     pub platform_ms: Option<u64>,
+    /// Whether the last operation of the platform failed.
+    pub platform_failed: bool,
     /// Since when a newer configuration is known to exist.
     pub behind_since_ms: Option<u64>,
     /// When a peer was last heard.
@@ -174,6 +178,7 @@
         Self {
             phase: Phase::Starting,
             config: None,
+            is_configured: false,
             config_row: None,
             keys: KeyTable::default(),
             withdrawals: IndexMap::new(),
@@ -192,6 +197,7 @@
             list_ms: None,
             busy_workers: IndexSet::new(),
             platform_ms: None,
+            platform_failed: false,
             behind_since_ms: None,
             peer_ms: None,
             stranded_units: 0,
@@ -207,7 +213,9 @@
     }
 
     /// Puts a configuration in force; `false` when it is not newer.
-    pub fn put_in_force(&mut self, row: ConfigRow, config: FleetConfig) -> bool {
+    ///
+    /// A process whose data centre is not configured stays unready.
+    pub fn put_in_force(&mut self, here: &DataCentre, row: ConfigRow, config: FleetConfig) -> bool {
         if row.revision <= self.revision() {
             return false;
         }
@@ -219,10 +227,11 @@
                 state.queue.set_max_waiting(queue.max_waiting as usize);
             }
         }
+        self.is_configured = config.data_centres.contains_key(here);
         self.config = Some(Arc::new(config));
         self.config_row = Some(row);
         self.behind_since_ms = None;
-        if self.phase == Phase::Starting {
+        if self.phase == Phase::Starting && self.is_configured {
             self.phase = Phase::Ready;
         }
         true
--- a/crates/masticfall-entry/src/sync.rs
+++ b/crates/masticfall-entry/src/sync.rs
@@ -112,9 +112,13 @@
     };
     let revision = row.revision;
     let mut state = node.state();
-    if !state.put_in_force(row, config) {
+    if !state.put_in_force(node.data_centre(), row, config) {
         return;
     }
+    if !state.is_configured {
+        let here = node.data_centre();
+        tracing::error!(name: "config.data_centre.unknown", data_centre = %here, revision = %revision, "the configuration does not name this process's data centre");
+    }
     slots::refresh(&mut state, node.now_ms());
     let text = revision.to_string();
     state.timeline.record(wall_ms(), EventKind::RevisionInForce, &[("revision", &text)]);
--- a/crates/masticfall-entry/tests/suite/lab.rs
+++ b/crates/masticfall-entry/tests/suite/lab.rs
@@ -281,17 +281,8 @@
 }
 
 fn settings(data_centre: &DataCentre) -> Settings {
-    let nowhere = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
-    Settings {
-        data_centre: data_centre.clone(),
-        http: nowhere,
-        peer: nowhere,
-        platform: nowhere,
-        peer_secret: Name::from("laboratory-secret"),
-        seed_peers: Vec::new(),
-        leave_delay_ms: 100,
-        max_body_bytes: 1_024 * 1_024,
-    }
+    let builder = Settings::builder(data_centre.clone());
+    builder.peer_secret("laboratory-secret").leave_delay_ms(100).build()
 }
 
 /// Sleeps on the paused clock.
--- a/crates/masticfall-entry/tests/suite/pools.rs
+++ b/crates/masticfall-entry/tests/suite/pools.rs
@@ -82,6 +82,36 @@
     assert_eq!(pools.len(), SIZE, "one row per instance");
 }
 
+#[tokio::test(start_paused = true)]
+async fn report_of_an_earlier_departure_does_not_count_for_a_later_one() {
+    let lab = lab_with_pool(9).await;
+    let name = InstanceName::from("t0");
+    let other = lab.node("a2").who.clone();
+    let quiet = |process: &str| {
+        let state = lab.node(process).state();
+        state.members.get(&other).is_some_and(|member| member.quiet.contains_key(&name))
+    };
+    move_instance::run(lab.node("a1"), &name, "spare".into()).await.unwrap();
+    for _ in 0..500 {
+        sleep_ms(10).await;
+        if quiet("a1") {
+            break;
+        }
+    }
+    assert!(quiet("a1"));
+    // From here on the other process reaches the platform, but no peer.
+    lab.isolate("a2", true);
+    sleep_ms(3_000).await;
+    assert_eq!(lab.instance("a", "t0").pool.as_str(), "spare");
+    move_instance::run(lab.node("a1"), &name, "web".into()).await.unwrap();
+    sleep_ms(10_000).await;
+    assert_eq!(lab.instance("a", "t0").state, LifeState::Leaving, "it was not heard since");
+    lab.isolate("a2", false);
+    sleep_ms(5_000).await;
+    let row = lab.instance("a", "t0");
+    assert_eq!((row.pool.as_str(), row.state), ("web", LifeState::InPool));
+}
+
 #[tokio::test(start_paused = true)]
 async fn racing_operators_move_an_instance_to_one_pool() {
     let lab = lab_with_pool(2).await;
--- a/crates/masticfall/src/commands/handover.rs
+++ b/crates/masticfall/src/commands/handover.rs
@@ -61,18 +61,30 @@
         vec![revision, clock, change.by.to_string(), change.note.to_string()]
     });
     [
-        part("Open waves", &["WAVE", "STATE", "PENDING", "FAILED", "REASON"], waves.collect()),
-        part("Parked jobs", &["JOB", "TEAM", "REASON"], parked.collect()),
-        part("Entry processes to look at", &["PROCESS", "DATA CENTRE", "WHAT"], members.collect()),
-        part("Teams at their limit here", &["TEAM", "IN USE"], teams.collect()),
-        part("Changes", &["REVISION", "ACCEPTED (UTC)", "BY", "NOTE"], changes.collect()),
+        part(
+            "Open waves",
+            &["WAVE", "STATE", "PENDING", "FAILED", "REASON"],
+            &waves.collect::<Vec<_>>(),
+        ),
+        part("Parked jobs", &["JOB", "TEAM", "REASON"], &parked.collect::<Vec<_>>()),
+        part(
+            "Entry processes to look at",
+            &["PROCESS", "DATA CENTRE", "WHAT"],
+            &members.collect::<Vec<_>>(),
+        ),
+        part("Teams at their limit here", &["TEAM", "IN USE"], &teams.collect::<Vec<_>>()),
+        part(
+            "Changes",
+            &["REVISION", "ACCEPTED (UTC)", "BY", "NOTE"],
+            &changes.collect::<Vec<_>>(),
+        ),
     ]
     .join("\n")
 }
 
-fn part(title: &str, header: &[&str], rows: Vec<Vec<String>>) -> String {
+fn part(title: &str, header: &[&str], rows: &[Vec<String>]) -> String {
     if rows.is_empty() {
         return format!("{title}: none\n");
     }
-    format!("{title}:\n{}", table(header, &rows))
+    format!("{title}:\n{}", table(header, rows))
 }
--- a/crates/masticfall/src/trial.rs
+++ b/crates/masticfall/src/trial.rs
@@ -4,7 +4,6 @@
 pub mod platform_only;
 
 use std::fmt::Write;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use http::Method;
@@ -187,15 +186,6 @@
 }
 
 fn settings(data_centre: &str) -> Settings {
-    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
-    Settings {
-        data_centre: DataCentre::from(data_centre),
-        http: any_port,
-        peer: any_port,
-        platform: any_port,
-        peer_secret: Name::from(PEER_SECRET),
-        seed_peers: Vec::new(),
-        leave_delay_ms: 100,
-        max_body_bytes: 16 * 1024 * 1024,
-    }
+    let builder = Settings::builder(DataCentre::from(data_centre));
+    builder.peer_secret(PEER_SECRET).leave_delay_ms(100).build()
 }
--- a/crates/masticfalld/tests/suite/fleet.rs
+++ b/crates/masticfalld/tests/suite/fleet.rs
@@ -62,13 +62,19 @@
     pub entries: Vec<EntryProcess>,
     /// Platform, targets and workers.
     pub backends: Backends,
-    platform: SocketAddr,
+    /// Address of the platform.
+    pub platform: SocketAddr,
     _phase: watch::Sender<ServePhase>,
 }
 
-/// Returns a loopback address that is free now.
+/// Returns a loopback address that nothing else uses.
+///
+/// Its host is made from a free port, so that neither another test nor the
+/// near end of a connection, which is at 127.0.0.1, can take it meanwhile.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    let port = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port();
+    let [high, low] = port.to_be_bytes();
+    SocketAddr::from(([127, high.max(1), low, 1], port))
 }
 
 /// Returns the text of a settings file.
--- a/crates/masticfalld/tests/suite/settings.rs
+++ b/crates/masticfalld/tests/suite/settings.rs
@@ -1,9 +1,13 @@
 //! Settings and start: clear errors, all at once.
 
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::process::{Output, Stdio};
+use std::time::Duration;
 
-use crate::fleet::{free_address, masticfalld, settings_text, stderr_of, write_settings};
+use http::Method;
+use masticfall::client::ApiClient;
+
+use crate::fleet::{Fleet, free_address, masticfalld, settings_text, stderr_of, write_settings};
 
 fn check(text: &str) -> Output {
     let path = write_settings(text);
@@ -46,6 +50,41 @@
     assert!(String::from_utf8_lossy(&output.stderr).contains("cannot read the settings"));
 }
 
+/// Returns what `/readyz` says of a process with these settings.
+async fn readiness(settings: &str, http: SocketAddr) -> String {
+    let path = write_settings(settings);
+    let mut child = masticfalld(&path).stderr(Stdio::null()).spawn().unwrap();
+    let client = ApiClient::new(http.to_string(), "");
+    let mut said = String::new();
+    for _ in 0..60 {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let sent = client.send(Method::GET, "/readyz", &[], "").await;
+        said = sent.map(|answer| answer.text()).unwrap_or_default();
+        if said.contains("platform") || said.contains("data centre") {
+            break;
+        }
+    }
+    child.kill().unwrap();
+    child.wait().unwrap();
+    std::fs::remove_file(path).unwrap();
+    said
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unreachable_platform_is_said_by_readiness() {
+    let (http, platform) = (free_address(), free_address());
+    let said = readiness(&settings_text("dc-a", http, platform), http).await;
+    assert!(said.contains(&format!("platform {platform} not reached")), "{said}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn wrong_data_centre_is_said_by_readiness() {
+    let fleet = Fleet::start().await;
+    let http = free_address();
+    let said = readiness(&settings_text("dc-x", http, fleet.platform), http).await;
+    assert!(said.contains("data centre `dc-x` is not configured"), "{said}");
+}
+
 #[test]
 fn port_in_use_is_named_with_its_setting() {
     let taken = TcpListener::bind("127.0.0.1:0").unwrap();
