A leaving process keeps its lease until all is done; errors of targets count

Cause 1: on draining, renewals and heartbeats ended at once, so that a request that waited for a slot longer than the lease of 6 s was refused: a graceful shutdown cut it (test: 504 for a request waiting 9 s behind 24; now answered). Cause 2: the end of an answer's body set the target's outcome to success, whatever its status, so that a target that answered 500 to everything was never ejected (test: 52 errors of 200, now 5).

--- a/crates/masticfall-entry/src/dispatch.rs
+++ b/crates/masticfall-entry/src/dispatch.rs
@@ -377,9 +377,8 @@
             Err(Refusal::new(kind, error.to_string()))
         }
         Ok(Ok(response)) => {
-            if response.status().is_server_error() {
-                slot.set_outcome(Outcome::Failure);
-            }
+            let failed = response.status().is_server_error();
+            slot.set_outcome(if failed { Outcome::Failure } else { Outcome::Success });
             Ok((response, slot))
         }
     }
--- a/crates/masticfall-entry/src/grants.rs
+++ b/crates/masticfall-entry/src/grants.rs
@@ -43,7 +43,7 @@
         tokio::time::sleep(Duration::from_millis(MIN_CLAIM_GAP_MS)).await;
         let wanted = node.units_wanted.notified();
         drop(tokio::time::timeout(Duration::from_millis(CLAIM_MS), wanted).await);
-        if node.state().phase == Phase::Draining {
+        if node.state().phase == Phase::Left {
             return;
         }
     }
--- a/crates/masticfall-entry/src/guards.rs
+++ b/crates/masticfall-entry/src/guards.rs
@@ -110,12 +110,19 @@
         timer.as_mut().poll(cx).is_ready()
     }
 
-    fn end(&mut self, outcome: Outcome) {
-        if let Some(mut slot) = self.slot.take() {
-            slot.set_outcome(outcome);
-        }
+    /// Gives slot and unit back; the answer's head has set the outcome.
+    fn end(&mut self) {
+        self.slot = None;
         self.unit = None;
     }
+
+    /// Gives slot and unit back after an answer that was not whole.
+    fn fail(&mut self) {
+        if let Some(slot) = &mut self.slot {
+            slot.set_outcome(Outcome::Failure);
+        }
+        self.end();
+    }
 }
 
 impl Body for GuardedBody {
@@ -129,21 +136,21 @@
         let this = &mut *self;
         match Pin::new(&mut this.inner).poll_frame(cx) {
             Poll::Ready(None) => {
-                this.end(Outcome::Success);
+                this.end();
                 Poll::Ready(None)
             }
             Poll::Ready(Some(Err(error))) => {
-                this.end(Outcome::Failure);
+                this.fail();
                 Poll::Ready(Some(Err(error)))
             }
             Poll::Ready(some) => {
                 if this.inner.is_end_stream() {
-                    this.end(Outcome::Success);
+                    this.end();
                 }
                 Poll::Ready(some)
             }
             Poll::Pending if this.is_late(cx) => {
-                this.end(Outcome::Failure);
+                this.fail();
                 Poll::Ready(Some(Err(BoxError::from("deadline passed in the answer's body"))))
             }
             Poll::Pending => Poll::Pending,
--- a/crates/masticfall-entry/src/http.rs
+++ b/crates/masticfall-entry/src/http.rs
@@ -101,7 +101,9 @@
             };
             Err(Refusal::new(ErrorKind::NotReady, detail))
         }
-        Phase::Leaving | Phase::Draining => Err(Refusal::new(ErrorKind::NotReady, "leaving")),
+        Phase::Leaving | Phase::Draining | Phase::Left => {
+            Err(Refusal::new(ErrorKind::NotReady, "leaving"))
+        }
     }
 }
 
--- a/crates/masticfall-entry/src/launch.rs
+++ b/crates/masticfall-entry/src/launch.rs
@@ -104,7 +104,7 @@
         for task in &self.tasks {
             task.abort();
         }
-        self.node.state().phase = crate::state::Phase::Draining;
+        self.node.state().phase = crate::state::Phase::Left;
         self.serving.send_replace(ServePhase::Drained);
         self.server.abort();
     }
--- a/crates/masticfall-entry/src/membership.rs
+++ b/crates/masticfall-entry/src/membership.rs
@@ -29,6 +29,7 @@
     Absent,
     Version(u64),
     Unknown,
+    Taken,
 }
 
 /// Renews the lease and observes the others until the process drains.
@@ -41,7 +42,7 @@
         let result = step(&node, &mut own, renewals).await;
         node.note_platform(sent_ms, &result);
         wait(&node).await;
-        if node.state().phase == Phase::Draining {
+        if own == OwnRow::Taken || node.state().phase == Phase::Left {
             return;
         }
     }
@@ -62,6 +63,9 @@
     if *own == OwnRow::Unknown {
         *own = read_back(node).await?;
     }
+    if *own == OwnRow::Taken {
+        return Ok(());
+    }
     renew(node, own, renewals).await?;
     if renewals % FAR_OBSERVE_EVERY == 1 {
         observe(node).await?;
@@ -76,6 +80,7 @@
     let row = node.platform.tables.get(&member_key(node.data_centre(), &node.who)).await?;
     if row.is_none() && node.state().guard.was_renewed() {
         abandon(node);
+        return Ok(OwnRow::Taken);
     }
     Ok(row.map_or(OwnRow::Absent, |row| OwnRow::Version(row.version)))
 }
@@ -102,6 +107,7 @@
             Ok(())
         }
         Ok(Commit::Conflict(_)) => {
+            *own = OwnRow::Taken;
             abandon(node);
             Ok(())
         }
--- a/crates/masticfall-entry/src/peers.rs
+++ b/crates/masticfall-entry/src/peers.rs
@@ -181,7 +181,7 @@
         }
         beat += 1;
         tokio::time::sleep(Duration::from_millis(NEAR_HEARTBEAT_MS)).await;
-        if node.state().phase == Phase::Draining {
+        if node.state().phase == Phase::Left {
             return;
         }
     }
--- a/crates/masticfall-entry/src/peers/outbound.rs
+++ b/crates/masticfall-entry/src/peers/outbound.rs
@@ -33,7 +33,7 @@
         }
         let known = is_known(&node, &address);
         idle_dials = if known { 0 } else { idle_dials + 1 };
-        if idle_dials > MAX_IDLE_DIALS || node.state().phase == Phase::Draining {
+        if idle_dials > MAX_IDLE_DIALS || node.state().phase == Phase::Left {
             return;
         }
         tokio::time::sleep(Duration::from_millis(REDIAL_MS)).await;
--- a/crates/masticfall-entry/src/shutdown.rs
+++ b/crates/masticfall-entry/src/shutdown.rs
@@ -33,6 +33,8 @@
     while node.state().in_flight > 0 {
         tokio::time::sleep(Duration::from_millis(POLL_MS)).await;
     }
+    // Only now may the lease end: what was in flight was guarded by it.
+    node.state().phase = Phase::Left;
     let giving = tokio::time::timeout(Duration::from_millis(GIVE_BACK_MS), give_back(node)).await;
     if !matches!(giving, Ok(Ok(()))) {
         tracing::warn!(name: "shutdown.units.kept", "units come back by reclaim");
--- a/crates/masticfall-entry/src/state.rs
+++ b/crates/masticfall-entry/src/state.rs
@@ -28,8 +28,10 @@
     Ready,
     /// Is listed as leaving and serves on for a short time.
     Leaving,
-    /// Takes nothing new.
+    /// Takes nothing new; what it took goes on.
     Draining,
+    /// Has nothing left to do.
+    Left,
 }
 
 /// Another entry process.
--- a/crates/masticfall-entry/src/sync.rs
+++ b/crates/masticfall-entry/src/sync.rs
@@ -39,7 +39,7 @@
         let result = step(&node, &mut heads).await;
         node.note_platform(sent_ms, &result);
         wait(&node).await;
-        if node.state().phase == Phase::Draining {
+        if node.state().phase == Phase::Left {
             return;
         }
     }
--- a/crates/masticfall-entry/tests/suite/main.rs
+++ b/crates/masticfall-entry/tests/suite/main.rs
@@ -7,6 +7,7 @@
 #![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 mod config;
+mod eject;
 mod jobs;
 mod keys;
 mod lab;
--- a/crates/masticfalld/src/lib.rs
+++ b/crates/masticfalld/src/lib.rs
@@ -95,7 +95,7 @@
 
 /// Returns once another process took over everything this one held.
 async fn lost_place(entry: &RunningEntry) {
-    while entry.node.state().phase != Phase::Draining {
+    while entry.node.state().phase < Phase::Draining {
         tokio::time::sleep(std::time::Duration::from_millis(WATCH_MS)).await;
     }
 }
--- a/crates/masticfalld/tests/suite/fleet.rs
+++ b/crates/masticfalld/tests/suite/fleet.rs
@@ -136,9 +136,11 @@
         EntryProcess { child, http: http.to_string(), settings }
     }
 
-    async fn apply_first(&self, text: &str) {
+    async fn apply_first(&mut self, text: &str) {
         let client = ApiClient::new(&self.entries[0].http, PEER_SECRET);
-        for _ in 0..200 {
+        for _ in 0..1_000 {
+            let ended = self.entries[0].child.try_wait().unwrap();
+            assert!(ended.is_none(), "the entry process ended: {ended:?}");
             let headers = [("if-match", "0")];
             let sent = client.send(Method::PUT, "/admin/v1/config", &headers, text.to_string());
             if let Ok(answer) = sent.await {
