Units of a process that left come back also when a late claim took them again

Cause: a claim under way while units were handed back could land after it and after the process's lease row was deleted; reclaim goes by lease rows, so that nobody would take those units back. The new test writes such a late claim.

--- a/crates/masticfall-entry/src/context.rs
+++ b/crates/masticfall-entry/src/context.rs
@@ -48,6 +48,8 @@
     pub links: Links,
     /// Wakes the system that claims units.
     pub units_wanted: Notify,
+    /// Held while units are claimed or handed back.
+    pub claiming: tokio::sync::Mutex<()>,
     /// Wakes requests that wait for units of a limit.
     pub units_changed: Notify,
     /// Wakes the system that reads the configuration.
@@ -88,6 +90,7 @@
             metrics: Metrics::new(),
             links: Links::new(dial),
             units_wanted: Notify::new(),
+            claiming: tokio::sync::Mutex::new(()),
             units_changed: Notify::new(),
             config_wanted: Notify::new(),
             members_wanted: Notify::new(),
--- a/crates/masticfall-entry/src/grants.rs
+++ b/crates/masticfall-entry/src/grants.rs
@@ -50,7 +50,12 @@
 }
 
 async fn step(node: &Arc<Node>) -> Result<()> {
-    if !node.state().guard.elastic_usable(node.now_ms()) {
+    let _claiming = node.claiming.lock().await;
+    let may_claim = {
+        let state = node.state();
+        state.phase < Phase::Left && state.guard.elastic_usable(node.now_ms())
+    };
+    if !may_claim {
         return Ok(());
     }
     let claims = limit_claims(node);
@@ -289,6 +294,8 @@
 /// # Errors
 /// The platform's failure; the units then come back by reclaim.
 pub async fn give_back(node: &Arc<Node>) -> Result<()> {
+    // A claim under way would otherwise take units for a process that has left.
+    let _claiming = node.claiming.lock().await;
     let teams: Vec<TeamName> = node.state().limits.keys().cloned().collect();
     for team in teams {
         let key = limit_key(&team);
--- a/crates/masticfall-entry/src/planner.rs
+++ b/crates/masticfall-entry/src/planner.rs
@@ -17,11 +17,15 @@
 use masticfall_platform::Result;
 
 use crate::context::Node;
+use crate::reclaim;
 use crate::state::Phase;
 
 /// Period of the planner, in milliseconds.
 const PLAN_MS: u64 = 300;
 
+/// Period of the sweep for units of processes that are gone, in milliseconds.
+const SWEEP_MS: u64 = 300_000;
+
 /// What the planner remembers between two steps.
 #[derive(Debug, Default)]
 struct Memory {
@@ -29,6 +33,7 @@
     jobs: jobs::JobTable,
     instances: instances::RebootTable,
     sizes: sizes::DemandTable,
+    swept_ms: u64,
 }
 
 /// Plans until the process drains.
@@ -60,5 +65,11 @@
     jobs::step(node, &memory.lease, &mut memory.jobs).await?;
     instances::step(node, &memory.lease, &mut memory.instances).await?;
     waves::step(node, &memory.lease, &memory.instances).await?;
-    sizes::step(node, &memory.lease, &mut memory.sizes).await
+    sizes::step(node, &memory.lease, &mut memory.sizes).await?;
+    let now_ms = node.now_ms();
+    if now_ms >= memory.swept_ms + SWEEP_MS {
+        memory.swept_ms = now_ms;
+        reclaim::sweep(node).await?;
+    }
+    Ok(())
 }
--- a/crates/masticfall-entry/src/reclaim.rs
+++ b/crates/masticfall-entry/src/reclaim.rs
@@ -7,7 +7,9 @@
 use masticfall_core::id::{DataCentre, Incarnation};
 use masticfall_core::timeline::EventKind;
 use masticfall_platform::{Condition, Result, Transaction};
-use masticfall_wire::rows::{LIMIT_PREFIX, SLOTS_PREFIX, SlotsRow, member_key};
+use masticfall_wire::rows::{
+    LIMIT_PREFIX, SLOTS_PREFIX, SlotsRow, member_key, members_prefix, slots_key,
+};
 
 use crate::context::Node;
 
@@ -87,6 +89,45 @@
     Ok(())
 }
 
+/// Takes back the units of holders in this data centre whose lease rows are gone.
+///
+/// A write of a process that left or was reclaimed can land after its row was
+/// deleted. A row is there before its process claims, and the limits are read
+/// before the rows, so that a holder without a row is over.
+///
+/// # Errors
+/// The platform's failure; the next sweep tries again.
+pub async fn sweep(node: &Arc<Node>) -> Result<()> {
+    let here = node.data_centre();
+    let limits = (node.platform.tables.scan)(LIMIT_PREFIX.to_string()).await?;
+    let slots = node.platform.tables.get_as::<SlotsRow>(&slots_key(here)).await?;
+    let members = (node.platform.tables.scan)(members_prefix(here)).await?;
+    let prefix = members_prefix(here);
+    let is_member =
+        |who: &Incarnation| members.iter().any(|row| row.key[prefix.len()..] == *who.as_str());
+    for row in limits {
+        let mut grants: GrantRow = row.decode()?;
+        let before = grants.holders.len();
+        grants.holders.retain(|who, holding| holding.data_centre != *here || is_member(who));
+        if grants.holders.len() < before {
+            let transaction = Transaction::new().replace(&row.key, Some(&row), &grants)?;
+            // After a conflict the next sweep reads the row again.
+            (node.platform.tables.transact)(transaction).await?;
+            node.record(EventKind::GrantReclaimed, &[("limit", row.key.as_str())]);
+        }
+    }
+    let Some((row, mut slots)) = slots else { return Ok(()) };
+    let before = slots.clone();
+    for grants in slots.targets.values_mut() {
+        grants.holders.retain(|who, _| is_member(who));
+    }
+    if slots != before {
+        let transaction = Transaction::new().replace(&row.key, Some(&row), &slots)?;
+        (node.platform.tables.transact)(transaction).await?;
+    }
+    Ok(())
+}
+
 /// Takes back everything of a process that an operator confirmed to be gone.
 ///
 /// # Errors
--- a/crates/masticfall-entry/tests/suite/limits.rs
+++ b/crates/masticfall-entry/tests/suite/limits.rs
@@ -127,6 +127,31 @@
     assert!(row.granted() <= 3, "{row:?}");
 }
 
+#[tokio::test(start_paused = true)]
+async fn units_of_a_process_whose_row_is_gone_come_back() {
+    let lab = Lab::start(8, &[("a1", "a"), ("a2", "a")], &fleet_text(6, 4)).await;
+    // A claim that lands after its process left, as a delayed write can.
+    let row = lab.cloud.row("limit/red").unwrap();
+    let mut grants: GrantRow = row.decode().unwrap();
+    let left = masticfall_core::id::Incarnation::from("a.00000000000000ff");
+    let claim = masticfall_core::escrow::Claim {
+        limit: 6,
+        data_centres: 2,
+        peers_in_data_centre: 2,
+        base_percent: 50,
+        wanted: 3,
+    };
+    grants.claim(&left, &"a".into(), &claim);
+    assert!(grants.units(&left).total() > 0);
+    let transaction =
+        masticfall_platform::Transaction::new().replace("limit/red", Some(&row), &grants).unwrap();
+    (lab.cloud.platform(&"a".into()).tables.transact)(transaction).await.unwrap();
+    sleep_ms(310_000).await;
+    let row: GrantRow = lab.cloud.row("limit/red").unwrap().decode().unwrap();
+    assert_eq!(row.units(&left).total(), 0);
+    assert_eq!(admit_all(&lab, "a1", "red").await.len(), 6, "nothing is stranded");
+}
+
 /// Counts what really runs, beside the system's own accounts.
 #[derive(Debug, Default)]
 struct Record {
