--- a/crates/masticfall-entry/src/metrics.rs
+++ b/crates/masticfall-entry/src/metrics.rs
@@ -52,8 +52,6 @@
     pub platform_reads: Gauge,
     /// Units of limits held.
     pub limit_units: Gauge,
-    /// Units held by silent processes.
-    pub stranded_units: Gauge,
     /// Revision in force.
     pub revision: Gauge,
     /// Bytes sent to peers.
@@ -82,7 +80,6 @@
             platform_writes: Gauge::default(),
             platform_reads: Gauge::default(),
             limit_units: Gauge::default(),
-            stranded_units: Gauge::default(),
             revision: Gauge::default(),
             peer_bytes: Counter::default(),
             peer_dropped: Counter::default(),
@@ -96,8 +93,6 @@
         registry.register("platform_rows_written", "Rows written on the platform", writes);
         registry.register("platform_reads", "Reads of the platform", m.platform_reads.clone());
         registry.register("limit_units", "Units of team limits held", m.limit_units.clone());
-        let stranded = m.stranded_units.clone();
-        registry.register("stranded_units", "Units held by silent processes", stranded);
         registry.register("config_revision", "Revision in force", m.revision.clone());
         registry.register("peer_sent_bytes", "Bytes sent to peers", m.peer_bytes.clone());
         registry.register("peer_dropped", "Messages to peers dropped", m.peer_dropped.clone());
--- a/crates/masticfall-entry/src/state.rs
+++ b/crates/masticfall-entry/src/state.rs
@@ -164,8 +164,6 @@
     pub behind_since_ms: Option<u64>,
     /// When a peer was last heard.
     pub peer_ms: Option<u64>,
-    /// Units held by processes that are silent.
-    pub stranded_units: u64,
     /// Requests admitted and not answered yet.
     pub in_flight: u64,
     /// Number for the next ticket.
@@ -202,7 +200,6 @@
             platform_failed: false,
             behind_since_ms: None,
             peer_ms: None,
-            stranded_units: 0,
             in_flight: 0,
             next_ticket: 0,
             timeline: Timeline::new(who, ring_events),
