Poison jobs and workers that fail everything are told apart

A worker is at fault when it finished none of several different jobs; a job when it failed on three workers that are not. Before, any three failures parked a job, also on one bad worker.

--- a/crates/masticfall-core/src/job.rs
+++ b/crates/masticfall-core/src/job.rs
@@ -8,9 +8,6 @@
 
 use crate::id::{DataCentre, InstanceName, Name, QueueName, TeamName};
 
-/// Attempts that fail on different workers before a job is parked.
-pub const MAX_FAILED_ATTEMPTS: usize = 3;
-
 /// Where a job is in its life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Display, EnumString)]
 #[serde(rename_all = "snake_case")]
@@ -84,6 +81,8 @@
     Finished(Name),
     /// The worker reports a failure.
     Failed,
+    /// The worker reports a failure, and the job is at fault.
+    FailedForGood,
     /// The worker proves that the task did not start.
     NotStarted,
     /// The lease ran out without a report.
@@ -111,18 +110,20 @@
                 self.result = Some(result);
             }
             AttemptEnd::NotStarted => self.state = JobState::Queued,
-            AttemptEnd::Failed => self.failed(worker),
+            AttemptEnd::Failed => self.failed(worker, false),
+            AttemptEnd::FailedForGood => self.failed(worker, true),
             AttemptEnd::Lapsed if self.idempotent => self.state = JobState::Queued,
             AttemptEnd::Lapsed => self.park("may have run: its worker's lease lapsed"),
         }
         true
     }
 
-    fn failed(&mut self, worker: Option<InstanceName>) {
-        self.failed_on.extend(worker);
+    fn failed(&mut self, worker: Option<InstanceName>, for_good: bool) {
+        let new = worker.filter(|worker| !self.failed_on.contains(worker));
+        self.failed_on.extend(new);
         if !self.idempotent {
             self.park("failed, and may not run again");
-        } else if self.failed_on.len() >= MAX_FAILED_ATTEMPTS {
+        } else if for_good {
             self.park("failed on several workers");
         } else {
             self.state = JobState::Queued;
--- a/crates/masticfall-core/src/lib.rs
+++ b/crates/masticfall-core/src/lib.rs
@@ -4,6 +4,7 @@
 //! randomness are arguments. Each decision can therefore be run, measured and
 //! attacked without a network.
 
+pub mod blame;
 pub mod config;
 pub mod error;
 pub mod escrow;
--- a/crates/masticfall-core/tests/suite/main.rs
+++ b/crates/masticfall-core/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! Invariants of the decisions, over generated schedules.
 
+mod blame;
 mod config;
 mod errors;
 mod escrow;
--- a/crates/masticfall-entry/src/planner/jobs.rs
+++ b/crates/masticfall-entry/src/planner/jobs.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use indexmap::{IndexMap, IndexSet};
+use masticfall_core::blame::BlameRecord;
 use masticfall_core::escrow::GrantRow;
 use masticfall_core::id::{InstanceName, JobId, Name, PoolName};
 use masticfall_core::instance::InstanceKind;
@@ -35,6 +36,8 @@
     confirmed_ms: IndexMap<InstanceName, u64>,
     /// Until when no job is placed on a worker whose lease lapsed.
     suspect_until_ms: IndexMap<InstanceName, u64>,
+    /// Last attempts on each worker.
+    blame: BlameRecord,
     /// When each attempt was first missing from its worker's report.
     missing_ms: IndexMap<(JobId, u32), u64>,
 }
@@ -45,9 +48,19 @@
     follow(node, lease, table).await?;
     place(node, lease, table).await?;
     publish_busy(node, table);
+    forgive_maintained(node, table);
     Ok(())
 }
 
+/// Forgets what is held against workers that are out of their pool: they come back maintained.
+fn forgive_maintained(node: &Arc<Node>, table: &mut JobTable) {
+    let state = node.state();
+    let out = state.instances.iter().filter(|(_, (_, row))| !row.takes_work());
+    for (name, _) in out {
+        table.blame.forget(name);
+    }
+}
+
 async fn refresh(node: &Arc<Node>, table: &mut JobTable) -> Result<()> {
     let head = node.platform.tables.get(&jobs_head_key(node.data_centre())).await?;
     let version = head.map(|row| row.version);
@@ -133,8 +146,11 @@
             return Ok(());
         }
         Some(TaskState::Running) => return Ok(()),
-        Some(TaskState::Finished) => AttemptEnd::Finished(result_object(id, attempt)),
-        Some(TaskState::Failed) => AttemptEnd::Failed,
+        Some(TaskState::Finished) => {
+            note_attempt(table, id, true);
+            AttemptEnd::Finished(result_object(id, attempt))
+        }
+        Some(TaskState::Failed) => judge(table, id),
         Some(TaskState::Stopped) => AttemptEnd::Lapsed,
         None => {
             let now_ms = node.now_ms();
@@ -148,6 +164,26 @@
     end_attempt(node, lease, table, id, end).await
 }
 
+/// Records an attempt that ended for the judgement of its worker.
+fn note_attempt(table: &mut JobTable, id: &JobId, finished: bool) {
+    let worker = table.jobs.get(id).and_then(|(_, job)| job.worker.clone());
+    if let Some(worker) = worker {
+        table.blame.record(&worker, id, finished);
+    }
+}
+
+/// Records a failure, and decides whether the job is at fault.
+fn judge(table: &mut JobTable, id: &JobId) -> AttemptEnd {
+    note_attempt(table, id, false);
+    let Some((_, job)) = table.jobs.get(id) else { return AttemptEnd::Failed };
+    let mut failed_on = job.failed_on.clone();
+    failed_on.extend(job.worker.clone());
+    if table.blame.is_job_at_fault(&failed_on) {
+        return AttemptEnd::FailedForGood;
+    }
+    AttemptEnd::Failed
+}
+
 fn result_object(job: &JobId, attempt: u32) -> Name {
     Name::from(format!("result/{job}/{attempt}"))
 }
@@ -268,7 +304,8 @@
     let state = node.state();
     let mut free = FreeTable::new();
     for (name, (_, row)) in &state.instances {
-        if table.suspect_until_ms.get(name).is_some_and(|until| now_ms < *until) {
+        let suspect = table.suspect_until_ms.get(name).is_some_and(|until| now_ms < *until);
+        if suspect || table.blame.is_worker_at_fault(name) {
             continue;
         }
         let live = state.listed.get(name).is_some_and(|entry| entry.state == ListedState::Live);
--- a/crates/masticfall-entry/tests/suite/jobs.rs
+++ b/crates/masticfall-entry/tests/suite/jobs.rs
@@ -172,6 +172,25 @@
     assert_eq!(after.failed_on.len(), 3, "on different workers: {:?}", after.failed_on);
 }
 
+#[tokio::test(start_paused = true)]
+async fn worker_that_fails_everything_gets_no_more_jobs_and_parks_none() {
+    let lab = lab_with_workers(11, &[("a1", "a")], 4).await;
+    lab.cloud.set_faults(|faults| {
+        faults.failing_workers.insert("w0".into());
+    });
+    let mut ids = Vec::new();
+    for _ in 0..12 {
+        ids.push(submit(&lab, "a1", job("red", "run_ms=50")).await.unwrap());
+        sleep_ms(400).await;
+    }
+    let poison = submit(&lab, "a1", job("red", "fail run_ms=50")).await.unwrap();
+    sleep_ms(15_000).await;
+    for id in &ids {
+        assert_eq!(show(&lab, "a1", "red", id).await.state, JobState::Finished);
+    }
+    assert_eq!(show(&lab, "a1", "red", &poison).await.state, JobState::Parked);
+}
+
 /// One fault of a schedule, drawn by its seed.
 async fn one_fault(lab: &mut Lab, rng: &mut StdRng, step: u32) {
     let names: Vec<String> = lab.processes.keys().cloned().collect();
