Workers at fault are shown; addresses of process tests are given once

Seen in the checks: a fleet that did not start, its process ended with code 1. Each port now stays reserved at 127.0.0.1 while the process under test listens at a host of its own.

--- a/crates/masticfall-core/src/timeline.rs
+++ b/crates/masticfall-core/src/timeline.rs
@@ -93,6 +93,7 @@
     JobFinished,
     JobParked,
     JobCancelled,
+    WorkerAtFault,
     WaveChanged,
     LeaseTaken,
     PlatformLost,
--- a/crates/masticfall-entry/src/ops/handover.rs
+++ b/crates/masticfall-entry/src/ops/handover.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
-use masticfall_core::id::{DataCentre, Incarnation, JobId, Name, Revision, TeamName, WaveName};
+use masticfall_core::id::{
+    DataCentre, Incarnation, InstanceName, JobId, Name, Revision, TeamName, WaveName,
+};
 use masticfall_core::job::{JobRow, JobState};
 use masticfall_core::wave::WaveState;
 use masticfall_wire::rows::{CONFIG_PREFIX, ConfigRow};
@@ -74,6 +76,8 @@
     pub waves: Vec<OpenWave>,
     /// Jobs that wait for an operator.
     pub parked: Vec<ParkedJob>,
+    /// Workers that get no jobs, if this process is its data centre's planner.
+    pub workers_at_fault: Vec<InstanceName>,
     /// Entry processes that need attention.
     pub members: Vec<OddMember>,
     /// Units in use by team, where this process uses all it may.
@@ -88,9 +92,12 @@
 /// The platform's failure.
 pub async fn run(node: &Arc<Node>, since_wall_ms: u64) -> Result<Handover> {
     observe(node).await?;
+    let workers_at_fault: Vec<InstanceName> =
+        node.state().workers_at_fault.iter().cloned().collect();
     Ok(Handover {
         waves: open_waves(node).await?,
         parked: parked_jobs(node).await?,
+        workers_at_fault,
         members: odd_members(node),
         teams_at_limit: teams_at_limit(node),
         changes: changes(node, since_wall_ms).await?,
--- a/crates/masticfall-entry/src/planner/jobs.rs
+++ b/crates/masticfall-entry/src/planner/jobs.rs
@@ -49,9 +49,23 @@
     place(node, lease, table).await?;
     publish_busy(node, table);
     forgive_maintained(node, table);
+    publish_at_fault(node, table);
     Ok(())
 }
 
+/// Makes known which workers get no jobs, and records new ones.
+fn publish_at_fault(node: &Arc<Node>, table: &JobTable) {
+    let at_fault: IndexSet<InstanceName> = table.blame.workers_at_fault().cloned().collect();
+    let mut state = node.state();
+    let new: Vec<InstanceName> = at_fault.difference(&state.workers_at_fault).cloned().collect();
+    state.workers_at_fault = at_fault;
+    drop(state);
+    for worker in new {
+        node.record(EventKind::WorkerAtFault, &[("instance", worker.as_str())]);
+        tracing::warn!(name: "worker.at_fault", worker = %worker, "worker finished none of several jobs");
+    }
+}
+
 /// Forgets what is held against workers that are out of their pool: they come back maintained.
 fn forgive_maintained(node: &Arc<Node>, table: &mut JobTable) {
     let state = node.state();
--- a/crates/masticfall-entry/src/state.rs
+++ b/crates/masticfall-entry/src/state.rs
@@ -156,6 +156,8 @@
     pub list_ms: Option<u64>,
     /// Workers that run tasks, as this process's planner knows.
     pub busy_workers: IndexSet<InstanceName>,
+    /// Workers that get no jobs, as this process's planner judges.
+    pub workers_at_fault: IndexSet<InstanceName>,
     /// When the platform last answered.
     pub platform_ms: Option<u64>,
     /// Whether the last operation of the platform failed.
@@ -196,6 +198,7 @@
             list_digest: 0,
             list_ms: None,
             busy_workers: IndexSet::new(),
+            workers_at_fault: IndexSet::new(),
             platform_ms: None,
             platform_failed: false,
             behind_since_ms: None,
--- a/crates/masticfall-entry/tests/suite/jobs.rs
+++ b/crates/masticfall-entry/tests/suite/jobs.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use indexmap::IndexMap;
 use masticfall_core::error::ErrorKind;
-use masticfall_core::id::{JobId, TeamName};
+use masticfall_core::id::{InstanceName, JobId, TeamName};
 use masticfall_core::instance::InstanceKind;
 use masticfall_core::job::{JobRow, JobState, Needs};
 use masticfall_core::key::KeyHash;
@@ -189,6 +189,8 @@
         assert_eq!(show(&lab, "a1", "red", id).await.state, JobState::Finished);
     }
     assert_eq!(show(&lab, "a1", "red", &poison).await.state, JobState::Parked);
+    let at_fault = lab.node("a1").state().workers_at_fault.clone();
+    assert_eq!(at_fault.iter().map(InstanceName::as_str).collect::<Vec<_>>(), ["w0"]);
 }
 
 /// One fault of a schedule, drawn by its seed.
--- a/crates/masticfall/src/commands/handover.rs
+++ b/crates/masticfall/src/commands/handover.rs
@@ -51,6 +51,7 @@
         let reason = job.reason.map_or_else(String::new, |reason| reason.to_string());
         vec![job.id.to_string(), job.team.to_string(), reason]
     });
+    let workers = report.workers_at_fault.into_iter().map(|worker| vec![worker.to_string()]);
     let members = report.members.into_iter().map(|member| {
         vec![member.process.to_string(), member.data_centre.to_string(), member.what.to_string()]
     });
@@ -67,6 +68,7 @@
             &waves.collect::<Vec<_>>(),
         ),
         part("Parked jobs", &["JOB", "TEAM", "REASON"], &parked.collect::<Vec<_>>()),
+        part("Workers at fault", &["WORKER"], &workers.collect::<Vec<_>>()),
         part(
             "Entry processes to look at",
             &["PROCESS", "DATA CENTRE", "WHAT"],
--- a/crates/masticfalld/tests/suite/fleet.rs
+++ b/crates/masticfalld/tests/suite/fleet.rs
@@ -69,10 +69,13 @@
 
 /// Returns a loopback address that nothing else uses.
 ///
-/// Its host is made from a free port, so that neither another test nor the
-/// near end of a connection, which is at 127.0.0.1, can take it meanwhile.
+/// Its host is made from a free port, so that the near end of a connection,
+/// which is at 127.0.0.1, cannot take it meanwhile. The port stays bound there
+/// to the end of the tests, so that no other test is given the same address.
 pub fn free_address() -> SocketAddr {
-    let port = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port();
+    let reserved = TcpListener::bind("127.0.0.1:0").unwrap();
+    let port = reserved.local_addr().unwrap().port();
+    std::mem::forget(reserved);
     let [high, low] = port.to_be_bytes();
     SocketAddr::from(([127, high.max(1), low, 1], port))
 }
