One piece of code where two did the same; the withdrawals' digest is kept up

Readiness of a process for requests, the data centre in a name, the list of accepted changes, the end of a wave, the prefix of active jobs, and the rebuilding of targets with its hand-over of free slots each stood twice. Heartbeats hashed every withdrawn key for each message sent and received; the digest now changes with each withdrawal.

--- a/crates/masticfall-core/benches/decisions/bursts.rs
+++ b/crates/masticfall-core/benches/decisions/bursts.rs
@@ -10,7 +10,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use crate::Bound;
+use crate::{Bound, exponential};
 
 const SLOTS: u32 = 80;
 const HOLD_MS: f64 = 50.0;
@@ -118,7 +118,7 @@
             };
             let Some(ticket) = next else { break };
             let arrived_ms = self.requests[ticket as usize].arrived_ms;
-            let hold_ms = -HOLD_MS * self.rng.random_range(f64::MIN_POSITIVE..1.0_f64).ln();
+            let hold_ms = exponential(&mut self.rng, HOLD_MS);
             self.mean_hold_ms += (hold_ms - self.mean_hold_ms) * 0.05;
             self.running.push((now_ms + hold_ms as u64 + 1, arrived_ms));
             if now_ms >= BURST_TO_MS && now_ms - arrived_ms > RECOVERED_MS {
--- a/crates/masticfall-core/benches/decisions/limits.rs
+++ b/crates/masticfall-core/benches/decisions/limits.rs
@@ -11,7 +11,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use crate::Bound;
+use crate::{Bound, exponential};
 
 const PROCESSES: usize = 9;
 const DATA_CENTRES: usize = 3;
@@ -129,7 +129,7 @@
             };
             if process.account.try_take(usable) {
                 process.waiting.pop_front();
-                let hold_ms = -HOLD_MS * self.rng.random_range(f64::MIN_POSITIVE..1.0_f64).ln();
+                let hold_ms = exponential(&mut self.rng, HOLD_MS);
                 process.running.push(now_ms + hold_ms as u64 + 1);
                 room = room.saturating_sub(1);
                 // One row on admission, and one when the request ends.
--- a/crates/masticfall-core/benches/decisions/main.rs
+++ b/crates/masticfall-core/benches/decisions/main.rs
@@ -8,6 +8,9 @@
 mod limits;
 mod retries;
 
+use rand::Rng;
+use rand::rngs::StdRng;
+
 /// A figure with the bound it has to keep.
 struct Bound {
     name: &'static str,
@@ -44,6 +47,11 @@
     }
 }
 
+/// Draws from the exponential distribution with a mean.
+fn exponential(rng: &mut StdRng, mean: f64) -> f64 {
+    -mean * rng.random_range(f64::MIN_POSITIVE..1.0_f64).ln()
+}
+
 /// Joins lists of bounds.
 trait ConcatAll {
     fn concat_all(self) -> Vec<Bound>;
--- a/crates/masticfall-core/src/blame.rs
+++ b/crates/masticfall-core/src/blame.rs
@@ -19,7 +19,7 @@
 const MIN_FAILED_JOBS: usize = 4;
 
 /// Sound workers on which a job has to fail to be at fault.
-pub const MIN_FAILED_WORKERS: usize = 3;
+const MIN_FAILED_WORKERS: usize = 3;
 
 /// The last attempts on each worker.
 #[derive(Debug, Clone, Default)]
--- a/crates/masticfall-core/src/id.rs
+++ b/crates/masticfall-core/src/id.rs
@@ -85,6 +85,13 @@
     WaveName,
 }
 
+/// Returns the data centre that the name of a process or job starts with.
+///
+/// Such names are `DATA_CENTRE.NUMBER`; any other gives the empty name.
+pub fn data_centre_of(name: &str) -> DataCentre {
+    DataCentre::from(name.rsplit_once('.').map_or("", |(data_centre, _)| data_centre))
+}
+
 /// The number of an accepted fleet configuration; a later one is greater.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Default, Serialize, Deserialize,
--- a/crates/masticfall-core/src/wave.rs
+++ b/crates/masticfall-core/src/wave.rs
@@ -24,6 +24,13 @@
     Stopped,
 }
 
+impl WaveState {
+    /// Tells whether the wave takes out no more instances, ever.
+    pub fn is_over(self) -> bool {
+        matches!(self, Self::Done | Self::Stopped)
+    }
+}
+
 /// The row of one wave.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WaveRow {
--- a/crates/masticfall-entry/src/dispatch.rs
+++ b/crates/masticfall-entry/src/dispatch.rs
@@ -124,10 +124,7 @@
     key: Option<&KeyHash>,
     now_ms: u64,
 ) -> Result<(Arc<FleetConfig>, Option<TeamName>)> {
-    let ready = matches!(state.phase, Phase::Ready | Phase::Leaving);
-    let Some(config) = state.config.clone().filter(|_| ready) else {
-        return Err(Refusal::new(ErrorKind::NotReady, "this instance takes no requests now"));
-    };
+    let config = config_in_service(state)?;
     let Some(found) = config.queues.get(queue) else {
         return Err(Refusal::new(ErrorKind::NotFound, format!("no queue `{queue}`")));
     };
@@ -211,15 +208,23 @@
     let Some(forwarded) = &call.forwarded else {
         return authenticate(state, &call.queue, call.key.as_ref(), now_ms);
     };
-    let ready = matches!(state.phase, Phase::Ready | Phase::Leaving);
-    let config =
-        state.config.clone().filter(|config| ready && config.queues.contains_key(&call.queue));
-    let Some(config) = config else {
-        return Err(Refusal::new(ErrorKind::NotReady, "this instance takes no requests now"));
-    };
+    let config = config_in_service(state)?;
+    if !config.queues.contains_key(&call.queue) {
+        return Err(not_in_service());
+    }
     Ok((config, forwarded.team.clone()))
 }
 
+/// Returns the configuration in force while the process takes requests.
+fn config_in_service(state: &State) -> Result<Arc<FleetConfig>> {
+    let ready = matches!(state.phase, Phase::Ready | Phase::Leaving);
+    state.config.clone().filter(|_| ready).ok_or_else(not_in_service)
+}
+
+fn not_in_service() -> Refusal {
+    Refusal::new(ErrorKind::NotReady, "this instance takes no requests now")
+}
+
 fn weight_of(config: &FleetConfig, team: Option<&TeamName>) -> f64 {
     let settings = team.and_then(|team| config.teams.get(team));
     settings.map_or(1.0, |team| f64::from(team.share))
--- a/crates/masticfall-entry/src/grants.rs
+++ b/crates/masticfall-entry/src/grants.rs
@@ -193,9 +193,8 @@
             settle(account, *change, &outcome);
         }
     }
-    slots::refresh(&mut state, node.now_ms());
+    slots::refresh_and_serve(&mut state, node.now_ms());
     drop(state);
-    refresh(node);
     outcome.map(|_| ())
 }
 
@@ -227,15 +226,6 @@
     changes
 }
 
-fn refresh(node: &Node) {
-    let now_ms = node.now_ms();
-    let mut state = node.state();
-    let services: Vec<_> = state.services.keys().cloned().collect();
-    for service in services {
-        slots::serve_waiting(&mut state, &service, now_ms);
-    }
-}
-
 /// Returns the claims on target slots that are worth a write.
 fn slot_claims(node: &Node) -> Vec<(InstanceName, Claim)> {
     let mut locked = node.state();
--- a/crates/masticfall-entry/src/http/admin.rs
+++ b/crates/masticfall-entry/src/http/admin.rs
@@ -12,7 +12,7 @@
 };
 use masticfall_core::instance::InstanceRow;
 use masticfall_core::timeline::{Event, Stamp};
-use masticfall_wire::rows::{CONFIG_PREFIX, ConfigRow, INSTANCE_PREFIX};
+use masticfall_wire::rows::INSTANCE_PREFIX;
 use serde::{Deserialize, Serialize};
 use volo_http::body::Body;
 use volo_http::response::Response;
@@ -160,15 +160,7 @@
 }
 
 async fn history(node: &Arc<Node>) -> Result<Response> {
-    let rows = (node.platform.tables.scan)(CONFIG_PREFIX.to_string()).await?;
-    let mut history = Vec::new();
-    for row in rows {
-        let ConfigRow { revision, by, wall_ms, note, .. } = row.decode()?;
-        history.push(serde_json::json!({
-            "revision": revision, "by": by, "wall_ms": wall_ms, "note": note,
-        }));
-    }
-    reply::json(StatusCode::OK, &history)
+    reply::json(StatusCode::OK, &handover::changes(node, 0).await?)
 }
 
 #[derive(Debug, Deserialize)]
--- a/crates/masticfall-entry/src/ops/handover.rs
+++ b/crates/masticfall-entry/src/ops/handover.rs
@@ -8,7 +8,7 @@
 };
 use masticfall_core::job::{JobRow, JobState};
 use masticfall_core::wave::WaveState;
-use masticfall_wire::rows::{CONFIG_PREFIX, ConfigRow};
+use masticfall_wire::rows::{ACTIVE_JOBS_PREFIX, CONFIG_PREFIX, ConfigRow};
 use serde::{Deserialize, Serialize};
 
 use super::waves;
@@ -16,9 +16,6 @@
 use crate::membership::{is_live, observe};
 use crate::refusal::Result;
 
-/// Prefix of the rows of jobs that are not final, over all data centres.
-const ACTIVE_JOBS_PREFIX: &str = "job/active/";
-
 /// A wave that is not over.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OpenWave {
@@ -106,9 +103,7 @@
 
 async fn open_waves(node: &Arc<Node>) -> Result<Vec<OpenWave>> {
     let all = waves::list(node).await?;
-    let open = all
-        .into_iter()
-        .filter(|(_, wave)| !matches!(wave.state, WaveState::Done | WaveState::Stopped));
+    let open = all.into_iter().filter(|(_, wave)| !wave.state.is_over());
     let views = open.map(|(name, wave)| OpenWave {
         name,
         state: wave.state,
@@ -163,7 +158,11 @@
     full.map(|(team, account)| (team.clone(), account.in_use)).collect()
 }
 
-async fn changes(node: &Arc<Node>, since_wall_ms: u64) -> Result<Vec<Change>> {
+/// Lists the accepted changes of the configuration since a wall clock.
+///
+/// # Errors
+/// The platform's failure.
+pub async fn changes(node: &Arc<Node>, since_wall_ms: u64) -> Result<Vec<Change>> {
     let mut changes = Vec::new();
     for row in (node.platform.tables.scan)(CONFIG_PREFIX.to_string()).await? {
         let ConfigRow { revision, by, wall_ms, note, .. } = row.decode()?;
--- a/crates/masticfall-entry/src/ops/show_job.rs
+++ b/crates/masticfall-entry/src/ops/show_job.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use masticfall_core::error::ErrorKind;
-use masticfall_core::id::{DataCentre, JobId, TeamName};
+use masticfall_core::id::{JobId, TeamName, data_centre_of};
 use masticfall_core::job::JobRow;
 use masticfall_core::key::KeyHash;
 use masticfall_platform::Row;
@@ -23,18 +23,12 @@
     team.ok_or_else(|| Refusal::new(ErrorKind::Unauthorized, "key is unknown or withdrawn"))
 }
 
-/// Returns the data centre whose planner drives a job.
-pub fn data_centre_of(id: &JobId) -> DataCentre {
-    let name = id.as_str().rsplit_once('.').map_or("", |(data_centre, _)| data_centre);
-    DataCentre::from(name)
-}
-
 /// Reads a job of a team.
 ///
 /// # Errors
 /// [`ErrorKind::NotFound`] when the team has no such job, or the platform's failure.
 pub async fn run(node: &Arc<Node>, team: &TeamName, id: &JobId) -> Result<(Row, JobRow)> {
-    let keys = vec![active_job_key(&data_centre_of(id), id), final_job_key(id)];
+    let keys = vec![active_job_key(&data_centre_of(id.as_str()), id), final_job_key(id)];
     let rows = (node.platform.tables.read)(keys).await?;
     for row in rows.into_iter().flatten() {
         let job: JobRow = row.decode()?;
--- a/crates/masticfall-entry/src/peers.rs
+++ b/crates/masticfall-entry/src/peers.rs
@@ -122,7 +122,8 @@
         }
     }
 
-    fn send_where(&self, node: &Arc<Node>, message: &PeerMessage, near: bool, far: bool) {
+    /// Sends a message to the peers of this data centre, or to all others.
+    fn send_where(&self, node: &Arc<Node>, message: &PeerMessage, near: bool) {
         let here = node.data_centre();
         let near_addresses: Vec<Name> = {
             let state = node.state();
@@ -134,7 +135,7 @@
             return;
         };
         for (address, outbox) in &*self.outboxes.lock() {
-            if if near_addresses.contains(address) { near } else { far } {
+            if near_addresses.contains(address) == near {
                 push(node, outbox, &bytes);
             }
         }
@@ -175,9 +176,9 @@
         node.links.connect_missing(&node);
         let near = heartbeat(&node);
         let far = Heartbeat { demand: IndexMap::new(), ..near.clone() };
-        node.links.send_where(&node, &PeerMessage::Heartbeat(near), true, false);
+        node.links.send_where(&node, &PeerMessage::Heartbeat(near), true);
         if beat % FAR_EVERY == 0 {
-            node.links.send_where(&node, &PeerMessage::Heartbeat(far), false, true);
+            node.links.send_where(&node, &PeerMessage::Heartbeat(far), false);
         }
         beat += 1;
         tokio::time::sleep(Duration::from_millis(NEAR_HEARTBEAT_MS)).await;
--- a/crates/masticfall-entry/src/planner/waves.rs
+++ b/crates/masticfall-entry/src/planner/waves.rs
@@ -19,8 +19,7 @@
     for read in (node.platform.tables.scan)(WAVE_PREFIX.to_string()).await? {
         let mut wave: WaveRow = read.decode()?;
         let name = WaveName::from(read.key[WAVE_PREFIX.len()..].to_string());
-        let over = matches!(wave.state, WaveState::Done | WaveState::Stopped);
-        if over && wave.active.is_empty() && wave.failed.is_empty() {
+        if wave.state.is_over() && wave.active.is_empty() && wave.failed.is_empty() {
             continue;
         }
         let before = wave.clone();
--- a/crates/masticfall-entry/src/reclaim.rs
+++ b/crates/masticfall-entry/src/reclaim.rs
@@ -4,7 +4,7 @@
 
 use masticfall_core::escrow::GrantRow;
 use masticfall_core::guard::{PeerGuard, Reclaim};
-use masticfall_core::id::{DataCentre, Incarnation};
+use masticfall_core::id::{Incarnation, data_centre_of};
 use masticfall_core::timeline::EventKind;
 use masticfall_platform::{Condition, Result, Transaction};
 use masticfall_wire::rows::{
@@ -16,11 +16,6 @@
 /// Longest deadline assumed while no configuration is known, in milliseconds.
 const FALLBACK_DEADLINE_MS: u64 = 600_000;
 
-/// Returns the data centre of a process, which its name starts with.
-fn data_centre_of(who: &Incarnation) -> DataCentre {
-    DataCentre::from(who.as_str().rsplit_once('.').map_or("", |(data_centre, _)| data_centre))
-}
-
 /// Decides for every silent process, and takes back what may be.
 ///
 /// # Errors
@@ -52,7 +47,7 @@
 
 /// Takes back units in one transaction that fails if the process renewed meanwhile.
 async fn take_back(node: &Arc<Node>, who: &Incarnation, version: u64, what: Reclaim) -> Result<()> {
-    let member = member_key(&data_centre_of(who), who);
+    let member = member_key(&data_centre_of(who.as_str()), who);
     let mut transaction = Transaction::new().check(&member, Condition::Version(version));
     let apply = |row: &mut GrantRow| match what {
         Reclaim::All => row.reclaim_all(who),
@@ -133,7 +128,9 @@
 /// # Errors
 /// The platform's failure.
 pub async fn confirm_gone(node: &Arc<Node>, who: &Incarnation) -> Result<bool> {
-    let Some(row) = node.platform.tables.get(&member_key(&data_centre_of(who), who)).await? else {
+    let Some(row) =
+        node.platform.tables.get(&member_key(&data_centre_of(who.as_str()), who)).await?
+    else {
         return Ok(false);
     };
     node.state().guard.confirm_gone(who);
--- a/crates/masticfall-entry/src/slots.rs
+++ b/crates/masticfall-entry/src/slots.rs
@@ -185,6 +185,15 @@
     }
 }
 
+/// Rebuilds the target tables, and hands what is free to requests that wait.
+pub fn refresh_and_serve(state: &mut State, now_ms: u64) {
+    refresh(state, now_ms);
+    let services: Vec<ServiceName> = state.services.keys().cloned().collect();
+    for service in services {
+        serve_waiting(state, &service, now_ms);
+    }
+}
+
 /// Gives a slot back, and hands free slots to requests that wait.
 pub fn release(
     node: &Arc<Node>,
--- a/crates/masticfall-entry/src/state.rs
+++ b/crates/masticfall-entry/src/state.rs
@@ -128,6 +128,7 @@
     pub keys: KeyTable,
     /// Withdrawals with who and when.
     pub withdrawals: IndexMap<KeyId, Withdrawal>,
+    withdrawn_digest: u64,
     /// Other entry processes.
     pub members: IndexMap<Incarnation, Member>,
     /// Guard of the process's own units.
@@ -184,6 +185,7 @@
             config_row: None,
             keys: KeyTable::default(),
             withdrawals: IndexMap::new(),
+            withdrawn_digest: 0,
             members: IndexMap::new(),
             guard: SelfGuard::default(),
             limits: IndexMap::new(),
@@ -244,6 +246,8 @@
         if !self.keys.withdraw(key.clone()) {
             return false;
         }
+        // Heartbeats carry and compare it: it is kept up rather than made anew.
+        self.withdrawn_digest ^= digest_of(key.as_str().as_bytes());
         self.withdrawals.insert(key, withdrawal);
         true
     }
@@ -260,8 +264,7 @@
 
     /// Returns a digest of the withdrawals known, independent of their order.
     pub fn withdrawn_digest(&self) -> u64 {
-        let digests = self.withdrawals.keys().map(|key| digest_of(key.as_str().as_bytes()));
-        digests.fold(0, |all, one| all ^ one)
+        self.withdrawn_digest
     }
 
     /// Tells whether neither the platform nor any peer was heard for a lease length.
--- a/crates/masticfall-entry/src/sync.rs
+++ b/crates/masticfall-entry/src/sync.rs
@@ -250,12 +250,6 @@
 
 fn refresh_targets(node: &Arc<Node>) {
     let now_ms = node.now_ms();
-    let mut state = node.state();
-    slots::refresh(&mut state, now_ms);
-    let services: Vec<_> = state.services.keys().cloned().collect();
-    for service in services {
-        slots::serve_waiting(&mut state, &service, now_ms);
-    }
-    drop(state);
+    slots::refresh_and_serve(&mut node.state(), now_ms);
     node.units_wanted.notify_one();
 }
--- a/crates/masticfall-wire/src/rows.rs
+++ b/crates/masticfall-wire/src/rows.rs
@@ -19,6 +19,8 @@
 pub const MEMBER_PREFIX: &str = "member/";
 /// Prefix of the rows of instances.
 pub const INSTANCE_PREFIX: &str = "instance/";
+/// Prefix of the rows of jobs that are not final, over all data centres.
+pub const ACTIVE_JOBS_PREFIX: &str = "job/active/";
 /// Prefix of the rows of waves.
 pub const WAVE_PREFIX: &str = "wave/";
 /// Prefix of the rows of team limits.
@@ -68,12 +70,12 @@
 
 /// Returns the prefix of the rows of a data centre's jobs that are not final.
 pub fn active_jobs_prefix(data_centre: &DataCentre) -> String {
-    format!("job/active/{data_centre}/")
+    format!("{ACTIVE_JOBS_PREFIX}{data_centre}/")
 }
 
 /// Returns the key of a job that is not final.
 pub fn active_job_key(data_centre: &DataCentre, job: &JobId) -> String {
-    format!("job/active/{data_centre}/{job}")
+    format!("{ACTIVE_JOBS_PREFIX}{data_centre}/{job}")
 }
 
 /// Returns the key of a job that is final.
