--- a/crates/masticfall-core/src/error.rs
+++ b/crates/masticfall-core/src/error.rs
@@ -55,6 +55,8 @@
     Forbidden,
     /// No such queue, job or resource.
     NotFound,
+    /// No such job was accepted.
+    NoSuchJob,
     /// The method does not apply to the resource.
     MethodNotAllowed,
     /// The body or the headers exceed their bound.
@@ -120,6 +122,7 @@
             Self::Unauthorized => (401, NotRun, None, Debug, "key missing, unknown or withdrawn"),
             Self::Forbidden => (403, NotRun, None, Debug, "not allowed for this key"),
             Self::NotFound => (404, NotRun, None, Debug, "not found"),
+            Self::NoSuchJob => (404, NotRun, None, Debug, "no such job"),
             Self::MethodNotAllowed => (405, NotRun, None, Debug, "method not allowed"),
             Self::TooLarge => (413, NotRun, None, Debug, "request too large"),
             Self::Conflict => (409, NotRun, None, Debug, "state does not allow this"),
--- /dev/null
+++ b/crates/masticfall-core/src/fleet/board.rs
@@ -0,0 +1,414 @@
+//! The tables of one cell, and the systems that run over them.
+//!
+//! A placement goes through four stations: it is decided here, stored together
+//! with the job's progress, ordered from the worker, and confirmed by the
+//! worker's own listing. Whatever happens to an order, the listing decides: a
+//! task counts as running on its worker until the worker says otherwise or its
+//! lease is over.
+
+mod job;
+mod place;
+mod reports;
+mod results;
+mod store;
+mod time;
+
+use std::sync::Arc;
+
+use indexmap::{IndexMap, IndexSet};
+
+pub use job::{Job, Occurrence, OrderState, Placement, Step, Task, TaskState};
+pub use reports::LookRequest;
+pub use store::{Batch, BatchWrite};
+
+use super::config::FleetConfig;
+use super::progress::{JobPhase, JobRow, ProgressRow};
+use super::report::RunEnd;
+use super::spec::{JobRecord, Resources, TaskKey};
+use super::worker::{Worker, WorkerFacts};
+use crate::id::{AccountName, JobId, Name, QueueName, WorkerId};
+
+/// Attempt numbers that each take-over of a cell skips, so that a run which the
+/// former dispatcher started can't share its number with a new one.
+const ATTEMPTS_PER_EPOCH: u32 = 64;
+
+/// Bounds that a board works within.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BoardBounds {
+    /// Length of the leases given to workers, in milliseconds.
+    pub lease_ms: u64,
+    /// Time in which a worker ends a stopped run, in milliseconds.
+    pub stop_grace_ms: u64,
+    /// Time for which an earlier dispatcher may have gone on to extend leases
+    /// after this one took over, in milliseconds.
+    pub foreign_tail_ms: u64,
+}
+
+/// What a board wants sent to a worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Order {
+    /// Start a run.
+    Start(StartOrder),
+    /// Stop a run.
+    Stop(StopOrder),
+    /// Let a run work at a share of its pace.
+    Pace(PaceOrder),
+}
+
+/// An order to start a run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StartOrder {
+    /// The worker.
+    pub worker: WorkerId,
+    /// The task.
+    pub task: TaskKey,
+    /// Number of the start.
+    pub attempt: u32,
+    /// What to run.
+    pub payload: Name,
+    /// Checkpoint to resume from.
+    pub checkpoint: Option<Name>,
+    /// End of the lease, by the worker's clock.
+    pub lease_until_theirs_ms: u64,
+}
+
+/// An order to stop a run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StopOrder {
+    /// The worker.
+    pub worker: WorkerId,
+    /// The task.
+    pub task: TaskKey,
+    /// Number of the start.
+    pub attempt: u32,
+}
+
+/// An order that sets the pace of a run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PaceOrder {
+    /// The worker.
+    pub worker: WorkerId,
+    /// The task.
+    pub task: TaskKey,
+    /// Number of the start.
+    pub attempt: u32,
+    /// Share of full pace, in percent.
+    pub percent: u32,
+}
+
+/// Why a run was stopped or given up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum StopReason {
+    /// The job was cancelled.
+    Cancelled,
+    /// The job failed.
+    JobFailed,
+    /// The board doesn't know the run.
+    Stray,
+    /// The worker is due for maintenance.
+    Maintenance,
+    /// Another member of the gang didn't start.
+    GangIncomplete,
+    /// The run makes no progress.
+    Stalled,
+}
+
+/// A decision or a change of belief, for the logs.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Notice {
+    /// A job was taken over from the rows.
+    JobTaken {
+        /// The job.
+        job: JobId,
+        /// Its objective from now, in milliseconds; negative when it is late.
+        due_in_ms: i64,
+    },
+    /// Tasks of a job were placed.
+    Placed {
+        /// The job.
+        job: JobId,
+        /// Tasks placed in this pass.
+        tasks: u32,
+        /// Worker of the last of them.
+        worker: WorkerId,
+        /// Whether the job's objective could still be met.
+        is_late: bool,
+        /// Configuration that decided.
+        config_version: u64,
+    },
+    /// A start didn't lead to a run.
+    NotStarted {
+        /// The task.
+        task: TaskKey,
+        /// Number of the start.
+        attempt: u32,
+        /// The worker.
+        worker: WorkerId,
+        /// What was seen.
+        outcome: super::report::StartOutcome,
+    },
+    /// A run ended otherwise than done.
+    RunEnded {
+        /// The task.
+        task: TaskKey,
+        /// Number of the start.
+        attempt: u32,
+        /// The worker.
+        worker: WorkerId,
+        /// How it ended.
+        end: RunEnd,
+        /// Whether it was concluded from the end of a lease or a missing
+        /// listing and not reported.
+        is_concluded: bool,
+    },
+    /// A run is to be stopped.
+    Stopping {
+        /// The task.
+        task: TaskKey,
+        /// Number of the start.
+        attempt: u32,
+        /// The worker.
+        worker: WorkerId,
+        /// Why.
+        reason: StopReason,
+    },
+    /// A job reached a final phase.
+    JobEnded {
+        /// The job.
+        job: JobId,
+        /// The phase.
+        phase: JobPhase,
+        /// Time since its acceptance as seen by this dispatcher, in milliseconds.
+        after_ms: u64,
+        /// How much later than its objective; negative when earlier.
+        late_by_ms: i64,
+    },
+    /// A worker began another life under its identifier.
+    WorkerReborn {
+        /// The worker.
+        worker: WorkerId,
+        /// Start of the new life, in milliseconds since the Unix epoch.
+        born_wall_ms: u64,
+    },
+    /// A worker stopped or began to answer.
+    WorkerReach {
+        /// The worker.
+        worker: WorkerId,
+        /// Whether it answers now.
+        is_reached: bool,
+    },
+    /// The leases on a silent worker are over.
+    WorkerLapsed {
+        /// The worker.
+        worker: WorkerId,
+        /// Tasks that were placed there.
+        tasks: usize,
+    },
+    /// A worker that fails different jobs gets no work for a while.
+    Quarantined {
+        /// The worker.
+        worker: WorkerId,
+        /// For how long, in milliseconds.
+        length_ms: u64,
+    },
+}
+
+/// The tables of one cell.
+#[derive(Debug)]
+pub struct Board {
+    /// Fencing token: number of this ownership of the cell.
+    pub epoch: u32,
+    /// Jobs that have something left to run or to stop.
+    pub jobs: IndexMap<JobId, Job>,
+    /// Workers.
+    pub workers: IndexMap<WorkerId, Worker>,
+    /// What each client account has running, over all pools.
+    pub account_use: IndexMap<AccountName, Resources>,
+    /// Configuration in force.
+    pub config: Option<Arc<FleetConfig>>,
+    bounds: BoardBounds,
+    /// Time until which tasks on workers that nobody lists may be running.
+    foreign_lease_until_ms: u64,
+    dirty: IndexSet<JobId>,
+    /// Jobs that ended under this ownership, so that a late announcement of
+    /// their acceptance doesn't run them again.
+    ended: IndexSet<JobId>,
+    orders: Vec<Order>,
+    notices: Vec<Notice>,
+    wants_placing: bool,
+}
+
+impl Board {
+    /// Makes an empty board for an ownership that began at `now_ms`.
+    pub fn new(epoch: u32, bounds: BoardBounds, now_ms: u64) -> Self {
+        let tail_ms = bounds.foreign_tail_ms + bounds.lease_ms;
+        let drift_ms = bounds.lease_ms * super::worker::WORKER_CLOCK_DRIFT_PER_MILLE / 1_000;
+        Self {
+            epoch,
+            jobs: IndexMap::new(),
+            workers: IndexMap::new(),
+            account_use: IndexMap::new(),
+            config: None,
+            bounds,
+            foreign_lease_until_ms: now_ms + tail_ms + drift_ms + super::worker::LEASE_SLACK_MS,
+            dirty: IndexSet::new(),
+            ended: IndexSet::new(),
+            orders: Vec::new(),
+            notices: Vec::new(),
+            wants_placing: false,
+        }
+    }
+
+    /// Puts a configuration in force; an older one is ignored.
+    pub fn set_config(&mut self, config: Arc<FleetConfig>) {
+        if self.config.as_ref().is_none_or(|current| current.version < config.version) {
+            self.config = Some(config);
+            self.wants_placing = true;
+        }
+    }
+
+    /// Adds a job as it was stored, with its progress if any was.
+    pub fn load(&mut self, id: &JobId, row: JobRow, progress: Option<ProgressRow>, now: Now) {
+        let JobRow::Active(record) = row else { return };
+        if self.jobs.contains_key(id) || self.ended.contains(id) {
+            return;
+        }
+        let mut job = Job::new(record, self.config.as_deref(), now);
+        if let Some(progress) = progress {
+            let worst_attempt = self.epoch.saturating_sub(1) * ATTEMPTS_PER_EPOCH;
+            job.restore(&progress, worst_attempt);
+        } else {
+            job.attempt_floor = self.epoch.saturating_sub(1) * ATTEMPTS_PER_EPOCH;
+        }
+        let placements = job.placements(id);
+        self.jobs.insert(id.clone(), job);
+        for (key, worker) in placements {
+            self.count_in(&key, &worker);
+        }
+        let job = &self.jobs[id];
+        let due_in_ms = job.due_ms as i64 - now.steady_ms as i64;
+        self.notices.push(Notice::JobTaken { job: id.clone(), due_in_ms });
+        self.wants_placing = true;
+        if self.jobs[id].phase.is_final() {
+            self.stop_placements(id, StopReason::Cancelled, now.steady_ms);
+            self.dirty.insert(id.clone());
+        }
+    }
+
+    /// Adds a job that was just accepted.
+    pub fn accept(&mut self, id: &JobId, record: JobRecord, now: Now) {
+        self.load(id, JobRow::Active(record), None, now);
+    }
+
+    /// Cancels a job.
+    pub fn cancel(&mut self, id: &JobId, now_ms: u64) {
+        let Some(job) = self.jobs.get_mut(id).filter(|job| !job.phase.is_final()) else { return };
+        job.phase = JobPhase::Cancelled;
+        self.finish(id, StopReason::Cancelled, now_ms);
+    }
+
+    /// Adds or updates a worker from the platform's list.
+    pub fn list_worker(&mut self, facts: WorkerFacts) {
+        self.wants_placing = true;
+        if let Some(worker) = self.workers.get_mut(&facts.id) {
+            worker.is_listed = true;
+            worker.facts = facts;
+            return;
+        }
+        let id = facts.id.clone();
+        let mut worker = Worker::new(facts, self.foreign_lease_until_ms);
+        for (job_id, job) in &self.jobs {
+            for (key, placed_on) in job.placements(job_id) {
+                if placed_on == id {
+                    worker.used = worker.used.plus(&job.step(&key).spec_reserved);
+                    worker.placements.insert(key);
+                }
+            }
+        }
+        self.workers.insert(id, worker);
+    }
+
+    /// Notes that the platform doesn't list a worker any more.
+    pub fn unlist_worker(&mut self, id: &WorkerId) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.is_listed = false;
+        }
+    }
+
+    /// Gives up a worker of which another life answers: nothing runs there any more.
+    pub fn remove_worker(&mut self, id: &WorkerId, now_ms: u64) {
+        let Some(worker) = self.workers.get(id) else { return };
+        let keys: Vec<TaskKey> = worker.placements.iter().cloned().collect();
+        let (worker, tasks) = (id.clone(), keys.len());
+        self.notices.push(Notice::WorkerLapsed { worker, tasks });
+        for key in keys {
+            self.conclude(&key, RunEnd::Lapsed, None, true, now_ms);
+        }
+        self.workers.swap_remove(id);
+    }
+
+    /// Returns the workers that the platform lists.
+    pub fn listed_workers(&self) -> impl Iterator<Item = &WorkerId> {
+        self.workers.iter().filter(|(_, worker)| worker.is_listed).map(|(id, _)| id)
+    }
+
+    /// Returns how many accepted jobs of each queue have no started task.
+    pub fn waiting_by_queue(&self) -> IndexMap<QueueName, u32> {
+        let mut counts = IndexMap::new();
+        for job in self.jobs.values().filter(|job| job.phase == JobPhase::Queued) {
+            *counts.entry(job.record.queue.clone()).or_default() += 1;
+        }
+        counts
+    }
+
+    /// Takes the orders that may be sent now.
+    pub fn take_orders(&mut self) -> Vec<Order> {
+        std::mem::take(&mut self.orders)
+    }
+
+    /// Takes the notices for the logs.
+    pub fn take_notices(&mut self) -> Vec<Notice> {
+        std::mem::take(&mut self.notices)
+    }
+
+    /// Adds a placement to what its worker and its client account have in use.
+    fn count_in(&mut self, key: &TaskKey, worker: &WorkerId) {
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        let needs = job.step(key).spec_reserved;
+        if let Some(worker) = self.workers.get_mut(worker)
+            && worker.placements.insert(key.clone())
+        {
+            worker.used = worker.used.plus(&needs);
+        }
+        if let Some(account) = &job.record.account {
+            let used = self.account_use.entry(account.clone()).or_default();
+            *used = used.plus(&job.record.spec.steps[key.step as usize].needs);
+        }
+    }
+
+    /// Takes a placement out of what its worker and its client account have in use.
+    fn count_out(&mut self, key: &TaskKey, worker: &WorkerId) {
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        let needs = job.step(key).spec_reserved;
+        if let Some(worker) = self.workers.get_mut(worker)
+            && worker.placements.swap_remove(key)
+        {
+            worker.used = worker.used.minus(&needs);
+        }
+        if let Some(account) = &job.record.account
+            && let Some(used) = self.account_use.get_mut(account)
+        {
+            *used = used.minus(&job.record.spec.steps[key.step as usize].needs);
+        }
+    }
+}
+
+/// A reading of both clocks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Now {
+    /// Our clock, which counts time spent suspended.
+    pub steady_ms: u64,
+    /// Wall clock, in milliseconds since the Unix epoch.
+    pub wall_ms: u64,
+}
--- /dev/null
+++ b/crates/masticfall-core/src/fleet/board/place.rs
@@ -0,0 +1,253 @@
+//! Placement of waiting tasks on workers.
+
+use indexmap::IndexMap;
+
+use super::{Board, Job, Notice, Placement, TaskState};
+use crate::fleet::admission::{Rank, rank};
+use crate::fleet::config::FleetConfig;
+use crate::fleet::placing::{Candidate, Company, choose};
+use crate::fleet::spec::{Resources, TaskKey};
+use crate::id::{AccountName, JobId, Name, PoolName, WorkerId};
+
+/// Needs that found no worker in this pass; larger ones aren't tried again.
+#[derive(Debug, Default)]
+struct Refused(Vec<Resources>);
+
+impl Refused {
+    fn covers(&self, needs: &Resources) -> bool {
+        self.0.iter().any(|refused| refused.fits(needs))
+    }
+}
+
+impl Board {
+    /// Places waiting tasks, best-ranked jobs first. Does nothing when nothing
+    /// changed since the last pass.
+    pub fn place(&mut self, now_ms: u64) {
+        if !std::mem::take(&mut self.wants_placing) {
+            return;
+        }
+        let Some(config) = self.config.clone() else { return };
+        let mut pools: IndexMap<PoolName, Vec<(Rank, JobId)>> = IndexMap::new();
+        for (id, job) in self.jobs.iter().filter(|(_, job)| job.has_waiting()) {
+            let Some(queue) = config.queues.get(&job.record.queue) else { continue };
+            let rank = rank(queue, job.due_ms, job.remaining_ms(), now_ms);
+            pools.entry(queue.pool.clone()).or_default().push((rank, id.clone()));
+        }
+        for (pool, mut waiting) in pools {
+            let workers: Vec<WorkerId> = self.usable_workers(&pool, now_ms);
+            if workers.is_empty() {
+                continue;
+            }
+            waiting.sort();
+            let mut refused = Refused::default();
+            for (rank, id) in waiting {
+                self.place_job(&id, rank, &workers, &config, &mut refused, now_ms);
+            }
+        }
+    }
+
+    fn usable_workers(&self, pool: &PoolName, now_ms: u64) -> Vec<WorkerId> {
+        let here = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.facts.pool == *pool && worker.takes_work(now_ms));
+        here.map(|(id, _)| id.clone()).collect()
+    }
+
+    fn place_job(
+        &mut self,
+        id: &JobId,
+        rank: Rank,
+        workers: &[WorkerId],
+        config: &FleetConfig,
+        refused: &mut Refused,
+        now_ms: u64,
+    ) {
+        let mut placed = 0;
+        let mut last = None;
+        for (occurrence, step) in open_steps(&self.jobs[id]) {
+            let is_gang = self.jobs[id].record.spec.steps[step as usize].is_gang;
+            let keys = waiting_tasks(&self.jobs[id], id, occurrence, step, now_ms);
+            let chosen = self.place_step(&keys, is_gang, workers, config, refused, now_ms);
+            placed += chosen.len() as u32;
+            last = chosen.into_iter().next_back().or(last);
+        }
+        if let Some(worker) = last {
+            self.dirty.insert(id.clone());
+            let config_version = config.version;
+            let job = id.clone();
+            let is_late = rank.is_late;
+            self.notices.push(Notice::Placed {
+                job,
+                tasks: placed,
+                worker,
+                is_late,
+                config_version,
+            });
+        }
+    }
+
+    /// Places tasks of one step, a gang only as a whole; returns their workers.
+    fn place_step(
+        &mut self,
+        keys: &[TaskKey],
+        is_gang: bool,
+        workers: &[WorkerId],
+        config: &FleetConfig,
+        refused: &mut Refused,
+        now_ms: u64,
+    ) -> Vec<WorkerId> {
+        let mut chosen = Vec::new();
+        if is_gang && !self.is_gang_ready(keys) {
+            return chosen;
+        }
+        let attempt = self.gang_attempt(keys, is_gang);
+        for key in keys {
+            let Some(worker) = self.find_worker(key, workers, config, refused) else {
+                if is_gang {
+                    self.undo(&keys[..chosen.len()]);
+                    chosen.clear();
+                    break;
+                }
+                continue;
+            };
+            self.put(key, &worker, attempt, now_ms);
+            chosen.push(worker);
+        }
+        chosen
+    }
+
+    /// Tells whether a gang has no member left that runs or is done.
+    fn is_gang_ready(&self, keys: &[TaskKey]) -> bool {
+        let Some(first) = keys.first() else { return false };
+        self.jobs[&first.job].step(first).tasks.len() == keys.len()
+    }
+
+    /// Returns the attempt number that all members of a gang share.
+    fn gang_attempt(&self, keys: &[TaskKey], is_gang: bool) -> Option<u32> {
+        let attempts = keys.iter().filter_map(|key| self.jobs[&key.job].task(key));
+        attempts.map(|task| task.attempt + 1).max().filter(|_| is_gang)
+    }
+
+    fn find_worker(
+        &self,
+        key: &TaskKey,
+        workers: &[WorkerId],
+        config: &FleetConfig,
+        refused: &mut Refused,
+    ) -> Option<WorkerId> {
+        let job = &self.jobs[&key.job];
+        let spec = &job.record.spec.steps[key.step as usize];
+        if !self.is_within_limit(job.record.account.as_ref(), &spec.needs, config) {
+            return None;
+        }
+        let is_plain = spec.required_label.is_none() && spec.max_per_worker == 0;
+        if is_plain && refused.covers(&spec.reserved()) {
+            return None;
+        }
+        let racks = if spec.wants_same_rack { self.racks_of(job, key) } else { Vec::new() };
+        let candidates = workers
+            .iter()
+            .filter_map(|id| self.workers.get(id))
+            .map(|worker| Candidate { worker, company: self.company(worker, job, key) });
+        let found = choose(spec, &racks, candidates).map(|worker| worker.facts.id.clone());
+        if found.is_none() && is_plain {
+            refused.0.push(spec.reserved());
+        }
+        found
+    }
+
+    fn is_within_limit(
+        &self,
+        account: Option<&AccountName>,
+        needs: &Resources,
+        config: &FleetConfig,
+    ) -> bool {
+        let Some(account) = account else { return true };
+        let Some(limit) = config.accounts.get(account).map(|account| account.limit) else {
+            return true;
+        };
+        let used = self.account_use.get(account).copied().unwrap_or_default().plus(needs);
+        let within = |used: u64, limit: u64| limit == 0 || used <= limit;
+        within(used.cpu_millis, limit.cpu_millis)
+            && within(used.memory_mib, limit.memory_mib)
+            && within(used.accelerators, limit.accelerators)
+    }
+
+    fn company(&self, worker: &crate::fleet::worker::Worker, job: &Job, key: &TaskKey) -> Company {
+        let failed_there = job.task(key).is_some_and(|t| t.failed_on.contains(&worker.facts.id));
+        let mut company = Company { failed_there, ..Company::default() };
+        for other in &worker.placements {
+            if other.job == key.job && other.occurrence == key.occurrence && other.step == key.step
+            {
+                company.same_step += 1;
+            }
+            let Some(spec) = self.jobs.get(&other.job).map(|job| &job.record.spec) else {
+                continue;
+            };
+            let step = &spec.steps[other.step as usize];
+            company.serving += u32::from(step.target_tail_ms > 0);
+            company.fillers += u32::from(step.is_filler);
+        }
+        company
+    }
+
+    fn racks_of(&self, job: &Job, key: &TaskKey) -> Vec<Name> {
+        let runs = job.step(key).tasks.iter().filter_map(|task| match &task.state {
+            TaskState::Placed(run) => self.workers.get(&run.worker),
+            _ => None,
+        });
+        runs.filter_map(|worker| worker.facts.rack().cloned()).collect()
+    }
+
+    fn put(&mut self, key: &TaskKey, worker: &WorkerId, attempt: Option<u32>, now_ms: u64) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let Some(task) = job.task_mut(key) else { return };
+        task.attempt = attempt.unwrap_or(task.attempt + 1);
+        task.state = TaskState::Placed(Placement::new(worker, task.attempt, now_ms));
+        self.count_in(key, worker);
+    }
+
+    /// Takes back placements of this pass, of which nothing was stored.
+    fn undo(&mut self, keys: &[TaskKey]) {
+        for key in keys {
+            self.vacate(key, None);
+        }
+    }
+
+    /// Lets a task wait for another start; returns the worker it was on.
+    pub(super) fn vacate(&mut self, key: &TaskKey, not_before_ms: Option<u64>) -> Option<WorkerId> {
+        let task = self.jobs.get_mut(&key.job)?.task_mut(key)?;
+        let TaskState::Placed(run) = std::mem::replace(&mut task.state, TaskState::Waiting) else {
+            return None;
+        };
+        task.not_before_ms = not_before_ms.unwrap_or(0);
+        self.count_out(key, &run.worker);
+        self.dirty.insert(key.job.clone());
+        self.wants_placing = true;
+        Some(run.worker)
+    }
+}
+
+/// Returns the steps of which tasks may be started.
+fn open_steps(job: &Job) -> Vec<(u32, u32)> {
+    let mut open = Vec::new();
+    for (number, occurrence) in &job.occurrences {
+        for step in 0..occurrence.steps.len() {
+            if job.is_unlocked(*number, step) {
+                open.push((*number, step as u32));
+            }
+        }
+    }
+    open
+}
+
+fn waiting_tasks(job: &Job, id: &JobId, occurrence: u32, step: u32, now_ms: u64) -> Vec<TaskKey> {
+    let tasks = &job.occurrences[&occurrence].steps[step as usize].tasks;
+    let waiting = tasks
+        .iter()
+        .enumerate()
+        .filter(|(_, task)| task.state == TaskState::Waiting && task.not_before_ms <= now_ms);
+    let key = |index| TaskKey { job: id.clone(), occurrence, step, index };
+    waiting.map(|(index, _)| key(index as u32)).collect()
+}
--- /dev/null
+++ b/crates/masticfall-core/src/fleet/board/reports.rs
@@ -0,0 +1,233 @@
+//! Reports of workers: what runs there and what ended.
+
+use indexmap::IndexMap;
+
+use super::{Board, Notice, OrderState, StopReason, TaskState};
+use crate::fleet::progress::JobPhase;
+use crate::fleet::report::{ActiveRun, EndedRun, RunEnd, WorkerReport};
+use crate::fleet::spec::TaskKey;
+use crate::fleet::worker::ClockReading;
+use crate::id::{Name, WorkerId};
+
+/// Pause before a stop is sent again to a worker that still lists the run, in
+/// milliseconds, beyond the time that a stop may take.
+const STOP_AGAIN_MS: u64 = 300;
+
+/// What to ask a worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LookRequest {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Number of the last end that it may forget.
+    pub stored_end: u64,
+    /// End of the lease to give, by its clock; none before its clock is known.
+    pub lease_until_theirs_ms: Option<u64>,
+}
+
+impl Board {
+    /// Prepares a look at a worker; `None` when it is unknown.
+    pub fn look(&mut self, id: &WorkerId, now_ms: u64) -> Option<LookRequest> {
+        let lease_ms = self.bounds.lease_ms;
+        let worker = self.workers.get_mut(id)?;
+        let lease_until_theirs_ms = worker.lease(now_ms, lease_ms);
+        let stored_end = worker.stored_end;
+        Some(LookRequest { worker: id.clone(), stored_end, lease_until_theirs_ms })
+    }
+
+    /// Notes that a worker didn't answer.
+    pub fn look_failed(&mut self, id: &WorkerId) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if !std::mem::replace(&mut worker.is_silent, true) {
+            self.notices.push(Notice::WorkerReach { worker: id.clone(), is_reached: false });
+        }
+    }
+
+    /// Takes in a report that was asked for at `sent_ms`.
+    pub fn report(&mut self, id: &WorkerId, sent_ms: u64, report: WorkerReport, now_ms: u64) {
+        let lease_ms = self.bounds.lease_ms;
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if std::mem::replace(&mut worker.is_silent, false) {
+            self.notices.push(Notice::WorkerReach { worker: id.clone(), is_reached: true });
+        }
+        if worker.born_wall_ms != Some(report.born_wall_ms) {
+            if worker.born_wall_ms.is_some() {
+                let (worker, born_wall_ms) = (id.clone(), report.born_wall_ms);
+                self.notices.push(Notice::WorkerReborn { worker, born_wall_ms });
+            }
+            worker.born_wall_ms = Some(report.born_wall_ms);
+            worker.read_end = 0;
+            worker.stored_end = 0;
+            // An earlier dispatcher's lease may still run for its full length.
+            worker.leased_until_theirs_ms = report.clock_ms + lease_ms;
+            self.wants_placing = true;
+        }
+        worker.clock = Some(ClockReading { ours_ms: now_ms, theirs_ms: report.clock_ms });
+        let first_new = worker.read_end;
+        let has_new = report.ended.iter().any(|ended| ended.number > first_new);
+        for ended in report.ended.iter().filter(|ended| ended.number > first_new) {
+            self.end_run(id, ended, now_ms);
+        }
+        if has_new && let Some(worker) = self.workers.get_mut(id) {
+            worker.read_end =
+                report.ended.iter().map(|ended| ended.number).fold(first_new, u64::max);
+        }
+        self.compare(id, sent_ms, report, now_ms);
+    }
+
+    /// Applies a reported end to the run that it belongs to.
+    fn end_run(&mut self, id: &WorkerId, ended: &EndedRun, now_ms: u64) {
+        let Some(job) = self.jobs.get_mut(&ended.task.job) else { return };
+        let Some(run) = job.run_mut(&ended.task, ended.attempt) else { return };
+        if run.worker != *id {
+            return;
+        }
+        self.conclude(&ended.task, ended.end, ended.checkpoint.clone(), false, now_ms);
+    }
+
+    /// Ends the current run of a task.
+    pub(super) fn conclude(
+        &mut self,
+        key: &TaskKey,
+        end: RunEnd,
+        checkpoint: Option<Name>,
+        is_concluded: bool,
+        now_ms: u64,
+    ) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let Some(task) = job.task_mut(key) else { return };
+        let attempt = task.attempt;
+        if checkpoint.is_some() {
+            task.checkpoint = checkpoint;
+        }
+        if end == RunEnd::Failed {
+            task.failures += 1;
+        }
+        let Some(worker) = self.vacate(key, None) else { return };
+        self.judge(&worker, key, end, now_ms);
+        if end == RunEnd::Done {
+            self.task_done(key, now_ms);
+        } else {
+            let task = key.clone();
+            self.notices.push(Notice::RunEnded { task, attempt, worker, end, is_concluded });
+            self.task_not_done(key, end, now_ms);
+        }
+    }
+
+    fn judge(&mut self, id: &WorkerId, key: &TaskKey, end: RunEnd, now_ms: u64) {
+        if !matches!(end, RunEnd::Done | RunEnd::Failed) {
+            return;
+        }
+        let job = &self.jobs[&key.job];
+        let lasts = job.record.spec.steps[key.step as usize].is_long_running;
+        let Some(worker) = self.workers.get_mut(id).filter(|_| !lasts) else { return };
+        let quarantine = worker.record_end(&key.job, end == RunEnd::Done, now_ms);
+        if let Some(length_ms) = quarantine {
+            self.notices.push(Notice::Quarantined { worker: id.clone(), length_ms });
+        }
+        if end == RunEnd::Failed
+            && let Some(task) = self.jobs.get_mut(&key.job).and_then(|job| job.task_mut(key))
+        {
+            task.failed_on.push(id.clone());
+        }
+    }
+
+    fn task_done(&mut self, key: &TaskKey, now_ms: u64) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let lasts = job.record.spec.steps[key.step as usize].is_long_running;
+        if lasts || job.phase.is_final() {
+            return;
+        }
+        job.mark_done(key);
+        if job.is_done() {
+            job.phase = JobPhase::Completed;
+            self.finish(&key.job, StopReason::Stray, now_ms);
+        }
+    }
+
+    fn task_not_done(&mut self, key: &TaskKey, end: RunEnd, now_ms: u64) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let step = &job.record.spec.steps[key.step as usize];
+        let is_counted = end == RunEnd::Failed && !step.is_long_running && !job.phase.is_final();
+        let queue = self.config.as_ref().and_then(|config| config.queues.get(&job.record.queue));
+        let Some(queue) = queue.filter(|_| is_counted) else { return };
+        let failures = match job.task(key) {
+            Some(task) => task.failures,
+            None => return,
+        };
+        if failures >= queue.max_attempts {
+            job.phase = JobPhase::Failed;
+            self.finish(&key.job, StopReason::JobFailed, now_ms);
+        }
+    }
+
+    /// Compares a listing with the placements on the worker.
+    fn compare(&mut self, id: &WorkerId, sent_ms: u64, report: WorkerReport, now_ms: u64) {
+        let mut running: IndexMap<(TaskKey, u32), ActiveRun> = IndexMap::new();
+        for run in report.running {
+            running.insert((run.task.clone(), run.attempt), run);
+        }
+        let Some(worker) = self.workers.get(id) else { return };
+        for key in worker.placements.clone() {
+            let Some(task) = self.jobs.get_mut(&key.job).and_then(|job| job.task_mut(&key)) else {
+                continue;
+            };
+            let TaskState::Placed(run) = &mut task.state else { continue };
+            let Some(listed) = running.swap_remove(&(key.clone(), run.attempt)) else {
+                let is_decided = matches!(run.order, OrderState::Settled(at) if at < sent_ms);
+                if is_decided {
+                    self.conclude(&key, RunEnd::Lapsed, None, true, now_ms);
+                }
+                continue;
+            };
+            if run.percent != listed.percent {
+                run.percent = listed.percent;
+                run.progress_ms = now_ms;
+            }
+            run.load = listed.load;
+            run.order = OrderState::Settled(now_ms);
+            let is_old = run
+                .stop_sent_ms
+                .is_some_and(|sent| now_ms > sent + self.bounds.stop_grace_ms + STOP_AGAIN_MS);
+            if listed.checkpoint.is_some() {
+                task.checkpoint = listed.checkpoint;
+            }
+            let job = &self.jobs[&key.job];
+            if is_old || (job.phase.is_final() && !has_stop(job.task(&key))) {
+                self.stop(&key, StopReason::Cancelled, now_ms);
+            }
+            if job_is_queued(self, &key) {
+                self.show_running(&key);
+            }
+        }
+        for ((task, attempt), _) in running {
+            self.stop_stray(id, task, attempt);
+        }
+    }
+
+    fn show_running(&mut self, key: &TaskKey) {
+        if let Some(job) = self.jobs.get_mut(&key.job) {
+            job.phase = JobPhase::Running;
+            self.dirty.insert(key.job.clone());
+        }
+    }
+
+    /// Stops a run that isn't the current one of its task.
+    fn stop_stray(&mut self, id: &WorkerId, task: TaskKey, attempt: u32) {
+        let worker = id.clone();
+        let order = super::StopOrder { worker: worker.clone(), task: task.clone(), attempt };
+        self.orders.push(super::Order::Stop(order));
+        let reason = StopReason::Stray;
+        self.notices.push(Notice::Stopping { task, attempt, worker, reason });
+    }
+}
+
+fn has_stop(task: Option<&super::Task>) -> bool {
+    task.is_some_and(|task| match &task.state {
+        TaskState::Placed(run) => run.stop_sent_ms.is_some(),
+        _ => false,
+    })
+}
+
+fn job_is_queued(board: &Board, key: &TaskKey) -> bool {
+    board.jobs.get(&key.job).is_some_and(|job| job.phase == JobPhase::Queued)
+}
--- /dev/null
+++ b/crates/masticfall-core/src/fleet/board/results.rs
@@ -0,0 +1,128 @@
+//! Results of orders.
+
+use super::{Board, Notice, Order, OrderState, StopOrder, StopReason, TaskState};
+use crate::fleet::progress::JobPhase;
+use crate::fleet::report::{StartOutcome, StopOutcome};
+use crate::fleet::spec::TaskKey;
+use crate::id::{JobId, WorkerId};
+
+/// Pause before a task is tried again after its worker had no room, in
+/// milliseconds: room comes back when a stopped run is listed as ended.
+const NO_ROOM_PAUSE_MS: u64 = 100;
+
+/// Rest of a worker that refused an order for want of health, in milliseconds.
+const UNHEALTHY_REST_MS: u64 = 500;
+
+/// Pace of a run of which the last order about it has no answer.
+pub(super) const PACE_UNKNOWN: u32 = u32::MAX;
+
+impl Board {
+    /// Notes how a start order ended.
+    pub fn start_result(
+        &mut self,
+        worker: &WorkerId,
+        key: &TaskKey,
+        attempt: u32,
+        outcome: StartOutcome,
+        now_ms: u64,
+    ) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let may_show = !job.phase.is_final();
+        let Some(run) = job.run_mut(key, attempt) else { return };
+        match outcome {
+            StartOutcome::Started => {
+                run.order = OrderState::Settled(now_ms);
+                if may_show && job.phase == JobPhase::Queued {
+                    job.phase = JobPhase::Running;
+                    self.dirty.insert(key.job.clone());
+                }
+                return;
+            }
+            StartOutcome::Unknown => {
+                run.had_unclear = true;
+                run.order = OrderState::Unclear(now_ms);
+            }
+            // The listing shows what became of the run that is there already.
+            StartOutcome::Superseded | StartOutcome::Fenced => {
+                run.order = OrderState::Settled(now_ms);
+            }
+            StartOutcome::WrongWorker => run.order = OrderState::Settled(now_ms),
+            _ if run.had_unclear => {
+                // An earlier order of this run may still be carried out.
+                run.order = OrderState::Unclear(now_ms);
+                self.stop(key, StopReason::Stray, now_ms);
+            }
+            StartOutcome::NoRoom | StartOutcome::NoPermit | StartOutcome::Late => {
+                self.vacate(key, Some(now_ms + NO_ROOM_PAUSE_MS));
+            }
+            StartOutcome::Unhealthy | StartOutcome::Invalid | StartOutcome::Unreached => {
+                self.vacate(key, Some(now_ms + NO_ROOM_PAUSE_MS));
+                if let Some(worker) = self.workers.get_mut(worker) {
+                    worker.rest_until_ms = worker.rest_until_ms.max(now_ms + UNHEALTHY_REST_MS);
+                }
+            }
+        }
+        let (task, worker) = (key.clone(), worker.clone());
+        self.notices.push(Notice::NotStarted { task, attempt, worker, outcome });
+    }
+
+    /// Notes how a stop order ended.
+    pub fn stop_result(&mut self, order: &StopOrder, outcome: StopOutcome, now_ms: u64) {
+        let Some(job) = self.jobs.get_mut(&order.task.job) else { return };
+        let Some(run) = job.run_mut(&order.task, order.attempt) else { return };
+        match outcome {
+            StopOutcome::Accepted | StopOutcome::WrongWorker => {
+                run.order = OrderState::Settled(now_ms);
+            }
+            // Sent again by the next look at the worker, or by time.
+            StopOutcome::Fenced | StopOutcome::Unknown => {}
+        }
+    }
+
+    /// Notes that a pace wasn't set, so that the next report sets it again.
+    pub fn pace_failed(&mut self, order: &StopOrder) {
+        let run = self.jobs.get_mut(&order.task.job);
+        if let Some(run) = run.and_then(|job| job.run_mut(&order.task, order.attempt)) {
+            run.pace_percent = PACE_UNKNOWN;
+        }
+    }
+
+    /// Stops a run.
+    pub(super) fn stop(&mut self, key: &TaskKey, reason: StopReason, now_ms: u64) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let Some(task) = job.task_mut(key) else { return };
+        let TaskState::Placed(run) = &mut task.state else { return };
+        let (worker, attempt) = (run.worker.clone(), run.attempt);
+        if run.order == OrderState::Unstored {
+            self.vacate(key, None);
+            return;
+        }
+        let is_first = run.stop_sent_ms.is_none();
+        run.stop_sent_ms = Some(now_ms);
+        let task = key.clone();
+        let order = StopOrder { worker: worker.clone(), task: task.clone(), attempt };
+        self.orders.push(Order::Stop(order));
+        if is_first {
+            self.notices.push(Notice::Stopping { task, attempt, worker, reason });
+        }
+    }
+
+    /// Stops all runs of a job.
+    pub(super) fn stop_placements(&mut self, id: &JobId, reason: StopReason, now_ms: u64) {
+        let placements = self.jobs.get(id).map(|job| job.placements(id)).unwrap_or_default();
+        for (key, _) in placements {
+            self.stop(&key, reason, now_ms);
+        }
+    }
+
+    /// Carries out that a job has reached a final phase.
+    pub(super) fn finish(&mut self, id: &JobId, reason: StopReason, now_ms: u64) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let phase = job.phase;
+        let after_ms = now_ms.saturating_sub(job.accepted_ms);
+        let late_by_ms = now_ms as i64 - job.due_ms as i64;
+        self.notices.push(Notice::JobEnded { job: id.clone(), phase, after_ms, late_by_ms });
+        self.stop_placements(id, reason, now_ms);
+        self.dirty.insert(id.clone());
+    }
+}
--- /dev/null
+++ b/crates/masticfall-core/src/fleet/board/store.rs
@@ -0,0 +1,122 @@
+//! Batches of progress to be stored, and what may happen once they are.
+
+use super::{Board, Order, OrderState, StartOrder, TaskState};
+use crate::fleet::progress::{JobRow, ProgressRow};
+use crate::fleet::spec::TaskKey;
+use crate::id::{JobId, Name, WorkerId};
+
+/// Most jobs in one batch: up to three rows each, and one condition, within the
+/// store's 100 entries a transaction.
+const BATCH_JOBS: usize = 32;
+
+/// One job's rows.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum BatchWrite {
+    /// The job goes on.
+    Progress(JobId, ProgressRow),
+    /// The job has ended, and nothing of it runs.
+    Ended(JobId, JobRow),
+}
+
+/// Rows that are written together.
+#[derive(Debug, Clone, Default)]
+pub struct Batch {
+    /// Rows.
+    pub writes: Vec<BatchWrite>,
+    starts: Vec<(TaskKey, u32)>,
+    ends: Vec<(WorkerId, Option<u64>, u64)>,
+}
+
+impl Board {
+    /// Takes what has to be stored next; empty when there is nothing.
+    ///
+    /// All ends read so far are covered once no older change is left over, so
+    /// that the workers may forget them.
+    pub fn take_batch(&mut self, wall_ms: u64) -> Batch {
+        let mut batch = Batch::default();
+        let count = self.dirty.len().min(BATCH_JOBS);
+        let ids: Vec<JobId> = self.dirty.drain(..count).collect();
+        for id in ids {
+            let Some(job) = self.jobs.get(&id) else { continue };
+            for (key, _) in job.placements(&id) {
+                if let Some(TaskState::Placed(run)) = job.task(&key).map(|task| &task.state)
+                    && run.order == OrderState::Unstored
+                {
+                    batch.starts.push((key, run.attempt));
+                }
+            }
+            if job.phase.is_final() && !job.has_placements() {
+                let row = JobRow::Ended {
+                    phase: job.phase,
+                    account: job.record.account.clone(),
+                    ended_wall_ms: wall_ms,
+                };
+                batch.writes.push(BatchWrite::Ended(id, row));
+            } else {
+                batch.writes.push(BatchWrite::Progress(id.clone(), job.progress(&id)));
+            }
+        }
+        if self.dirty.is_empty() {
+            let unstored = self.workers.iter().filter(|(_, w)| w.read_end > w.stored_end);
+            batch.ends = unstored.map(|(id, w)| (id.clone(), w.born_wall_ms, w.read_end)).collect();
+        }
+        batch
+    }
+
+    /// Notes that a batch was stored: ends may be forgotten by their workers,
+    /// and starts are ordered.
+    pub fn batch_stored(&mut self, batch: Batch, now_ms: u64) {
+        for (id, born_wall_ms, number) in batch.ends {
+            if let Some(worker) = self.workers.get_mut(&id)
+                && worker.born_wall_ms == born_wall_ms
+            {
+                worker.stored_end = worker.stored_end.max(number);
+            }
+        }
+        for write in batch.writes {
+            if let BatchWrite::Ended(id, _) = write {
+                self.jobs.swap_remove(&id);
+                self.ended.insert(id);
+            }
+        }
+        for (key, attempt) in batch.starts {
+            self.order_start(&key, attempt, now_ms);
+        }
+    }
+
+    /// Notes that a batch may not have been stored: its jobs are stored again.
+    pub fn batch_failed(&mut self, batch: Batch) {
+        for write in batch.writes {
+            let (BatchWrite::Progress(id, _) | BatchWrite::Ended(id, _)) = write;
+            self.dirty.insert(id);
+        }
+    }
+
+    /// Orders a placed task from its worker, for the first time or again.
+    pub(super) fn order_start(&mut self, key: &TaskKey, attempt: u32, now_ms: u64) {
+        let lease_ms = self.bounds.lease_ms;
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let is_final = job.phase.is_final();
+        let Some(run) = job.run_mut(key, attempt) else { return };
+        let never_sent = run.order == OrderState::Unstored;
+        let worker_id = run.worker.clone();
+        let lease = self.workers.get_mut(&worker_id).and_then(|w| w.lease(now_ms, lease_ms));
+        let Some(lease_until_theirs_ms) = lease.filter(|_| !is_final) else {
+            if never_sent {
+                self.vacate(key, None);
+            }
+            return;
+        };
+        run.order = OrderState::Sent(now_ms);
+        let checkpoint = job.task(key).and_then(|task| task.checkpoint.clone());
+        let payload = Name::clone(&job.record.spec.payload);
+        self.orders.push(Order::Start(StartOrder {
+            worker: worker_id,
+            task: key.clone(),
+            attempt,
+            payload,
+            checkpoint,
+            lease_until_theirs_ms,
+        }));
+    }
+}
--- /dev/null
+++ b/crates/masticfall-core/src/fleet/board/time.rs
@@ -0,0 +1,106 @@
+//! What time alone changes: leases that end, orders that are sent again,
+//! occurrences that fall due.
+
+use super::{Board, Notice, Now, OrderState, StopReason, TaskState};
+use crate::fleet::report::RunEnd;
+use crate::fleet::spec::TaskKey;
+use crate::id::WorkerId;
+
+/// Pause before an order without an answer is sent again, in milliseconds.
+const ORDER_AGAIN_MS: u64 = 250;
+
+/// Time by which an occurrence may begin before it is due, in milliseconds.
+/// Well within the platform's bound of 250 ms, and more than a tick.
+const EARLY_MS: u64 = 20;
+
+impl Board {
+    /// Applies the passing of time.
+    pub fn advance(&mut self, now: Now) {
+        self.begin_occurrences(now);
+        self.send_again(now.steady_ms);
+        self.end_leases(now.steady_ms);
+        // Tasks may have waited for a pause or for a worker's rest to end.
+        self.wants_placing = true;
+    }
+
+    fn begin_occurrences(&mut self, now: Now) {
+        for job in self.jobs.values_mut() {
+            let spec = &job.record.spec;
+            if spec.repeat == 0 || job.phase.is_final() {
+                continue;
+            }
+            let (first_ms, interval_ms) = (spec.first_due_wall_ms, spec.interval_ms);
+            for number in 0..spec.repeat {
+                let due_wall_ms = first_ms + u64::from(number) * interval_ms;
+                if due_wall_ms > now.wall_ms + EARLY_MS {
+                    break;
+                }
+                job.begin(number);
+            }
+        }
+    }
+
+    fn send_again(&mut self, now_ms: u64) {
+        let mut starts = Vec::new();
+        let mut stops = Vec::new();
+        for (id, job) in &self.jobs {
+            for (key, _) in job.placements(id) {
+                let Some(TaskState::Placed(run)) = job.task(&key).map(|task| &task.state) else {
+                    continue;
+                };
+                let OrderState::Unclear(since_ms) = run.order else { continue };
+                match run.stop_sent_ms {
+                    None if now_ms >= since_ms + ORDER_AGAIN_MS => starts.push((key, run.attempt)),
+                    Some(sent_ms) if now_ms >= sent_ms + ORDER_AGAIN_MS => stops.push(key),
+                    _ => {}
+                }
+            }
+        }
+        for (key, attempt) in starts {
+            self.order_start(&key, attempt, now_ms);
+        }
+        for key in stops {
+            self.stop(&key, StopReason::Stray, now_ms);
+        }
+    }
+
+    fn end_leases(&mut self, now_ms: u64) {
+        let lapsed: Vec<WorkerId> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.is_silent || worker.clock.is_none())
+            .filter(|(_, worker)| now_ms > worker.lapses_ms())
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in lapsed {
+            let keys: Vec<TaskKey> = self.workers[&id].placements.iter().cloned().collect();
+            if !keys.is_empty() {
+                let (worker, tasks) = (id.clone(), keys.len());
+                self.notices.push(Notice::WorkerLapsed { worker, tasks });
+            }
+            for key in keys {
+                self.conclude(&key, RunEnd::Lapsed, None, true, now_ms);
+            }
+            if self.workers.get(&id).is_some_and(|worker| !worker.is_listed) {
+                self.workers.swap_remove(&id);
+            }
+        }
+        self.end_unlisted(now_ms);
+    }
+
+    /// Gives up tasks that an earlier dispatcher placed on workers that were
+    /// never listed since.
+    fn end_unlisted(&mut self, now_ms: u64) {
+        if now_ms <= self.foreign_lease_until_ms {
+            return;
+        }
+        let mut lost = Vec::new();
+        for (id, job) in &self.jobs {
+            let placements = job.placements(id).into_iter();
+            lost.extend(placements.filter(|(_, worker)| !self.workers.contains_key(worker)));
+        }
+        for (key, _) in lost {
+            self.conclude(&key, RunEnd::Lapsed, None, true, now_ms);
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticfall-core/src/fleet/spec.rs
@@ -0,0 +1,240 @@
+//! What callers hand in: jobs of steps, and steps of equal tasks.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+use crate::id::{AccountName, JobId, Name, QueueName};
+
+/// Most tasks of one job, over all steps of one occurrence. Far above what
+/// callers hand in; it bounds the memory that one request can claim.
+pub const MAX_TASKS: u64 = 5_000;
+
+/// Most steps of one job; bounds the search for its longest chain.
+pub const MAX_STEPS: usize = 256;
+
+/// Processor, memory and accelerators, as needed by a task or offered by a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Resources {
+    /// Thousandths of a core.
+    pub cpu_millis: u64,
+    /// Memory, in MiB.
+    pub memory_mib: u64,
+    /// Accelerators.
+    pub accelerators: u64,
+}
+
+impl Resources {
+    /// Tells whether these needs fit into `room`.
+    pub fn fits(&self, room: &Self) -> bool {
+        self.cpu_millis <= room.cpu_millis
+            && self.memory_mib <= room.memory_mib
+            && self.accelerators <= room.accelerators
+    }
+
+    /// Returns the sum.
+    pub fn plus(&self, other: &Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis + other.cpu_millis,
+            memory_mib: self.memory_mib + other.memory_mib,
+            accelerators: self.accelerators + other.accelerators,
+        }
+    }
+
+    /// Returns what is left, at least zero.
+    pub fn minus(&self, other: &Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.saturating_sub(other.cpu_millis),
+            memory_mib: self.memory_mib.saturating_sub(other.memory_mib),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+}
+
+/// A step: a number of equal tasks.
+#[expect(clippy::struct_excessive_bools, reason = "independent properties that callers give")]
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct StepSpec {
+    /// Number of tasks.
+    pub tasks: u32,
+    /// What each task needs.
+    pub needs: Resources,
+    /// Rough estimate of a task's run time, in milliseconds.
+    pub estimate_ms: u64,
+    /// Earlier steps whose tasks all have to be done first.
+    pub after: Vec<u32>,
+    /// Whether a task can resume from a checkpoint.
+    pub is_checkpointing: bool,
+    /// Whether the tasks run only all together.
+    pub is_gang: bool,
+    /// Whether the tasks slow down when they run on more than one rack.
+    pub wants_same_rack: bool,
+    /// Label that the worker has to have.
+    pub required_label: Option<Name>,
+    /// Rack that holds the data.
+    pub data_rack: Option<Name>,
+    /// Most tasks of the step on one worker; 0 means no limit.
+    pub max_per_worker: u32,
+    /// Whether copies of a task may run at the same time.
+    pub is_speculative: bool,
+    /// Whether the tasks run until the job is cancelled.
+    pub is_long_running: bool,
+    /// What the tasks run; tasks of one image behave alike.
+    pub image: Option<Name>,
+    /// Bound on the tail latency of a task that serves its own users, in
+    /// milliseconds; 0 for tasks that serve nobody.
+    pub target_tail_ms: u64,
+    /// Whether the tasks run on capacity that others leave unused.
+    pub is_filler: bool,
+    /// Tasks of the step that may be unavailable at once through our own actions.
+    pub max_unavailable: u32,
+}
+
+impl StepSpec {
+    /// Returns what a task takes of a worker's capacity.
+    pub fn reserved(&self) -> Resources {
+        if self.is_filler { Resources { cpu_millis: 0, ..self.needs } } else { self.needs }
+    }
+}
+
+/// A job as handed in.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobSpec {
+    /// What workers are given with each task.
+    pub payload: Name,
+    /// Steps; one depends on earlier ones only.
+    pub steps: Vec<StepSpec>,
+    /// Number of timed occurrences; 0 for a job that runs once, at once.
+    pub repeat: u32,
+    /// When the first occurrence is due, in milliseconds since the Unix epoch.
+    pub first_due_wall_ms: u64,
+    /// Time between two occurrences, in milliseconds.
+    pub interval_ms: u64,
+}
+
+/// Why a job can't be accepted.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum SpecFault {
+    /// There is nothing to run.
+    #[snafu(display("the job has no steps"))]
+    NoSteps,
+    /// A step has no tasks.
+    #[snafu(display("step {step} has no tasks"))]
+    NoTasks {
+        /// The step, from 0.
+        step: usize,
+    },
+    /// A step depends on itself or on a later one.
+    #[snafu(display("step {step} depends on step {on}, which is not an earlier one"))]
+    BadDependency {
+        /// The step, from 0.
+        step: usize,
+        /// What it depends on.
+        on: u32,
+    },
+    /// The job is larger than any that is accepted.
+    #[snafu(display("the job has more than {MAX_STEPS} steps or {MAX_TASKS} tasks"))]
+    TooLarge,
+}
+
+/// Result of a check of a job.
+pub type Result<T, E = SpecFault> = std::result::Result<T, E>;
+
+impl JobSpec {
+    /// Checks the job's shape.
+    ///
+    /// # Errors
+    /// The first fault.
+    pub fn check(&self) -> Result<()> {
+        if self.steps.is_empty() {
+            return Err(SpecFault::NoSteps);
+        }
+        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.tasks)).sum();
+        if self.steps.len() > MAX_STEPS || tasks > MAX_TASKS {
+            return Err(SpecFault::TooLarge);
+        }
+        for (number, step) in self.steps.iter().enumerate() {
+            if step.tasks == 0 {
+                return Err(SpecFault::NoTasks { step: number });
+            }
+            if let Some(on) = step.after.iter().find(|on| **on as usize >= number) {
+                return Err(SpecFault::BadDependency { step: number, on: *on });
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns how often the steps run.
+    pub fn occurrences(&self) -> u32 {
+        self.repeat.max(1)
+    }
+
+    /// Tells whether any task runs until the job is cancelled.
+    pub fn is_long_running(&self) -> bool {
+        self.steps.iter().any(|step| step.is_long_running)
+    }
+
+    /// Returns the longest chain of estimated run times, in milliseconds.
+    pub fn longest_chain_ms(&self) -> u64 {
+        let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
+        for step in &self.steps {
+            let start = step.after.iter().filter_map(|on| ends.get(*on as usize)).max();
+            ends.push(start.copied().unwrap_or(0) + step.estimate_ms);
+        }
+        ends.into_iter().max().unwrap_or(0)
+    }
+
+    /// Returns the estimated work of one occurrence, in core-milliseconds.
+    pub fn work_core_ms(&self) -> u64 {
+        let steps = self.steps.iter().filter(|step| !step.is_long_running);
+        steps
+            .map(|step| u64::from(step.tasks) * step.needs.cpu_millis * step.estimate_ms / 1_000)
+            .sum()
+    }
+}
+
+/// An accepted job, as stored.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// Queue it was handed to.
+    pub queue: QueueName,
+    /// Client account whose key came with it; none on a queue open to all.
+    pub account: Option<AccountName>,
+    /// What to run.
+    pub spec: JobSpec,
+    /// Wall clock at acceptance, in milliseconds since the Unix epoch.
+    pub accepted_wall_ms: u64,
+}
+
+/// One task of a job.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TaskKey {
+    /// The job.
+    pub job: JobId,
+    /// Occurrence, from 0.
+    pub occurrence: u32,
+    /// Step, from 0.
+    pub step: u32,
+    /// Task within the step, from 0.
+    pub index: u32,
+}
+
+impl fmt::Display for TaskKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}.{}", self.job, self.occurrence, self.step, self.index)
+    }
+}
+
+impl TaskKey {
+    /// Reads a task's name, `JOB.OCCURRENCE.STEP.INDEX`.
+    pub fn parse(text: &str) -> Option<Self> {
+        let mut parts = text.rsplitn(4, '.');
+        let index = parts.next()?.parse().ok()?;
+        let step = parts.next()?.parse().ok()?;
+        let occurrence = parts.next()?.parse().ok()?;
+        let job = JobId::from(parts.next()?);
+        Some(Self { job, occurrence, step, index })
+    }
+}
--- /dev/null
+++ b/crates/masticfall-core/src/fleet/worker.rs
@@ -0,0 +1,191 @@
+//! A worker as its dispatcher sees it.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+use indexmap::IndexSet;
+
+use super::spec::{Resources, TaskKey};
+use crate::id::{DataCentre, JobId, Name, PoolName, WorkerId};
+
+/// Largest error of a worker's steady clock, in parts per thousand, by the
+/// platform's contract. Its leases may last that much longer than we count.
+pub const WORKER_CLOCK_DRIFT_PER_MILLE: u64 = 20;
+
+/// Added to the end of a lease before its tasks count as ended, in
+/// milliseconds: covers scheduling delay and the rounding of both clocks.
+pub const LEASE_SLACK_MS: u64 = 150;
+
+/// Ends of runs that are remembered for each worker.
+const RECENT_ENDS: usize = 8;
+
+/// Different jobs that have to fail on a worker in a row, with none done in
+/// between, before it gets no more work for a while.
+const SUSPECT_FAILED_JOBS: usize = 2;
+
+/// Time for which a worker that fails everything gets no work, in
+/// milliseconds; doubled with each further failure, since faults last seconds.
+const QUARANTINE_MS: u64 = 2_000;
+
+/// Bound on the doubling of [`QUARANTINE_MS`].
+const MAX_QUARANTINE_DOUBLINGS: u32 = 3;
+
+/// What the platform lists of a worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WorkerFacts {
+    /// Its identifier.
+    pub id: WorkerId,
+    /// Where it takes orders.
+    pub address: SocketAddr,
+    /// Its pool.
+    pub pool: PoolName,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Its labels; the last one names its rack.
+    pub labels: Vec<Name>,
+    /// What it offers.
+    pub capacity: Resources,
+    /// Whether it is leaving.
+    pub is_draining: bool,
+    /// Start of its life, in milliseconds since the Unix epoch.
+    pub born_wall_ms: u64,
+}
+
+impl WorkerFacts {
+    /// Returns the worker's rack.
+    pub fn rack(&self) -> Option<&Name> {
+        self.labels.last()
+    }
+}
+
+/// A reading of a worker's steady clock.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ClockReading {
+    /// Our clock when the reading arrived.
+    pub ours_ms: u64,
+    /// The worker's clock when it answered.
+    pub theirs_ms: u64,
+}
+
+/// A worker with what is placed on it.
+#[derive(Debug, Clone)]
+pub struct Worker {
+    /// What the platform lists.
+    pub facts: WorkerFacts,
+    /// Whether the platform still lists it.
+    pub is_listed: bool,
+    /// Whether it is kept free of new work, such as before its maintenance.
+    pub is_cordoned: bool,
+    /// Whether the last exchange with it failed.
+    pub is_silent: bool,
+    /// Life that its ends and runs were read from.
+    pub born_wall_ms: Option<u64>,
+    /// Last reading of its clock.
+    pub clock: Option<ClockReading>,
+    /// Highest end of a lease that it may have been given, by its clock.
+    pub leased_until_theirs_ms: u64,
+    /// End of the leases that an earlier dispatcher may have given, by our clock.
+    pub foreign_lease_until_ms: u64,
+    /// What its placements take.
+    pub used: Resources,
+    /// Tasks placed on it.
+    pub placements: IndexSet<TaskKey>,
+    /// Number of the last end that was read.
+    pub read_end: u64,
+    /// Number of the last end that was stored, so that the worker may forget it.
+    pub stored_end: u64,
+    /// Time before which it gets no new work.
+    pub rest_until_ms: u64,
+    recent: VecDeque<(JobId, bool)>,
+    quarantines: u32,
+}
+
+impl Worker {
+    /// Starts to follow a worker that an earlier dispatcher may have leased.
+    pub fn new(facts: WorkerFacts, foreign_lease_until_ms: u64) -> Self {
+        Self {
+            facts,
+            is_listed: true,
+            is_cordoned: false,
+            is_silent: false,
+            born_wall_ms: None,
+            clock: None,
+            leased_until_theirs_ms: 0,
+            foreign_lease_until_ms,
+            used: Resources::default(),
+            placements: IndexSet::new(),
+            read_end: 0,
+            stored_end: 0,
+            rest_until_ms: 0,
+            recent: VecDeque::new(),
+            quarantines: 0,
+        }
+    }
+
+    /// Returns an estimate of the worker's clock.
+    pub fn clock_at(&self, now_ms: u64) -> Option<u64> {
+        self.clock.map(|clock| clock.theirs_ms + now_ms.saturating_sub(clock.ours_ms))
+    }
+
+    /// Notes that a call with a lease of `lease_ms` is about to be sent;
+    /// returns the lease's end by the worker's clock.
+    pub fn lease(&mut self, now_ms: u64, lease_ms: u64) -> Option<u64> {
+        let until = self.clock_at(now_ms)? + lease_ms;
+        self.leased_until_theirs_ms = self.leased_until_theirs_ms.max(until);
+        Some(until)
+    }
+
+    /// Returns the time, by our clock, after which nothing runs there any more
+    /// unless a lease is extended.
+    pub fn lapses_ms(&self) -> u64 {
+        let Some(clock) = self.clock else { return self.foreign_lease_until_ms };
+        let left_ms = self.leased_until_theirs_ms.saturating_sub(clock.theirs_ms);
+        let stretched_ms = left_ms + left_ms * WORKER_CLOCK_DRIFT_PER_MILLE / 1_000;
+        clock.ours_ms + stretched_ms + LEASE_SLACK_MS
+    }
+
+    /// Returns what is free.
+    pub fn free(&self) -> Resources {
+        self.facts.capacity.minus(&self.used)
+    }
+
+    /// Tells whether new work may be placed on it.
+    pub fn takes_work(&self, now_ms: u64) -> bool {
+        self.is_listed
+            && !self.facts.is_draining
+            && !self.is_cordoned
+            && !self.is_silent
+            && self.clock.is_some()
+            && now_ms >= self.rest_until_ms
+    }
+
+    /// Records the end of a run for the judgement of the worker; returns the
+    /// length of the quarantine if one begins.
+    ///
+    /// A job that fails everywhere must not put sound workers out of service,
+    /// so only failures of different jobs count, and one run that is done clears all.
+    pub fn record_end(&mut self, job: &JobId, is_done: bool, now_ms: u64) -> Option<u64> {
+        if self.recent.len() == RECENT_ENDS {
+            self.recent.pop_front();
+        }
+        self.recent.push_back((job.clone(), is_done));
+        if is_done {
+            self.quarantines = 0;
+            return None;
+        }
+        let failed = self.recent.iter().rev().take_while(|(_, is_done)| !is_done);
+        let jobs: IndexSet<&JobId> = failed.map(|(job, _)| job).collect();
+        if jobs.len() < SUSPECT_FAILED_JOBS {
+            return None;
+        }
+        let length_ms = QUARANTINE_MS << self.quarantines.min(MAX_QUARANTINE_DOUBLINGS);
+        self.quarantines += 1;
+        self.rest_until_ms = self.rest_until_ms.max(now_ms + length_ms);
+        Some(length_ms)
+    }
+
+    /// Returns how many of the last runs failed since one was done.
+    pub fn failures_in_a_row(&self) -> usize {
+        self.recent.iter().rev().take_while(|(_, is_done)| !is_done).count()
+    }
+}
--- a/crates/masticfall-core/src/id.rs
+++ b/crates/masticfall-core/src/id.rs
@@ -77,6 +77,10 @@
     PoolName,
     /// A queue that callers hand requests or jobs to.
     QueueName,
+    /// A client account: a customer of the fleet with keys, a weight and a limit.
+    AccountName,
+    /// A worker, by the identifier under which it registered itself.
+    WorkerId,
     /// A back-end service that targets run.
     ServiceName,
     /// A customer of the fleet with keys, a share and a limit.
--- a/crates/masticfall-core/src/lib.rs
+++ b/crates/masticfall-core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod config;
 pub mod error;
 pub mod escrow;
+pub mod fleet;
 pub mod guard;
 pub mod id;
 pub mod instance;
--- a/crates/masticfall-core/src/prelude.rs
+++ b/crates/masticfall-core/src/prelude.rs
@@ -2,7 +2,7 @@
 
 pub use crate::error::{ErrorKind, RunState};
 pub use crate::id::{
-    DataCentre, Incarnation, InstanceName, JobId, KeyId, Name, PoolName, QueueName, Revision,
-    ServiceName, TeamName, WaveName,
+    AccountName, DataCentre, Incarnation, InstanceName, JobId, KeyId, Name, PoolName, QueueName,
+    Revision, ServiceName, TeamName, WaveName, WorkerId,
 };
 pub use indexmap::{IndexMap, IndexSet};
--- /dev/null
+++ b/crates/masticfall-entry/src/fleet.rs
@@ -0,0 +1,20 @@
+//! Jobs of steps and tasks on a platform that runs fleets of workers.
+//!
+//! Every process takes jobs and answers for them; one of them owns the cell and
+//! runs its [`Board`](masticfall_core::fleet::board::Board). What has to outlive
+//! a process lies in the platform's store.
+
+pub mod context;
+mod dispatch;
+mod follow;
+pub mod jobs;
+mod leadership;
+pub mod metrics;
+mod notices;
+mod rows;
+mod run;
+pub mod settings;
+
+pub use context::{Fleet, FleetPhase};
+pub use run::{RunningFleet, start};
+pub use settings::FleetSettings;
--- /dev/null
+++ b/crates/masticfall-entry/src/fleet/context.rs
@@ -0,0 +1,183 @@
+//! The one context value of a process on a platform that runs fleets of workers.
+
+use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use indexmap::IndexMap;
+use masticfall_core::fleet::board::{Board, Now};
+use masticfall_core::fleet::config::FleetConfig;
+use masticfall_core::id::{Incarnation, QueueName, WaveName};
+use masticfall_platform::fleet::{FleetPlatform, WavePlan};
+use parking_lot::{Mutex, MutexGuard};
+use rand::Rng;
+use tokio::sync::Notify;
+
+use super::metrics::FleetMetrics;
+use super::settings::FleetSettings;
+use crate::context::wall_ms;
+
+/// Where a process is in its life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum FleetPhase {
+    /// Has no configuration yet.
+    Starting,
+    /// Takes requests.
+    Ready,
+    /// Was told to stop; still takes requests.
+    Leaving,
+}
+
+/// Ownership of the cell by this process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ownership {
+    /// Number of the ownership.
+    pub epoch: u32,
+    /// Version of the owner row, on which every write depends.
+    pub version: u64,
+}
+
+/// What the systems of a process share.
+#[derive(Debug)]
+pub struct Shared {
+    /// Where the process is in its life.
+    pub phase: FleetPhase,
+    /// Configuration in force.
+    pub config: Option<Arc<FleetConfig>>,
+    /// Maintenance waves, with the time at which each was first seen.
+    pub waves: IndexMap<WaveName, (WavePlan, u64)>,
+    /// Jobs without a started task as the cell's owner last said, and when.
+    pub waiting: Option<(IndexMap<QueueName, u32>, u64)>,
+    /// Ownership of the cell, while this process holds it.
+    pub ownership: Option<Ownership>,
+    /// The cell's tables, while this process owns it.
+    pub board: Option<Board>,
+    /// When the store last confirmed the ownership, by our clock.
+    pub confirmed_ms: u64,
+}
+
+/// A process.
+pub struct Fleet {
+    /// Settings.
+    pub settings: FleetSettings,
+    /// The platform.
+    pub platform: FleetPlatform,
+    /// This start of the process.
+    pub who: Incarnation,
+    /// Metrics.
+    pub metrics: FleetMetrics,
+    /// Wakes whoever places tasks and sends orders.
+    pub board_changed: Notify,
+    /// Wakes whoever stores progress.
+    pub store_wanted: Notify,
+    /// Wakes looks that wait for ends to be stored.
+    pub batch_stored: Notify,
+    /// What was seen of the ownership.
+    pub(super) watch: super::leadership::Watch,
+    /// Wakes whoever follows the ownership.
+    pub lead_changed: Notify,
+    in_flight: AtomicUsize,
+    shared: Mutex<Shared>,
+}
+
+impl fmt::Debug for Fleet {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Fleet").field("who", &self.who).finish_non_exhaustive()
+    }
+}
+
+impl Fleet {
+    /// Makes the context of a new incarnation.
+    pub fn new(settings: FleetSettings, platform: FleetPlatform) -> Arc<Self> {
+        let number: u32 = rand::rng().random();
+        let who = Incarnation::from(format!("{}.{number:08x}", settings.name));
+        let shared = Shared {
+            phase: FleetPhase::Starting,
+            config: None,
+            waves: IndexMap::new(),
+            waiting: None,
+            ownership: None,
+            board: None,
+            confirmed_ms: 0,
+        };
+        Arc::new(Self {
+            settings,
+            platform,
+            who,
+            metrics: FleetMetrics::new(),
+            board_changed: Notify::new(),
+            store_wanted: Notify::new(),
+            batch_stored: Notify::new(),
+            watch: super::leadership::Watch::default(),
+            lead_changed: Notify::new(),
+            in_flight: AtomicUsize::new(0),
+            shared: Mutex::new(shared),
+        })
+    }
+
+    /// Locks what the systems share. Never held over a wait.
+    pub fn shared(&self) -> MutexGuard<'_, Shared> {
+        self.shared.lock()
+    }
+
+    /// Returns the configuration in force.
+    pub fn config(&self) -> Option<Arc<FleetConfig>> {
+        self.shared().config.clone()
+    }
+
+    /// Tells whether the process wants new connections.
+    pub fn is_ready(&self) -> bool {
+        self.shared().phase == FleetPhase::Ready
+    }
+
+    /// Tells whether the process was told to stop.
+    pub fn is_leaving(&self) -> bool {
+        self.shared().phase == FleetPhase::Leaving
+    }
+
+    /// Returns our clock. It counts time that the instance was suspended, so
+    /// that no lease seems to hold longer than it does.
+    pub fn now_ms(&self) -> u64 {
+        let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+        time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000
+    }
+
+    /// Returns a reading of both clocks.
+    pub fn now(&self) -> Now {
+        Now { steady_ms: self.now_ms(), wall_ms: wall_ms() }
+    }
+
+    /// Applies a change to the board if this process still owns the cell in
+    /// this epoch, and wakes whoever carries out what follows from it.
+    pub fn with_board<R>(&self, epoch: u32, change: impl FnOnce(&mut Board) -> R) -> Option<R> {
+        let mut shared = self.shared();
+        let board = shared.board.as_mut().filter(|board| board.epoch == epoch)?;
+        let result = change(board);
+        drop(shared);
+        self.board_changed.notify_one();
+        Some(result)
+    }
+
+    /// Counts a request until the guard is dropped.
+    pub fn request(self: &Arc<Self>) -> RequestGuard {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        RequestGuard { fleet: Arc::clone(self) }
+    }
+
+    /// Returns how many requests are being answered.
+    pub fn requests_in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+}
+
+/// A request that is being answered.
+#[derive(Debug)]
+pub struct RequestGuard {
+    fleet: Arc<Fleet>,
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.fleet.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/masticfall-entry/src/fleet/dispatch.rs
@@ -0,0 +1,277 @@
+//! Carrying out what the board decides: storing progress, sending orders,
+//! looking after workers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use masticfall_core::fleet::board::{Batch, BatchWrite, Order, PaceOrder, StartOrder, StopOrder};
+use masticfall_core::fleet::report::{StartOutcome, StopOutcome};
+use masticfall_core::id::{Name, WorkerId};
+use masticfall_platform::fleet::{LookCall, Looked, RowPlace, RunCall, StartCall};
+use masticfall_platform::{PlatformError, Result};
+use tokio::time::{sleep, timeout};
+
+use super::context::{Fleet, Ownership};
+use super::rows::{JOBS, PROGRESS, cancel_key, place, value};
+use super::{leadership, notices};
+
+/// Period at which time is applied to the board, in milliseconds.
+const TICK_MS: u64 = 100;
+
+/// Pause between two passes over the board, in milliseconds: what comes
+/// meanwhile is decided, stored and sent together.
+const PASS_MS: u64 = 5;
+
+/// Longest wait of a look for an end, in milliseconds; a third of the shortest lease.
+const LOOK_WAIT_MS: u64 = 1_500;
+
+/// Pause after a look, in milliseconds: ends that come together are read together.
+const LOOK_PAUSE_MS: u64 = 15;
+
+/// Pause after a look that failed, in milliseconds.
+const LOOK_RETRY_MS: u64 = 200;
+
+/// Longest wait of a worker's next look for its ends to be stored, in milliseconds.
+const STORE_WAIT_MS: u64 = 250;
+
+/// Pause after a batch that could not be stored, in milliseconds.
+const STORE_RETRY_MS: u64 = 120;
+
+/// Places tasks and sends orders until the cell is lost.
+pub async fn carry_out(fleet: Arc<Fleet>, epoch: u32) {
+    let mut ticked_ms = 0;
+    loop {
+        let changed = fleet.board_changed.notified();
+        // An elapsed time means that only a tick is due.
+        drop(timeout(Duration::from_millis(TICK_MS), changed).await);
+        let now = fleet.now();
+        let done = {
+            let mut shared = fleet.shared();
+            let Some(board) = shared.board.as_mut().filter(|board| board.epoch == epoch) else {
+                return;
+            };
+            if now.steady_ms >= ticked_ms + TICK_MS {
+                ticked_ms = now.steady_ms;
+                board.advance(now);
+            }
+            board.place(now.steady_ms);
+            (board.take_orders(), board.take_notices())
+        };
+        fleet.store_wanted.notify_one();
+        for order in done.0 {
+            send(&fleet, epoch, order);
+        }
+        for notice in &done.1 {
+            notices::log(&fleet, epoch, notice);
+        }
+        sleep(Duration::from_millis(PASS_MS)).await;
+    }
+}
+
+fn send(fleet: &Arc<Fleet>, epoch: u32, order: Order) {
+    let fleet = Arc::clone(fleet);
+    match order {
+        Order::Start(order) => {
+            fleet.metrics.starts.inc();
+            drop(tokio::spawn(start(fleet, epoch, order)));
+        }
+        Order::Stop(order) => drop(tokio::spawn(stop(fleet, epoch, order))),
+        Order::Pace(order) => drop(tokio::spawn(pace(fleet, epoch, order))),
+    }
+}
+
+fn address_of(fleet: &Fleet, epoch: u32, worker: &WorkerId) -> Option<std::net::SocketAddr> {
+    let shared = fleet.shared();
+    let board = shared.board.as_ref().filter(|board| board.epoch == epoch)?;
+    board.workers.get(worker).map(|worker| worker.facts.address)
+}
+
+async fn start(fleet: Arc<Fleet>, epoch: u32, order: StartOrder) {
+    let outcome = match address_of(&fleet, epoch, &order.worker) {
+        None => StartOutcome::Unreached,
+        Some(address) => {
+            let call = StartCall {
+                address,
+                worker: order.worker.clone(),
+                task: order.task.clone(),
+                attempt: order.attempt,
+                payload: Name::clone(&order.payload),
+                checkpoint: order.checkpoint.clone(),
+                lease_until_theirs_ms: order.lease_until_theirs_ms,
+                fencing_token: epoch,
+                permit: None,
+            };
+            (fleet.platform.start)(call).await.unwrap_or_else(|error| {
+                tracing::warn!(name: "order.failed", task = %order.task, %error, "start not sent");
+                StartOutcome::Unreached
+            })
+        }
+    };
+    if outcome == StartOutcome::Fenced {
+        leadership::give_up(&fleet, "a worker has seen a later dispatcher");
+        return;
+    }
+    let now_ms = fleet.now_ms();
+    fleet.with_board(epoch, |board| {
+        board.start_result(&order.worker, &order.task, order.attempt, outcome, now_ms);
+    });
+}
+
+async fn stop(fleet: Arc<Fleet>, epoch: u32, order: StopOrder) {
+    let Some(call) = run_call(&fleet, epoch, &order, 0) else { return };
+    let outcome = (fleet.platform.stop)(call).await.unwrap_or_else(|error| {
+        tracing::warn!(name: "order.failed", task = %order.task, %error, "stop not sent");
+        StopOutcome::Unknown
+    });
+    let now_ms = fleet.now_ms();
+    fleet.with_board(epoch, |board| board.stop_result(&order, outcome, now_ms));
+}
+
+async fn pace(fleet: Arc<Fleet>, epoch: u32, order: PaceOrder) {
+    let PaceOrder { worker, task, attempt, percent } = order;
+    let run = StopOrder { worker, task, attempt };
+    let Some(call) = run_call(&fleet, epoch, &run, percent) else { return };
+    let outcome = (fleet.platform.pace)(call).await;
+    if !matches!(outcome, Ok(StopOutcome::Accepted)) {
+        tracing::debug!(name: "order.pace_unanswered", task = %run.task, ?outcome, "set again with the next report");
+        fleet.with_board(epoch, |board| board.pace_failed(&run));
+    }
+}
+
+fn run_call(fleet: &Fleet, epoch: u32, order: &StopOrder, pace_percent: u32) -> Option<RunCall> {
+    Some(RunCall {
+        address: address_of(fleet, epoch, &order.worker)?,
+        worker: order.worker.clone(),
+        task: order.task.clone(),
+        attempt: order.attempt,
+        fencing_token: epoch,
+        pace_percent,
+    })
+}
+
+/// Stores the progress of jobs until the cell is lost: one transaction at a
+/// time, and all that changed meanwhile in the next one.
+pub async fn store_progress(fleet: Arc<Fleet>, ownership: Ownership) {
+    let epoch = ownership.epoch;
+    loop {
+        fleet.store_wanted.notified().await;
+        loop {
+            let wall_ms = fleet.now().wall_ms;
+            let batch = {
+                let mut shared = fleet.shared();
+                let Some(board) = shared.board.as_mut().filter(|board| board.epoch == epoch) else {
+                    return;
+                };
+                board.take_batch(wall_ms)
+            };
+            let is_empty = batch.writes.is_empty();
+            let sent_ms = fleet.now_ms();
+            let stored = if is_empty { Ok(true) } else { store(&fleet, ownership, &batch).await };
+            if !is_empty {
+                let took_ms = fleet.now_ms().saturating_sub(sent_ms);
+                fleet.metrics.store_latency.observe(took_ms as f64 / 1_000.0);
+                fleet.metrics.batches.inc();
+            }
+            match stored {
+                Ok(true) => {
+                    if !is_empty {
+                        leadership::confirm(&fleet, epoch, sent_ms);
+                    }
+                    let now_ms = fleet.now_ms();
+                    let mut shared = fleet.shared();
+                    if let Some(board) = shared.board.as_mut().filter(|b| b.epoch == epoch) {
+                        board.batch_stored(batch, now_ms);
+                    }
+                    drop(shared);
+                    fleet.batch_stored.notify_waiters();
+                }
+                Ok(false) => return,
+                Err(error) => {
+                    tracing::debug!(name: "progress.not_stored", epoch, %error, "trying again");
+                    fleet.with_board(epoch, |board| board.batch_failed(batch));
+                    sleep(Duration::from_millis(STORE_RETRY_MS)).await;
+                    continue;
+                }
+            }
+            if is_empty {
+                break;
+            }
+            fleet.board_changed.notify_one();
+        }
+    }
+}
+
+async fn store(fleet: &Fleet, ownership: Ownership, batch: &Batch) -> Result<bool> {
+    let mut writes: Vec<(RowPlace, Option<Vec<u8>>)> = Vec::new();
+    for write in &batch.writes {
+        match write {
+            BatchWrite::Progress(id, row) => {
+                writes.push((place(PROGRESS, id.as_str()), Some(value(row)?)));
+            }
+            BatchWrite::Ended(id, row) => {
+                writes.push((place(JOBS, id.as_str()), Some(value(row)?)));
+                writes.push((place(PROGRESS, id.as_str()), None));
+                writes.push((place(JOBS, cancel_key(id)), None));
+            }
+        }
+    }
+    leadership::write(fleet, ownership, writes).await
+}
+
+/// Reads a worker's reports and extends its leases, until the worker or the
+/// cell is gone.
+pub async fn look_after(fleet: Arc<Fleet>, epoch: u32, id: WorkerId) {
+    loop {
+        let now_ms = fleet.now_ms();
+        let prepared = {
+            let mut shared = fleet.shared();
+            let Some(board) = shared.board.as_mut().filter(|board| board.epoch == epoch) else {
+                return;
+            };
+            let look = board.look(&id, now_ms);
+            look.zip(board.workers.get(&id).map(|worker| worker.facts.address))
+        };
+        let Some((look, address)) = prepared else { return };
+        let wait_ms = if look.lease_until_theirs_ms.is_some() { LOOK_WAIT_MS } else { 0 };
+        let call = LookCall {
+            address,
+            worker: id.clone(),
+            fencing_token: epoch,
+            stored_end: look.stored_end,
+            lease_until_theirs_ms: look.lease_until_theirs_ms,
+            wait_ms,
+        };
+        let pause_ms = match (fleet.platform.look)(call).await {
+            Ok(Looked::Report(report)) => {
+                let has_ends = !report.ended.is_empty();
+                let read_ms = fleet.now_ms();
+                fleet.with_board(epoch, |board| board.report(&id, now_ms, report, read_ms));
+                if has_ends {
+                    let stored = fleet.batch_stored.notified();
+                    // Without an answer of the store the look goes on all the same.
+                    drop(timeout(Duration::from_millis(STORE_WAIT_MS), stored).await);
+                }
+                LOOK_PAUSE_MS
+            }
+            Ok(Looked::Fenced) => {
+                leadership::give_up(&fleet, "a worker has seen a later dispatcher");
+                return;
+            }
+            Ok(Looked::WrongWorker) => {
+                let now_ms = fleet.now_ms();
+                fleet.with_board(epoch, |board| board.remove_worker(&id, now_ms));
+                return;
+            }
+            Err(error) => {
+                note_silence(&fleet, epoch, &id, &error);
+                LOOK_RETRY_MS
+            }
+        };
+        sleep(Duration::from_millis(pause_ms)).await;
+    }
+}
+
+fn note_silence(fleet: &Fleet, epoch: u32, id: &WorkerId, error: &PlatformError) {
+    tracing::debug!(name: "worker.silent", worker = %id, %error, "trying again");
+    fleet.with_board(epoch, |board| board.look_failed(id));
+}
--- /dev/null
+++ b/crates/masticfall-entry/src/fleet/follow.rs
@@ -0,0 +1,272 @@
+//! Following of the platform's feeds: operators, ownership, jobs and workers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use masticfall_core::fleet::progress::JobRow;
+use masticfall_core::id::{JobId, WorkerId};
+use masticfall_platform::fleet::{FleetRow, Follow, Followed, OperatorNews, WorkerNews, read_all};
+use masticfall_platform::{PlatformError, Result};
+use tokio::time::sleep;
+
+use super::context::{Fleet, FleetPhase};
+use super::rows::{BEAT_KEY, BeatRow, CELL, JOBS, cancelled_job, read};
+use super::{dispatch, leadership};
+
+/// Longest wait for a change, in milliseconds; the store allows 30 s. Shorter
+/// waits find a connection that has gone silent sooner.
+const FEED_WAIT_MS: u64 = 4_000;
+
+/// Pause after a failed call, in milliseconds.
+const RETRY_MS: u64 = 150;
+
+/// Pause between two readings of a busy feed, in milliseconds: what comes
+/// meanwhile is read in one call.
+const BATCH_MS: u64 = 8;
+
+/// Follows the operators' announcements for as long as the process runs.
+pub async fn operators(fleet: Arc<Fleet>) {
+    loop {
+        let listed = (fleet.platform.operator_list)(()).await;
+        let mut after = match listed {
+            Ok((news, version)) => {
+                for news in news {
+                    apply_operator(&fleet, news);
+                }
+                version
+            }
+            Err(error) => {
+                wait_after(&fleet, "operators", &error).await;
+                continue;
+            }
+        };
+        loop {
+            let follow = Follow { table: "", after, wait_ms: FEED_WAIT_MS };
+            match (fleet.platform.operator_follow)(follow).await {
+                Ok(Followed::Changes(news, version)) => {
+                    after = after.max(version);
+                    for news in news {
+                        apply_operator(&fleet, news);
+                    }
+                }
+                Ok(Followed::HistoryGone) => {
+                    tracing::info!(name: "feed.history_gone", feed = "operators", after, "listing anew");
+                    break;
+                }
+                Err(error) => wait_after(&fleet, "operators", &error).await,
+            }
+        }
+    }
+}
+
+async fn wait_after(fleet: &Fleet, feed: &'static str, error: &PlatformError) {
+    tracing::debug!(name: "feed.failed", process = %fleet.who, feed, %error, "trying again");
+    sleep(Duration::from_millis(RETRY_MS)).await;
+}
+
+fn apply_operator(fleet: &Fleet, news: OperatorNews) {
+    let now_ms = fleet.now_ms();
+    match news {
+        OperatorNews::Config(config) => {
+            let mut shared = fleet.shared();
+            let current = shared.config.as_ref().map(|config| config.version);
+            if current.is_some_and(|version| version >= config.version) {
+                return;
+            }
+            tracing::info!(
+                name: "config.in_force",
+                version = config.version,
+                previous = current,
+                queues = config.queues.len(),
+                keys = config.keys.len(),
+                "configuration in force"
+            );
+            if shared.phase == FleetPhase::Starting {
+                shared.phase = FleetPhase::Ready;
+            }
+            if let Some(board) = &mut shared.board {
+                board.set_config(Arc::clone(&config));
+            }
+            shared.config = Some(config);
+            drop(shared);
+            fleet.board_changed.notify_one();
+            fleet.lead_changed.notify_one();
+        }
+        OperatorNews::Wave(plan) => {
+            let mut shared = fleet.shared();
+            if !shared.waves.contains_key(&plan.wave) {
+                let (wave, instances) = (&plan.wave, plan.instances.len());
+                tracing::info!(name: "wave.announced", %wave, instances, "maintenance wave");
+                shared.waves.insert(plan.wave.clone(), (plan, now_ms));
+            }
+        }
+        OperatorNews::Unreadable(reason) => {
+            tracing::warn!(name: "operators.unreadable", reason, "row is left out");
+        }
+    }
+}
+
+/// Reads all rows of one of our tables, with the version to follow from.
+pub async fn read_table(fleet: &Fleet, table: &'static str) -> Result<(Vec<FleetRow>, u64)> {
+    read_all(&fleet.platform.range, table, CELL).await
+}
+
+/// Follows the ownership of the cell for as long as the process runs.
+pub async fn ownership(fleet: Arc<Fleet>) {
+    let table = super::rows::LEAD;
+    loop {
+        let mut after = match read_table(&fleet, table).await {
+            Ok((rows, version)) => {
+                apply_lead(&fleet, &rows);
+                version
+            }
+            Err(error) => {
+                wait_after(&fleet, table, &error).await;
+                continue;
+            }
+        };
+        loop {
+            let follow = Follow { table, after, wait_ms: FEED_WAIT_MS };
+            match (fleet.platform.follow)(follow).await {
+                Ok(Followed::Changes(rows, version)) => {
+                    after = after.max(version);
+                    apply_lead(&fleet, &rows);
+                }
+                Ok(Followed::HistoryGone) => break,
+                Err(error) => wait_after(&fleet, table, &error).await,
+            }
+        }
+    }
+}
+
+fn apply_lead(fleet: &Fleet, rows: &[FleetRow]) {
+    for row in rows.iter().filter(|row| &*row.key == BEAT_KEY) {
+        let Some(value) = &row.value else { continue };
+        match read::<BeatRow>(value) {
+            Ok(beat) => fleet.shared().waiting = Some((beat.waiting, fleet.now_ms())),
+            Err(error) => tracing::warn!(name: "lead.unreadable", %error, "sign of life left out"),
+        }
+    }
+    leadership::observe(fleet, rows);
+}
+
+/// Follows the accepted jobs while this process owns the cell in this epoch.
+pub async fn jobs(fleet: Arc<Fleet>, epoch: u32, mut after: u64) {
+    while is_owner(&fleet, epoch) {
+        let follow = Follow { table: JOBS, after, wait_ms: FEED_WAIT_MS };
+        match (fleet.platform.follow)(follow).await {
+            Ok(Followed::Changes(rows, version)) => {
+                after = after.max(version);
+                for row in &rows {
+                    apply_job(&fleet, epoch, row);
+                }
+                sleep(Duration::from_millis(BATCH_MS)).await;
+            }
+            Ok(Followed::HistoryGone) => match read_table(&fleet, JOBS).await {
+                Ok((rows, version)) => {
+                    after = version;
+                    for row in &rows {
+                        apply_job(&fleet, epoch, row);
+                    }
+                }
+                Err(error) => wait_after(&fleet, JOBS, &error).await,
+            },
+            Err(error) => wait_after(&fleet, JOBS, &error).await,
+        }
+    }
+}
+
+fn is_owner(fleet: &Fleet, epoch: u32) -> bool {
+    fleet.shared().ownership.is_some_and(|ownership| ownership.epoch == epoch)
+}
+
+fn apply_job(fleet: &Fleet, epoch: u32, row: &FleetRow) {
+    let Some(value) = &row.value else { return };
+    let now = fleet.now();
+    if let Some(id) = cancelled_job(&row.key) {
+        fleet.with_board(epoch, |board| board.cancel(&id, now.steady_ms));
+        return;
+    }
+    let id = JobId::from(&*row.key);
+    match read::<JobRow>(value) {
+        Ok(JobRow::Active(record)) => {
+            fleet.with_board(epoch, |board| board.accept(&id, record, now));
+        }
+        Ok(JobRow::Ended { .. }) => {}
+        Err(error) => tracing::warn!(name: "job.unreadable", %id, %error, "row is left out"),
+    }
+}
+
+/// Follows the workers while this process owns the cell in this epoch.
+pub async fn workers(fleet: Arc<Fleet>, epoch: u32) {
+    while is_owner(&fleet, epoch) {
+        let mut after = match (fleet.platform.worker_list)(()).await {
+            Ok((news, version)) => {
+                relist(&fleet, epoch, news);
+                version
+            }
+            Err(error) => {
+                wait_after(&fleet, "workers", &error).await;
+                continue;
+            }
+        };
+        while is_owner(&fleet, epoch) {
+            let follow = Follow { table: "", after, wait_ms: FEED_WAIT_MS };
+            match (fleet.platform.worker_follow)(follow).await {
+                Ok(Followed::Changes(news, version)) => {
+                    after = after.max(version);
+                    for news in news {
+                        apply_worker(&fleet, epoch, news);
+                    }
+                    sleep(Duration::from_millis(WORKER_BATCH_MS)).await;
+                }
+                Ok(Followed::HistoryGone) => break,
+                Err(error) => wait_after(&fleet, "workers", &error).await,
+            }
+        }
+    }
+}
+
+/// Pause between two readings of the workers' feed, in milliseconds: each
+/// worker writes every second or two, and a leaving one may be given work for
+/// seconds more.
+const WORKER_BATCH_MS: u64 = 250;
+
+fn relist(fleet: &Arc<Fleet>, epoch: u32, news: Vec<WorkerNews>) {
+    let missing = fleet.with_board(epoch, |board| {
+        let listed = |id: &WorkerId| {
+            news.iter().any(|n| matches!(n, WorkerNews::Listed(facts) if facts.id == *id))
+        };
+        board.listed_workers().filter(|id| !listed(id)).cloned().collect::<Vec<WorkerId>>()
+    });
+    for id in missing.unwrap_or_default() {
+        apply_worker(fleet, epoch, WorkerNews::Unlisted(id));
+    }
+    for news in news {
+        apply_worker(fleet, epoch, news);
+    }
+}
+
+fn apply_worker(fleet: &Arc<Fleet>, epoch: u32, news: WorkerNews) {
+    match news {
+        WorkerNews::Listed(facts) => {
+            let id = facts.id.clone();
+            let is_new = fleet.with_board(epoch, |board| {
+                let is_new = !board.workers.contains_key(&id);
+                board.list_worker(facts);
+                is_new
+            });
+            if is_new == Some(true) {
+                tokio::spawn(dispatch::look_after(Arc::clone(fleet), epoch, id));
+            }
+        }
+        WorkerNews::Unlisted(id) => {
+            tracing::info!(name: "worker.unlisted", worker = %id, "no new work for this worker");
+            fleet.with_board(epoch, |board| board.unlist_worker(&id));
+        }
+        WorkerNews::Unreadable(id, reason) => {
+            tracing::debug!(name: "worker.unreadable", worker = %id, reason, "entry is left out");
+            fleet.with_board(epoch, |board| board.unlist_worker(&id));
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticfall-entry/src/fleet/jobs.rs
@@ -0,0 +1,250 @@
+//! Callers' requests about jobs: hand in, show, cancel, count.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use masticfall_core::error::ErrorKind;
+use masticfall_core::fleet::config::{FleetConfig, QueueConfig};
+use masticfall_core::fleet::progress::{JobPhase, JobRow, ProgressRow};
+use masticfall_core::fleet::spec::{JobRecord, JobSpec};
+use masticfall_core::id::{AccountName, JobId, Name, QueueName};
+use masticfall_platform::PlatformError;
+use masticfall_platform::fleet::{RowCommit, RowRange, RowTransaction};
+use serde::Serialize;
+use tokio::time::{Instant, sleep};
+
+use super::context::Fleet;
+use super::rows::{CELL, JOBS, PROGRESS, cancel_key, place, read, value};
+use crate::context::wall_ms;
+use crate::refusal::{Refusal, Result};
+
+/// Length of a job's identifier, in hexadecimal digits.
+const ID_DIGITS: usize = 16;
+
+/// Part of a caller's time that is kept for the way back, in milliseconds.
+const ANSWER_MARGIN_MS: u64 = 150;
+
+/// Time that a caller has where it names none, in milliseconds.
+const DEFAULT_DEADLINE_MS: u64 = 3_000;
+
+/// Pause before a write of unknown outcome is tried again, in milliseconds.
+const RETRY_MS: u64 = 60;
+
+/// Age after which the count of waiting jobs isn't given, in milliseconds. It
+/// outlasts a take-over.
+const MAX_COUNT_AGE_MS: u64 = 10_000;
+
+/// A request's place and key.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    /// Host name, without a port.
+    pub host: Name,
+    /// Path.
+    pub path: Name,
+    /// Key, if one came with it.
+    pub key: Option<Name>,
+    /// Time that the caller waits, in milliseconds.
+    pub deadline_ms: Option<u64>,
+}
+
+/// What a request is about.
+#[derive(Debug, Clone)]
+pub struct Subject {
+    /// Configuration that decided.
+    pub config_version: u64,
+    /// The queue.
+    pub queue: QueueName,
+    /// The caller's client account; none on a queue open to all.
+    pub account: Option<AccountName>,
+    /// What follows the queue's prefix.
+    pub rest: Name,
+    until: Instant,
+}
+
+impl Subject {
+    /// Returns the job's identifier.
+    ///
+    /// # Errors
+    /// [`ErrorKind::BadRequest`] when it isn't one.
+    pub fn job(&self) -> Result<JobId> {
+        let is_id =
+            self.rest.len() == ID_DIGITS && self.rest.bytes().all(|byte| byte.is_ascii_hexdigit());
+        if is_id {
+            return Ok(JobId::new(Name::clone(&self.rest)));
+        }
+        let detail = format!("`{}` is not {ID_DIGITS} hexadecimal digits", self.rest);
+        Err(Refusal::new(ErrorKind::BadRequest, detail))
+    }
+
+    fn has_time(&self) -> bool {
+        Instant::now() < self.until
+    }
+}
+
+/// Finds the queue of a request and checks its key.
+///
+/// # Errors
+/// [`ErrorKind::NotReady`] without a configuration, [`ErrorKind::NotFound`]
+/// without a queue, [`ErrorKind::Unauthorized`] without a key in force.
+pub fn admit(fleet: &Fleet, caller: &Caller) -> Result<Subject> {
+    let Some(config) = fleet.config() else {
+        return Err(Refusal::new(ErrorKind::NotReady, "no configuration yet"));
+    };
+    let Some(queue) = config.queue_of(&caller.host, &caller.path) else {
+        let detail = format!("no queue at {}{}", caller.host, caller.path);
+        return Err(Refusal::new(ErrorKind::NotFound, detail));
+    };
+    let account = account_of(&config, queue, caller.key.as_deref())?;
+    let deadline_ms = caller.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
+    let until = Duration::from_millis(deadline_ms.saturating_sub(ANSWER_MARGIN_MS));
+    Ok(Subject {
+        config_version: config.version,
+        queue: queue.name.clone(),
+        account,
+        rest: Name::from(&caller.path[queue.prefix.len()..]),
+        until: Instant::now() + until,
+    })
+}
+
+fn account_of(
+    config: &FleetConfig,
+    queue: &QueueConfig,
+    key: Option<&str>,
+) -> Result<Option<AccountName>> {
+    let account = key.and_then(|key| config.account_of(key)).cloned();
+    if account.is_none() && !queue.is_open {
+        return Err(Refusal::new(ErrorKind::Unauthorized, "no key in force"));
+    }
+    Ok(account)
+}
+
+/// Accepts a job: it is stored, or was before.
+///
+/// # Errors
+/// A refusal says that the job never runs, but for [`ErrorKind::PlatformUnknown`].
+pub async fn submit(fleet: &Arc<Fleet>, subject: &Subject, spec: JobSpec) -> Result<()> {
+    let id = subject.job()?;
+    spec.check().map_err(|fault| Refusal::new(ErrorKind::BadRequest, fault.to_string()))?;
+    let record = JobRecord {
+        queue: subject.queue.clone(),
+        account: subject.account.clone(),
+        spec,
+        accepted_wall_ms: wall_ms(),
+    };
+    // An unstored job must not be refused as not run once a write of it may
+    // have taken effect, so the outcome is settled by writing again: the row is
+    // inserted at most once.
+    let is_new = put_new(fleet, subject, JOBS, id.as_str(), &JobRow::Active(record)).await?;
+    let (queue, config_version) = (&subject.queue, subject.config_version);
+    tracing::info!(name: "job.accepted", process = %fleet.who, job = %id, %queue, config_version, is_new, "job accepted");
+    Ok(())
+}
+
+/// Inserts a row unless it is there; returns whether it wasn't.
+async fn put_new<T: Serialize>(
+    fleet: &Fleet,
+    subject: &Subject,
+    table: &'static str,
+    key: &str,
+    row: &T,
+) -> Result<bool> {
+    let insert = RowTransaction {
+        checks: vec![(place(table, key), 0)],
+        writes: vec![(place(table, key), Some(value(row)?))],
+    };
+    let mut may_have_run = false;
+    loop {
+        match (fleet.platform.transact)(insert.clone()).await {
+            Ok(RowCommit::Done(_)) => return Ok(true),
+            Ok(RowCommit::Conflict(_)) => return Ok(false),
+            Err(error @ (PlatformError::Unavailable { .. } | PlatformError::Malformed { .. })) => {
+                if !may_have_run {
+                    return Err(error.into());
+                }
+            }
+            Err(PlatformError::Unknown { reason }) => {
+                tracing::debug!(name: "row.unclear", key, reason, "writing it again");
+                may_have_run = true;
+            }
+        }
+        if !subject.has_time() {
+            let detail = "the store didn't say whether the row was written";
+            return Err(Refusal::new(ErrorKind::PlatformUnknown, detail));
+        }
+        sleep(Duration::from_millis(RETRY_MS)).await;
+    }
+}
+
+/// Returns where a job is in its life.
+///
+/// # Errors
+/// [`ErrorKind::NoSuchJob`] only when the store has no such job.
+pub async fn show(fleet: &Fleet, subject: &Subject) -> Result<JobPhase> {
+    let id = subject.job()?;
+    if let Some(phase) = phase_on_board(fleet, subject, &id) {
+        return Ok(phase);
+    }
+    let progress: Option<ProgressRow> = get(fleet, PROGRESS, id.as_str()).await?;
+    if let Some(progress) = progress {
+        return Ok(progress.phase);
+    }
+    match get(fleet, JOBS, id.as_str()).await? {
+        Some(JobRow::Active(_)) => Ok(JobPhase::Queued),
+        Some(JobRow::Ended { phase, .. }) => Ok(phase),
+        None => Err(Refusal::new(ErrorKind::NoSuchJob, format!("no job {id}"))),
+    }
+}
+
+/// Returns the phase of a job that this process dispatches, unless it is a
+/// final one, which counts only once it is stored.
+fn phase_on_board(fleet: &Fleet, _subject: &Subject, id: &JobId) -> Option<JobPhase> {
+    let shared = fleet.shared();
+    let job = shared.board.as_ref()?.jobs.get(id)?;
+    Some(job.phase).filter(|phase| !phase.is_final())
+}
+
+async fn get<T: serde::de::DeserializeOwned>(
+    fleet: &Fleet,
+    table: &'static str,
+    key: &str,
+) -> Result<Option<T>> {
+    let to = Name::from(format!("{key}\0"));
+    let range = RowRange { table, part: Name::from(CELL), from: Name::from(key), to };
+    let page = (fleet.platform.range)(range).await?;
+    let bytes = page.rows.into_iter().next().and_then(|row| row.value);
+    Ok(bytes.map(|bytes| read(&bytes)).transpose()?)
+}
+
+/// Asks for a job's cancellation.
+///
+/// # Errors
+/// [`ErrorKind::NoSuchJob`] when the store has no such job.
+pub async fn cancel(fleet: &Arc<Fleet>, subject: &Subject) -> Result<()> {
+    let id = subject.job()?;
+    match get(fleet, JOBS, id.as_str()).await? {
+        None => return Err(Refusal::new(ErrorKind::NoSuchJob, format!("no job {id}"))),
+        Some(JobRow::Ended { .. }) => return Ok(()),
+        Some(JobRow::Active(_)) => {}
+    }
+    let is_new = put_new(fleet, subject, JOBS, &cancel_key(&id), &wall_ms()).await?;
+    tracing::info!(name: "job.cancel_accepted", process = %fleet.who, job = %id, is_new, "cancellation accepted");
+    Ok(())
+}
+
+/// Returns how many jobs of a queue have no started task.
+///
+/// # Errors
+/// [`ErrorKind::PlatformUnavailable`] when no recent count is known.
+pub fn count_waiting(fleet: &Fleet, subject: &Subject) -> Result<u32> {
+    let now_ms = fleet.now_ms();
+    let shared = fleet.shared();
+    if let Some(board) = &shared.board {
+        return Ok(board.waiting_by_queue().get(&subject.queue).copied().unwrap_or_default());
+    }
+    match &shared.waiting {
+        Some((counts, at_ms)) if now_ms < at_ms + MAX_COUNT_AGE_MS => {
+            Ok(counts.get(&subject.queue).copied().unwrap_or_default())
+        }
+        _ => Err(Refusal::new(ErrorKind::PlatformUnavailable, "no recent count is known")),
+    }
+}
--- /dev/null
+++ b/crates/masticfall-entry/src/fleet/rows.rs
@@ -0,0 +1,81 @@
+//! Our rows in the platform's store.
+
+use indexmap::IndexMap;
+use masticfall_core::id::{Incarnation, JobId, Name, QueueName};
+use masticfall_platform::error::{MalformedSnafu, Result};
+use masticfall_platform::fleet::RowPlace;
+use masticfall_wire::{decode, encode};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+/// Table of the ownership of cells.
+pub const LEAD: &str = "lead";
+
+/// Table of accepted jobs.
+pub const JOBS: &str = "jobs";
+
+/// Table of the progress of jobs.
+pub const PROGRESS: &str = "progress";
+
+/// The cell: the jobs and workers of one dispatcher, and the part that all its
+/// rows lie in. One cell covers all pools today.
+pub const CELL: &str = "c0";
+
+/// Key of a cell's ownership.
+pub const OWNER_KEY: &str = "owner";
+
+/// Key of the sign of life of a cell's owner.
+pub const BEAT_KEY: &str = "beat";
+
+/// Who owns a cell.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnerRow {
+    /// The process; none when the last owner gave the cell up.
+    pub process: Option<Incarnation>,
+    /// Number of the ownership; also the fencing token towards workers.
+    pub epoch: u32,
+}
+
+/// A sign of life of a cell's owner.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BeatRow {
+    /// Number of the ownership.
+    pub epoch: u32,
+    /// Number of the sign of life.
+    pub number: u64,
+    /// Jobs without a started task, by queue.
+    pub waiting: IndexMap<QueueName, u32>,
+}
+
+/// Returns a row's place.
+pub fn place(table: &'static str, key: impl Into<Name>) -> RowPlace {
+    RowPlace { table, part: Name::from(CELL), key: key.into() }
+}
+
+/// Returns the key of the row that asks for a job's cancellation.
+pub fn cancel_key(id: &JobId) -> String {
+    format!("{id}.cancel")
+}
+
+/// Returns the job whose cancellation a key asks for.
+pub fn cancelled_job(key: &str) -> Option<JobId> {
+    key.strip_suffix(".cancel").map(JobId::from)
+}
+
+/// Encodes a row's value.
+///
+/// # Errors
+/// [`PlatformError::Malformed`](masticfall_platform::PlatformError::Malformed)
+/// when the value can't be expressed.
+pub fn value<T: Serialize>(row: &T) -> Result<Vec<u8>> {
+    encode(row).or_else(|error| MalformedSnafu { reason: error.to_string() }.fail())
+}
+
+/// Decodes a row's value.
+///
+/// # Errors
+/// [`PlatformError::Malformed`](masticfall_platform::PlatformError::Malformed)
+/// when the value isn't of the type.
+pub fn read<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
+    decode(bytes).or_else(|error| MalformedSnafu { reason: error.to_string() }.fail())
+}
--- /dev/null
+++ b/crates/masticfall-entry/src/fleet/settings.rs
@@ -0,0 +1,115 @@
+//! Settings of a process on a platform that runs fleets of workers, from INI.
+
+use std::net::SocketAddr;
+
+use masticfall_core::config::{Document, Fault};
+use masticfall_core::id::{DataCentre, Name};
+
+/// Section of the settings; a file that has it is for such a platform.
+pub const SECTION: &str = "fleet";
+
+/// Longest lease, in milliseconds; bounds what a file may ask for.
+const MAX_MS: u64 = 600_000;
+
+/// Settings.
+#[derive(Debug, Clone)]
+pub struct FleetSettings {
+    /// Name of the process.
+    pub name: Name,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for readiness checks.
+    pub readiness: SocketAddr,
+    /// Address for other entry processes.
+    pub peers: SocketAddr,
+    /// Address for metrics.
+    pub metrics: SocketAddr,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// The provider of instances.
+    pub machines: SocketAddr,
+    /// The placement policy service.
+    pub advice: Option<SocketAddr>,
+    /// Longest lease that a worker gives, in milliseconds.
+    pub worker_lease_ms: u64,
+    /// Time in which a worker ends a stopped run, in milliseconds.
+    pub stop_grace_ms: u64,
+    /// Time within which two holders of the lease on instances must not take
+    /// turns, in milliseconds.
+    pub machine_lease_ms: u64,
+    /// Time between a stop signal and the kill, in milliseconds.
+    pub stop_signal_grace_ms: u64,
+    /// Time for which a task that lasts counts as away after an order of ours, in milliseconds.
+    pub away_notice_ms: u64,
+    /// Time that an instance takes to move to another pool, in milliseconds.
+    pub move_ms: u64,
+    /// Time for which an ended job is kept, in milliseconds.
+    pub keep_ended_ms: u64,
+}
+
+/// Result of reading settings: the settings, or all faults.
+pub type Result<T> = std::result::Result<T, Vec<Fault>>;
+
+impl FleetSettings {
+    /// Tells whether a settings file is for such a platform.
+    pub fn is_meant(text: &str) -> bool {
+        Document::parse(text).is_ok_and(|doc| doc.has_section(SECTION))
+    }
+
+    /// Reads settings from the text of an INI file.
+    ///
+    /// # Errors
+    /// Every fault of the file.
+    pub fn read(text: &str) -> Result<Self> {
+        let mut doc = Document::parse(text).map_err(|fault| vec![fault])?;
+        let settings = Self {
+            name: Name::from(doc.required(SECTION, "name")),
+            data_centre: DataCentre::from(doc.required(SECTION, "data_centre")),
+            callers: address(&mut doc, "callers"),
+            readiness: address(&mut doc, "readiness"),
+            peers: address(&mut doc, "peers"),
+            metrics: address(&mut doc, "metrics"),
+            store: address(&mut doc, "store"),
+            machines: address(&mut doc, "machines"),
+            advice: doc.text(SECTION, "advice").and_then(|text| text.parse().ok()),
+            worker_lease_ms: millis(&mut doc, "worker_lease_ms", 6_000),
+            stop_grace_ms: millis(&mut doc, "stop_grace_ms", 1_000),
+            machine_lease_ms: millis(&mut doc, "machine_lease_ms", 3_000),
+            stop_signal_grace_ms: seconds(&mut doc, "stop_signal_grace_s", 6.0),
+            away_notice_ms: millis(&mut doc, "away_notice_ms", 4_500),
+            move_ms: seconds(&mut doc, "move_s", 1.5),
+            keep_ended_ms: seconds(&mut doc, "keep_ended_s", 120.0),
+        };
+        let faults = doc.finish(&[], &[SECTION]);
+        if faults.is_empty() { Ok(settings) } else { Err(faults) }
+    }
+}
+
+const ADDRESS_FORM: &str = "an IP number and a port, such as 10.0.0.7:8080";
+
+fn address(doc: &mut Document<'_>, key: &str) -> SocketAddr {
+    let unset = SocketAddr::from(([0, 0, 0, 0], 0));
+    if doc.required(SECTION, key).is_empty() {
+        return unset;
+    }
+    doc.value(SECTION, key, unset, ADDRESS_FORM)
+}
+
+/// Reads a time in milliseconds; an empty value stands for the default, since a
+/// template leaves out what a deployment doesn't give.
+fn millis(doc: &mut Document<'_>, key: &str, default_ms: u64) -> u64 {
+    if doc.text(SECTION, key).is_none_or(|text| text.is_empty()) {
+        return default_ms;
+    }
+    doc.number(SECTION, key, default_ms, (1, MAX_MS))
+}
+
+fn seconds(doc: &mut Document<'_>, key: &str, default_s: f64) -> u64 {
+    if doc.text(SECTION, key).is_none_or(|text| text.is_empty()) {
+        return (default_s * 1_000.0) as u64;
+    }
+    let seconds = doc.value(SECTION, key, default_s, "a number of seconds");
+    (seconds * 1_000.0) as u64
+}
--- a/crates/masticfall-entry/src/lib.rs
+++ b/crates/masticfall-entry/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod context;
 pub mod dispatch;
+pub mod fleet;
 pub mod grants;
 pub mod guards;
 pub mod http;
--- a/crates/masticfall-platform/src/lib.rs
+++ b/crates/masticfall-platform/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod counted;
 pub mod error;
+pub mod fleet;
 pub mod http;
 pub mod instances;
 pub mod objects;
--- /dev/null
+++ b/crates/masticfalld/src/fleet.rs
@@ -0,0 +1,109 @@
+//! The entry process on a platform that runs fleets of workers.
+
+use std::io::Write;
+use std::path::Path;
+use std::process::ExitCode;
+
+use masticfall_adapter::edge::Edge;
+use masticfall_adapter::{Services, connect};
+use masticfall_entry::fleet::{FleetSettings, start};
+use tokio::signal::unix::{SignalKind, signal};
+use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
+use tracing_subscriber::EnvFilter;
+
+use crate::AnySettings;
+
+/// Lines that wait to be written before further ones are dropped: a reader of
+/// standard output that stops must not stop the process.
+const LOG_LINES: usize = 4_096;
+
+/// Runs the process until a signal ends it; returns the exit code.
+pub fn run(path: &Path, settings: FleetSettings, check_only: bool, filter: &str) -> ExitCode {
+    if check_only {
+        println!("{}: ok", path.display());
+        return ExitCode::SUCCESS;
+    }
+    let logs = match start_logs(filter) {
+        Ok(logs) => logs,
+        Err(message) => {
+            eprintln!("error: {message}");
+            return ExitCode::from(2);
+        }
+    };
+    // One thread: a quarter of a core gains nothing from more of them.
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let code = match runtime {
+        Ok(runtime) => runtime.block_on(serve(path, settings)),
+        Err(error) => {
+            eprintln!("error: cannot start the runtime: {error}");
+            ExitCode::FAILURE
+        }
+    };
+    drop(logs);
+    code
+}
+
+fn start_logs(filter: &str) -> Result<WorkerGuard, String> {
+    let filter = EnvFilter::try_new(filter)
+        .map_err(|error| format!("`{filter}` is no log filter: {error}"))?;
+    let (writer, guard) = NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(LOG_LINES)
+        .finish(std::io::stdout());
+    tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_env_filter(filter)
+        .with_writer(writer)
+        .try_init()
+        .map_err(|error| format!("cannot start the logs: {error}"))?;
+    Ok(guard)
+}
+
+async fn serve(path: &Path, settings: FleetSettings) -> ExitCode {
+    let services =
+        Services { store: settings.store, machines: settings.machines, advice: settings.advice };
+    let signals = signal(SignalKind::terminate()).and_then(|terminate| {
+        Ok((terminate, signal(SignalKind::interrupt())?, signal(SignalKind::hangup())?))
+    });
+    let (mut terminate, mut interrupt, mut hangup) = match signals {
+        Ok(signals) => signals,
+        Err(error) => return fail(&format!("cannot listen for signals: {error}")),
+    };
+    let running = start(settings, connect(services));
+    let edge = match Edge::open(&running.fleet).await {
+        Ok(edge) => edge,
+        Err(error) => return fail(&format!("cannot listen: {error}")),
+    };
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => reload(path),
+        }
+    }
+    running.leave(|| edge.close()).await;
+    edge.end().await;
+    ExitCode::SUCCESS
+}
+
+/// Reads the settings again. What can change without a restart is nothing yet;
+/// faults and differences are told.
+fn reload(path: &Path) {
+    match crate::read(path) {
+        Ok(AnySettings::Fleet(_)) => {
+            tracing::info!(name: "process.reloaded", "settings read again; addresses stay as they are until a restart");
+        }
+        Ok(AnySettings::Entry(_)) => {
+            tracing::warn!(name: "process.not_reloaded", "the settings are of another kind");
+        }
+        Err(error) => tracing::warn!(name: "process.not_reloaded", error, "settings have faults"),
+    }
+}
+
+fn fail(message: &str) -> ExitCode {
+    let mut stderr = std::io::stderr();
+    // Nothing is left to tell it to when standard error is closed.
+    drop(writeln!(stderr, "error: {message}"));
+    ExitCode::FAILURE
+}
--- a/crates/masticfalld/src/lib.rs
+++ b/crates/masticfalld/src/lib.rs
@@ -1,9 +1,12 @@
 //! The entry process as a library: settings, logs, signals and exit codes.
 
+mod fleet;
+
 use std::path::Path;
 use std::process::ExitCode;
 
 use masticfall_core::config::Fault;
+use masticfall_entry::fleet::FleetSettings;
 use masticfall_entry::state::Phase;
 use masticfall_entry::{RunningEntry, Settings};
 use masticfall_platform::http::connect;
@@ -22,6 +25,10 @@
             return ExitCode::from(2);
         }
     };
+    let settings = match settings {
+        AnySettings::Entry(settings) => settings,
+        AnySettings::Fleet(settings) => return fleet::run(path, settings, check_only, filter),
+    };
     if check_only {
         println!("{}: ok", path.display());
         return ExitCode::SUCCESS;
@@ -40,11 +47,22 @@
     runtime.block_on(serve(settings))
 }
 
-fn read(path: &Path) -> Result<Settings, String> {
+/// Settings of either kind of platform.
+enum AnySettings {
+    Entry(Settings),
+    Fleet(FleetSettings),
+}
+
+fn read(path: &Path) -> Result<AnySettings, String> {
     let shown = path.display();
     let text = std::fs::read_to_string(path)
         .map_err(|error| format!("cannot read the settings in {shown}: {error}"))?;
-    Settings::read(&text).map_err(|faults| {
+    let settings = if FleetSettings::is_meant(&text) {
+        FleetSettings::read(&text).map(AnySettings::Fleet)
+    } else {
+        Settings::read(&text).map(AnySettings::Entry)
+    };
+    settings.map_err(|faults| {
         let lines: Vec<String> =
             faults.iter().map(|fault: &Fault| format!("  {shown}: {fault}")).collect();
         format!("the settings have faults:\n{}", lines.join("\n"))
