Run numbers survive take-overs; unknown runs are adopted; former workers are asked

Change: the floor applies to new starts only; a listed run whose task waits is adopted instead of stopped; rows name the workers' addresses, so that workers nobody lists are asked too; strays are stopped once per grace time.

--- a/crates/masticfall-core/src/fleet/board.rs
+++ b/crates/masticfall-core/src/fleet/board.rs
@@ -13,6 +13,7 @@
 mod store;
 mod time;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use indexmap::{IndexMap, IndexSet};
@@ -276,6 +277,9 @@
         }
         let mut job = Job::new(record, self.config.as_deref(), now);
         if let Some(progress) = progress {
+            for (worker, address) in &progress.workers {
+                self.remember_worker(worker, *address);
+            }
             let worst_attempt = self.epoch.saturating_sub(1) * ATTEMPTS_PER_EPOCH;
             job.restore(&progress, worst_attempt);
         } else {
@@ -296,6 +300,16 @@
         }
     }
 
+    /// Follows a worker that an earlier dispatcher placed tasks on, whether it
+    /// is listed or not.
+    fn remember_worker(&mut self, id: &WorkerId, address: Option<SocketAddr>) {
+        let Some(address) = address.filter(|_| !self.workers.contains_key(id)) else { return };
+        let facts = WorkerFacts::unlisted(id, address);
+        let mut worker = Worker::new(facts, self.foreign_lease_until_ms);
+        worker.is_listed = false;
+        self.workers.insert(id.clone(), worker);
+    }
+
     /// Adds a job that was just accepted.
     pub fn accept(&mut self, id: &JobId, record: JobRecord, now: Now) {
         self.load(id, JobRow::Active(record), None, now);
--- a/crates/masticfall-core/src/fleet/board/job.rs
+++ b/crates/masticfall-core/src/fleet/board/job.rs
@@ -1,5 +1,7 @@
 //! A job in memory.
 
+use std::net::SocketAddr;
+
 use indexmap::{IndexMap, IndexSet};
 
 use super::Now;
@@ -150,11 +152,10 @@
         if self.occurrences_done.contains(&number) || self.occurrences.contains_key(&number) {
             return;
         }
-        let floor = self.attempt_floor;
         let steps = self.record.spec.steps.iter().map(|spec| {
             let task = Task {
                 state: TaskState::Waiting,
-                attempt: floor,
+                attempt: 0,
                 failures: 0,
                 checkpoint: None,
                 not_before_ms: 0,
@@ -288,7 +289,13 @@
     }
 
     /// Returns the progress to be stored.
-    pub fn progress(&self, id: &JobId) -> ProgressRow {
+    ///
+    /// `address` gives the addresses of workers.
+    pub fn progress(
+        &self,
+        id: &JobId,
+        address: impl Fn(&WorkerId) -> Option<SocketAddr>,
+    ) -> ProgressRow {
         let mut workers: IndexSet<WorkerId> = IndexSet::new();
         let mut tasks = Vec::new();
         self.each_task(id, |key, task| {
@@ -316,7 +323,7 @@
         ProgressRow {
             phase: self.phase,
             occurrences_done: self.occurrences_done.iter().copied().collect(),
-            workers: workers.into_iter().collect(),
+            workers: workers.into_iter().map(|id| (id.clone(), address(&id))).collect(),
             tasks,
         }
     }
@@ -337,13 +344,13 @@
             let Some(task) = step.tasks.get_mut(row.index as usize) else { continue };
             task.failures = row.failures;
             task.checkpoint.clone_from(&row.checkpoint);
-            task.attempt = row.attempt.max(attempt_floor);
+            task.attempt = row.attempt;
             match (row.stage, progress.workers.get(row.worker as usize)) {
                 (TaskStage::Done, _) => {
                     task.state = TaskState::Done;
                     step.done += 1;
                 }
-                (TaskStage::Placed, Some(worker)) => {
+                (TaskStage::Placed, Some((worker, _))) => {
                     task.state = TaskState::Placed(Placement::restored(worker, row.attempt));
                 }
                 _ => {}
--- a/crates/masticfall-core/src/fleet/board/place.rs
+++ b/crates/masticfall-core/src/fleet/board/place.rs
@@ -202,8 +202,9 @@
 
     fn put(&mut self, key: &TaskKey, worker: &WorkerId, attempt: Option<u32>, now_ms: u64) {
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let floor = job.attempt_floor;
         let Some(task) = job.task_mut(key) else { return };
-        task.attempt = attempt.unwrap_or(task.attempt + 1);
+        task.attempt = attempt.unwrap_or(task.attempt + 1).max(floor + 1);
         task.state = TaskState::Placed(Placement::new(worker, task.attempt, now_ms));
         self.count_in(key, worker);
     }
--- a/crates/masticfall-core/src/fleet/board/reports.rs
+++ b/crates/masticfall-core/src/fleet/board/reports.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexMap;
 
-use super::{Board, Notice, OrderState, StopReason, TaskState};
+use super::{Board, Notice, Order, OrderState, Placement, StopOrder, StopReason, TaskState};
 use crate::fleet::progress::JobPhase;
 use crate::fleet::report::{ActiveRun, EndedRun, RunEnd, WorkerReport};
 use crate::fleet::spec::TaskKey;
@@ -199,8 +199,11 @@
                 self.show_running(&key);
             }
         }
-        for ((task, attempt), _) in running {
-            self.stop_stray(id, task, attempt);
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.strays.retain(|stray, _| running.contains_key(stray));
+        }
+        for run in running.values() {
+            self.meet_stray(id, run, now_ms);
         }
     }
 
@@ -211,14 +214,55 @@
         }
     }
 
-    /// Stops a run that isn't the current one of its task.
-    fn stop_stray(&mut self, id: &WorkerId, task: TaskKey, attempt: u32) {
-        let worker = id.clone();
-        let order = super::StopOrder { worker: worker.clone(), task: task.clone(), attempt };
-        self.orders.push(super::Order::Stop(order));
+    /// Takes in a run that the board doesn't know: adopts it when its task waits
+    /// for a start anyway, else stops it.
+    fn meet_stray(&mut self, id: &WorkerId, run: &ActiveRun, now_ms: u64) {
+        if self.adopt(id, run, now_ms) {
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let stray = (run.task.clone(), run.attempt);
+        let again_ms = self.bounds.stop_grace_ms + STOP_AGAIN_MS;
+        let is_recent = worker.strays.get(&stray).is_some_and(|sent| now_ms < sent + again_ms);
+        if is_recent {
+            return;
+        }
+        worker.strays.insert(stray, now_ms);
+        let (worker, task, attempt) = (id.clone(), run.task.clone(), run.attempt);
+        let order = StopOrder { worker: worker.clone(), task: task.clone(), attempt };
+        self.orders.push(Order::Stop(order));
         let reason = StopReason::Stray;
         self.notices.push(Notice::Stopping { task, attempt, worker, reason });
     }
+
+    /// Makes a run that a worker lists the current one of its task, if the task
+    /// has no run that may have been ordered.
+    fn adopt(&mut self, id: &WorkerId, run: &ActiveRun, now_ms: u64) -> bool {
+        let Some(job) = self.jobs.get(&run.task.job) else { return false };
+        let Some(task) = job.task(&run.task) else { return false };
+        let is_unlocked = job.is_unlocked(run.task.occurrence, run.task.step as usize);
+        let is_free = match &task.state {
+            TaskState::Waiting => true,
+            TaskState::Placed(placed) => placed.order == OrderState::Unstored,
+            TaskState::Done => false,
+        };
+        if job.phase.is_final() || !is_unlocked || !is_free {
+            return false;
+        }
+        self.vacate(&run.task, None);
+        let Some(task) = self.jobs.get_mut(&run.task.job).and_then(|j| j.task_mut(&run.task))
+        else {
+            return false;
+        };
+        task.attempt = task.attempt.max(run.attempt);
+        let mut placement = Placement::new(id, run.attempt, now_ms);
+        placement.order = OrderState::Settled(now_ms);
+        placement.percent = run.percent;
+        task.state = TaskState::Placed(placement);
+        self.count_in(&run.task, id);
+        self.dirty.insert(run.task.job.clone());
+        true
+    }
 }
 
 fn has_stop(task: Option<&super::Task>) -> bool {
--- a/crates/masticfall-core/src/fleet/board/results.rs
+++ b/crates/masticfall-core/src/fleet/board/results.rs
@@ -54,6 +54,9 @@
             }
             StartOutcome::NoRoom | StartOutcome::NoPermit | StartOutcome::Late => {
                 self.vacate(key, Some(now_ms + NO_ROOM_PAUSE_MS));
+                if let Some(worker) = self.workers.get_mut(worker) {
+                    worker.rest_until_ms = worker.rest_until_ms.max(now_ms + NO_ROOM_PAUSE_MS);
+                }
             }
             StartOutcome::Unhealthy | StartOutcome::Invalid | StartOutcome::Unreached => {
                 self.vacate(key, Some(now_ms + NO_ROOM_PAUSE_MS));
--- a/crates/masticfall-core/src/fleet/board/store.rs
+++ b/crates/masticfall-core/src/fleet/board/store.rs
@@ -34,6 +34,8 @@
     /// that the workers may forget them.
     pub fn take_batch(&mut self, wall_ms: u64) -> Batch {
         let mut batch = Batch::default();
+        let workers = &self.workers;
+        let address = |id: &WorkerId| workers.get(id).map(|worker| worker.facts.address);
         let count = self.dirty.len().min(BATCH_JOBS);
         let ids: Vec<JobId> = self.dirty.drain(..count).collect();
         for id in ids {
@@ -53,7 +55,7 @@
                 };
                 batch.writes.push(BatchWrite::Ended(id, row));
             } else {
-                batch.writes.push(BatchWrite::Progress(id.clone(), job.progress(&id)));
+                batch.writes.push(BatchWrite::Progress(id.clone(), job.progress(&id, address)));
             }
         }
         if self.dirty.is_empty() {
--- a/crates/masticfall-core/src/fleet/progress.rs
+++ b/crates/masticfall-core/src/fleet/progress.rs
@@ -4,6 +4,8 @@
 //! worker may forget it. Whoever takes a cell over so knows every place where a
 //! task can be running.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString};
 
@@ -108,8 +110,9 @@
     pub phase: JobPhase,
     /// Occurrences of which all tasks are done.
     pub occurrences_done: Vec<u32>,
-    /// Workers that tasks are placed on.
-    pub workers: Vec<WorkerId>,
+    /// Workers that tasks are placed on, with their addresses as far as known,
+    /// so that the next dispatcher can ask them even when nobody lists them.
+    pub workers: Vec<(WorkerId, Option<SocketAddr>)>,
     /// Tasks that aren't as they were at acceptance.
     pub tasks: Vec<TaskRow>,
 }
--- a/crates/masticfall-core/src/fleet/worker.rs
+++ b/crates/masticfall-core/src/fleet/worker.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 
 use super::spec::{Resources, TaskKey};
 use crate::id::{DataCentre, JobId, Name, PoolName, WorkerId};
@@ -52,6 +52,21 @@
 }
 
 impl WorkerFacts {
+    /// Makes the facts of a worker of which only the address is known. It
+    /// belongs to no pool and offers nothing.
+    pub fn unlisted(id: &WorkerId, address: SocketAddr) -> Self {
+        Self {
+            id: id.clone(),
+            address,
+            pool: PoolName::from(""),
+            data_centre: DataCentre::from(""),
+            labels: Vec::new(),
+            capacity: Resources::default(),
+            is_draining: false,
+            born_wall_ms: 0,
+        }
+    }
+
     /// Returns the worker's rack.
     pub fn rack(&self) -> Option<&Name> {
         self.labels.last()
@@ -96,6 +111,8 @@
     pub stored_end: u64,
     /// Time before which it gets no new work.
     pub rest_until_ms: u64,
+    /// Runs that belong to no task, with the time at which each was told to stop.
+    pub strays: IndexMap<(TaskKey, u32), u64>,
     recent: VecDeque<(JobId, bool)>,
     quarantines: u32,
 }
@@ -117,6 +134,7 @@
             read_end: 0,
             stored_end: 0,
             rest_until_ms: 0,
+            strays: IndexMap::new(),
             recent: VecDeque::new(),
             quarantines: 0,
         }
--- /dev/null
+++ b/crates/masticfall-core/tests/suite/fleet_rig.rs
@@ -0,0 +1,253 @@
+//! A board with workers whose reports the tests write by hand.
+
+use std::sync::Arc;
+
+use masticfall_core::fleet::board::{
+    Batch, BatchWrite, Board, BoardBounds, Now, Order, StartOrder,
+};
+use masticfall_core::fleet::config::{
+    AccountConfig, FleetConfig, PoolConfig, QueueConfig, RequestBounds,
+};
+use masticfall_core::fleet::progress::{JobRow, ProgressRow};
+use masticfall_core::fleet::report::{ActiveRun, EndedRun, RunEnd, StartOutcome, WorkerReport};
+use masticfall_core::fleet::spec::{JobRecord, JobSpec, Resources, StepSpec, TaskKey};
+use masticfall_core::fleet::worker::WorkerFacts;
+use masticfall_core::prelude::*;
+
+pub const LEASE_MS: u64 = 6_000;
+
+pub fn bounds() -> BoardBounds {
+    BoardBounds { lease_ms: LEASE_MS, stop_grace_ms: 900, foreign_tail_ms: 4_000 }
+}
+
+pub fn now(steady_ms: u64) -> Now {
+    Now { steady_ms, wall_ms: 1_000_000 + steady_ms }
+}
+
+pub fn queue(name: &str, pool: &str) -> QueueConfig {
+    QueueConfig {
+        name: name.into(),
+        host: "h".into(),
+        prefix: format!("/{name}/").into(),
+        pool: pool.into(),
+        priority: 0,
+        max_attempts: 2,
+        stretch: 1.6,
+        target_ms: 600,
+        is_open: false,
+        advice: None,
+    }
+}
+
+pub fn config(version: u64, limit: Resources) -> Arc<FleetConfig> {
+    let mut queues = IndexMap::new();
+    queues.insert(QueueName::from("q"), queue("q", "p"));
+    let mut pools = IndexMap::new();
+    pools.insert(PoolName::from("p"), PoolConfig { checks_capacity: true, is_standby: false });
+    pools.insert(PoolName::from("spare"), PoolConfig { checks_capacity: true, is_standby: true });
+    let mut accounts = IndexMap::new();
+    accounts.insert(AccountName::from("a"), AccountConfig { weight: 1.0, limit });
+    let bounds = RequestBounds { max_header_bytes: 1_000, max_body_bytes: 1_000 };
+    Arc::new(FleetConfig { version, queues, pools, accounts, keys: IndexMap::new(), bounds })
+}
+
+pub fn facts(id: &str, cores: u64) -> WorkerFacts {
+    WorkerFacts {
+        id: id.into(),
+        address: ([127, 0, 0, 1], 9).into(),
+        pool: "p".into(),
+        data_centre: "dc".into(),
+        labels: vec!["kind".into(), format!("rack-{id}").into()],
+        capacity: Resources { cpu_millis: cores * 1_000, memory_mib: 64_000, accelerators: 0 },
+        is_draining: false,
+        born_wall_ms: 5,
+    }
+}
+
+pub fn step(tasks: u32, cores: u64) -> StepSpec {
+    StepSpec {
+        tasks,
+        needs: Resources { cpu_millis: cores * 1_000, memory_mib: 100, accelerators: 0 },
+        estimate_ms: 800,
+        ..StepSpec::default()
+    }
+}
+
+pub fn record(steps: Vec<StepSpec>) -> JobRecord {
+    JobRecord {
+        queue: "q".into(),
+        account: Some("a".into()),
+        spec: JobSpec {
+            payload: "payload".into(),
+            steps,
+            repeat: 0,
+            first_due_wall_ms: 0,
+            interval_ms: 0,
+        },
+        accepted_wall_ms: 1_000_000,
+    }
+}
+
+/// Workers with their clocks equal to ours.
+#[derive(Debug, Default, Clone)]
+pub struct Listing {
+    pub running: Vec<ActiveRun>,
+    pub ended: Vec<EndedRun>,
+}
+
+/// A board and what its store and its workers hold.
+#[derive(Debug)]
+pub struct Rig {
+    pub board: Board,
+    pub jobs: IndexMap<JobId, JobRow>,
+    pub progress: IndexMap<JobId, ProgressRow>,
+    pub listings: IndexMap<WorkerId, Listing>,
+    pub now_ms: u64,
+    pub started: Vec<StartOrder>,
+    pub others: Vec<Order>,
+}
+
+impl Rig {
+    pub fn new(workers: &[(&str, u64)]) -> Self {
+        let mut board = Board::new(1, bounds(), 1_000);
+        board.set_config(config(1, Resources::default()));
+        let mut rig = Self {
+            board,
+            jobs: IndexMap::new(),
+            progress: IndexMap::new(),
+            listings: IndexMap::new(),
+            now_ms: 1_000,
+            started: Vec::new(),
+            others: Vec::new(),
+        };
+        for (id, cores) in workers {
+            rig.board.list_worker(facts(id, *cores));
+            rig.listings.insert((*id).into(), Listing::default());
+        }
+        rig.look_all();
+        rig
+    }
+
+    pub fn submit(&mut self, id: &str, steps: Vec<StepSpec>) {
+        let record = record(steps);
+        self.jobs.insert(id.into(), JobRow::Active(record.clone()));
+        self.board.accept(&id.into(), record, now(self.now_ms));
+    }
+
+    /// Places, stores, starts and reports, until nothing is left to do.
+    pub fn settle(&mut self) {
+        for _ in 0..20 {
+            self.board.place(self.now_ms);
+            self.store();
+            self.carry_out();
+        }
+    }
+
+    pub fn store(&mut self) {
+        loop {
+            let batch: Batch = self.board.take_batch(now(self.now_ms).wall_ms);
+            let is_empty = batch.writes.is_empty();
+            for write in &batch.writes {
+                match write {
+                    BatchWrite::Progress(id, row) => {
+                        self.progress.insert(id.clone(), row.clone());
+                    }
+                    BatchWrite::Ended(id, row) => {
+                        self.progress.swap_remove(id);
+                        self.jobs.insert(id.clone(), row.clone());
+                    }
+                }
+            }
+            self.board.batch_stored(batch, self.now_ms);
+            if is_empty {
+                return;
+            }
+        }
+    }
+
+    /// Workers accept every start; stops are kept for the test.
+    pub fn carry_out(&mut self) {
+        for order in self.board.take_orders() {
+            let Order::Start(start) = order else {
+                self.others.push(order);
+                continue;
+            };
+            self.run(&start.worker, &start.task, start.attempt);
+            self.board.start_result(
+                &start.worker,
+                &start.task,
+                start.attempt,
+                StartOutcome::Started,
+                self.now_ms,
+            );
+            self.started.push(start);
+        }
+    }
+
+    pub fn run(&mut self, worker: &WorkerId, task: &TaskKey, attempt: u32) {
+        let run = ActiveRun { task: task.clone(), attempt, checkpoint: None, percent: 0, load: 0 };
+        self.listings[worker].running.push(run);
+    }
+
+    /// Ends a run on its worker.
+    pub fn end(&mut self, task: &str, end: RunEnd) {
+        let key = TaskKey::parse(task).expect("a task's name");
+        for listing in self.listings.values_mut() {
+            let Some(at) = listing.running.iter().position(|run| run.task == key) else { continue };
+            let run = listing.running.remove(at);
+            let number = listing.ended.last().map_or(0, |ended| ended.number) + 1;
+            let (task, attempt, checkpoint) = (run.task, run.attempt, None);
+            listing.ended.push(EndedRun { number, task, attempt, end, checkpoint });
+        }
+    }
+
+    pub fn look(&mut self, id: &WorkerId) {
+        let Some(look) = self.board.look(id, self.now_ms) else { return };
+        let listing = &mut self.listings[id];
+        listing.ended.retain(|ended| ended.number > look.stored_end);
+        let report = WorkerReport {
+            clock_ms: self.now_ms,
+            born_wall_ms: 5,
+            running: listing.running.clone(),
+            ended: listing.ended.clone(),
+        };
+        let sent_ms = self.now_ms;
+        self.now_ms += 2;
+        self.board.report(id, sent_ms, report, self.now_ms);
+    }
+
+    pub fn look_all(&mut self) {
+        for id in self.listings.keys().cloned().collect::<Vec<_>>() {
+            self.look(&id);
+        }
+    }
+
+    pub fn pass(&mut self, ms: u64) {
+        self.now_ms += ms;
+        self.board.advance(now(self.now_ms));
+    }
+
+    /// Another process takes the cell over, with what the store holds.
+    pub fn take_over(&mut self, epoch: u32) {
+        let config = self.board.config.clone().expect("a configuration");
+        self.board = Board::new(epoch, bounds(), self.now_ms);
+        self.board.set_config(config);
+        for (id, row) in &self.jobs {
+            let progress = self.progress.get(id).cloned();
+            self.board.load(id, row.clone(), progress, now(self.now_ms));
+        }
+    }
+
+    pub fn list(&mut self, workers: &[(&str, u64)]) {
+        for (id, cores) in workers {
+            self.board.list_worker(facts(id, *cores));
+        }
+    }
+
+    /// Returns the runs of a task over all workers.
+    pub fn runs_of(&self, task: &str) -> Vec<u32> {
+        let key = TaskKey::parse(task).expect("a task's name");
+        let runs = self.listings.values().flat_map(|listing| &listing.running);
+        runs.filter(|run| run.task == key).map(|run| run.attempt).collect()
+    }
+}
--- a/crates/masticfall-core/tests/suite/main.rs
+++ b/crates/masticfall-core/tests/suite/main.rs
@@ -4,6 +4,8 @@
 mod config;
 mod errors;
 mod escrow;
+mod fleet_rig;
+mod fleet_takeover;
 mod guard;
 mod instances;
 mod jobs;
--- a/crates/masticfall-entry/src/fleet/leadership.rs
+++ b/crates/masticfall-entry/src/fleet/leadership.rs
@@ -11,7 +11,7 @@
 
 use masticfall_core::fleet::board::{Board, BoardBounds};
 use masticfall_core::fleet::progress::{JobRow, ProgressRow};
-use masticfall_core::id::JobId;
+use masticfall_core::id::{JobId, WorkerId};
 use masticfall_platform::fleet::{FleetRow, RowCommit, RowTransaction};
 use masticfall_platform::{PlatformError, Result};
 use parking_lot::Mutex;
@@ -171,7 +171,9 @@
     };
     let former = fleet.watch.0.lock().owner.replace((owner, version));
     fleet.shared().confirmed_ms = sent_ms;
-    lead(fleet, Ownership { epoch, version }, former.is_some()).await
+    // An owner that handed over has stopped; one that fell silent may go on.
+    let fell_silent = former.is_some_and(|(owner, _)| owner.process.is_some());
+    lead(fleet, Ownership { epoch, version }, fell_silent).await
 }
 
 /// Reads back whether a claim of unknown outcome took effect.
@@ -185,14 +187,15 @@
 }
 
 /// Loads the cell's rows and starts the systems of its owner.
-async fn lead(fleet: &Arc<Fleet>, ownership: Ownership, had_owner: bool) -> Result<()> {
+async fn lead(fleet: &Arc<Fleet>, ownership: Ownership, fell_silent: bool) -> Result<()> {
     let begun = Instant::now();
     let (progress, _) = follow::read_table(fleet, PROGRESS).await?;
     // Read after the progress: a job that ends in between is then shown as ended.
     let (jobs, jobs_version) = follow::read_table(fleet, JOBS).await?;
     let epoch = ownership.epoch;
-    let board = load_board(fleet, epoch, had_owner, &jobs, &progress);
+    let board = load_board(fleet, epoch, fell_silent, &jobs, &progress);
     let count = board.jobs.len();
+    let remembered: Vec<WorkerId> = board.workers.keys().cloned().collect();
     {
         let mut shared = fleet.shared();
         shared.board = Some(board);
@@ -200,6 +203,10 @@
     }
     let took_ms = begun.elapsed().as_millis() as u64;
     tracing::info!(name: "cell.taken", process = %fleet.who, epoch, jobs = count, rows = jobs.len(), took_ms, "now the dispatcher");
+    fleet.metrics.takeovers.inc();
+    for worker in remembered {
+        tokio::spawn(dispatch::look_after(Arc::clone(fleet), epoch, worker));
+    }
     tokio::spawn(beat(Arc::clone(fleet), ownership));
     tokio::spawn(dispatch::store_progress(Arc::clone(fleet), ownership));
     tokio::spawn(dispatch::carry_out(Arc::clone(fleet), epoch));
@@ -211,14 +218,14 @@
 fn load_board(
     fleet: &Fleet,
     epoch: u32,
-    had_owner: bool,
+    fell_silent: bool,
     jobs: &[FleetRow],
     progress: &[FleetRow],
 ) -> Board {
     let bounds = BoardBounds {
         lease_ms: fleet.settings.worker_lease_ms,
         stop_grace_ms: fleet.settings.stop_grace_ms,
-        foreign_tail_ms: if had_owner { UNCONFIRMED_MS } else { 0 },
+        foreign_tail_ms: if fell_silent { UNCONFIRMED_MS - SILENCE_MS } else { 0 },
     };
     let now = fleet.now();
     let mut board = Board::new(epoch, bounds, now.steady_ms);
