Maintenance waves: emptied first, the emptiest first, never more than allowed

Change: pure plan in masticfall-core (cordon, relocate what lasts within its budget, take down when empty), driven by the cell's owner; progress is stored before each round of calls; tasks that last go to workers that are not due.

--- a/crates/masticfall-core/src/fleet.rs
+++ b/crates/masticfall-core/src/fleet.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod board;
 pub mod config;
+pub mod machines;
 pub mod pacing;
 pub mod placing;
 pub mod progress;
--- a/crates/masticfall-core/src/fleet/board.rs
+++ b/crates/masticfall-core/src/fleet/board.rs
@@ -6,6 +6,7 @@
 //! task counts as running on its worker until the worker says otherwise or its
 //! lease is over.
 
+mod cordon;
 mod job;
 mod place;
 mod reports;
--- /dev/null
+++ b/crates/masticfall-core/src/fleet/machines.rs
@@ -0,0 +1,256 @@
+//! Which instances to empty, and to take down for maintenance.
+//!
+//! An instance is cordoned first, emptied, and only then taken down, so that
+//! nothing that runs is cut. Load answered: a wave that has to be done in a given time while
+//! the queues go on; as many instances are out at once as that takes, the
+//! emptiest first, and never more than the wave allows.
+
+use indexmap::{IndexMap, IndexSet};
+use serde::{Deserialize, Serialize};
+
+use super::board::Board;
+use crate::id::{InstanceName, PoolName, WaveName, WorkerId};
+
+/// Time in which an instance is emptied, as planned, in milliseconds: the run
+/// time of a usual task.
+const EMPTYING_MS: u64 = 2_500;
+
+/// Factor by which a wave is planned to be done sooner than it has to be.
+const HASTE: f64 = 2.5;
+
+/// Time after which an instance that was called down and is up again counts as
+/// back without a new worker, in milliseconds.
+const BACK_AFTER_MS: u64 = 4_000;
+
+/// Pause before a call that had no effect is made again, in milliseconds.
+const AGAIN_MS: u64 = 600;
+
+/// An instance as its provider last listed it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MachineView {
+    /// Its name.
+    pub instance: InstanceName,
+    /// Its pool.
+    pub pool: PoolName,
+    /// Whether it is up, neither moving nor in maintenance nor down.
+    pub is_up: bool,
+    /// Its worker, if it has one.
+    pub worker: Option<WorkerId>,
+}
+
+/// A wave as far as it was stored.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct WaveProgress {
+    /// Instances whose maintenance has begun, or which don't belong to the wave.
+    pub begun: IndexSet<InstanceName>,
+    /// Instances that a call was made for, with their worker at that time.
+    pub called: IndexMap<InstanceName, Option<WorkerId>>,
+}
+
+/// A wave in progress.
+#[derive(Debug, Clone)]
+pub struct Wave {
+    /// Its name.
+    pub name: WaveName,
+    /// Instances due.
+    pub instances: Vec<InstanceName>,
+    /// When it should be done, by our clock.
+    pub due_ms: u64,
+    /// Most instances that may be down at once.
+    pub max_at_once: u32,
+    /// Time that an instance is down, in milliseconds.
+    pub down_ms: u64,
+    /// Progress that is stored.
+    pub progress: WaveProgress,
+    /// Instances that are down by a call of ours, with the time of the call.
+    down: IndexMap<InstanceName, u64>,
+    /// Instances being emptied.
+    emptying: IndexSet<InstanceName>,
+    /// Time before which an instance isn't called again.
+    not_before_ms: IndexMap<InstanceName, u64>,
+}
+
+/// A call to take an instance down.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TakeDown {
+    /// The instance.
+    pub instance: InstanceName,
+    /// Its worker.
+    pub worker: Option<WorkerId>,
+}
+
+/// How a call to take an instance down ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TakenDown {
+    /// Its maintenance has begun, now or before.
+    Begun,
+    /// It isn't due in this wave, or doesn't exist.
+    NotDue,
+    /// Nothing was done.
+    Refused,
+    /// It may have begun.
+    Unknown,
+}
+
+impl Wave {
+    /// Makes a wave from its announcement.
+    pub fn new(
+        name: WaveName,
+        instances: Vec<InstanceName>,
+        due_ms: u64,
+        max_at_once: u32,
+        down_ms: u64,
+    ) -> Self {
+        Self {
+            name,
+            instances,
+            due_ms,
+            max_at_once,
+            down_ms,
+            progress: WaveProgress::default(),
+            down: IndexMap::new(),
+            emptying: IndexSet::new(),
+            not_before_ms: IndexMap::new(),
+        }
+    }
+
+    /// Tells whether the maintenance of every instance that is left has begun.
+    ///
+    /// Instances that aren't listed any more don't count.
+    pub fn is_done(&self, machines: &IndexMap<InstanceName, MachineView>) -> bool {
+        let left = self.instances.iter().filter(|name| machines.contains_key(*name));
+        left.into_iter().all(|name| self.progress.begun.contains(name))
+    }
+
+    /// Decides what is emptied and what is taken down next.
+    pub fn plan(
+        &mut self,
+        machines: &IndexMap<InstanceName, MachineView>,
+        board: &mut Board,
+        now_ms: u64,
+    ) -> Vec<TakeDown> {
+        self.note_back(machines, now_ms);
+        self.note_begun_earlier(machines);
+        self.mark_due(machines, board);
+        self.choose(machines, board, now_ms);
+        let mut calls = Vec::new();
+        for name in self.emptying.clone() {
+            let Some(machine) = machines.get(&name) else {
+                self.emptying.swap_remove(&name);
+                continue;
+            };
+            if let Some(worker) = &machine.worker {
+                board.cordon(worker, true);
+                board.relocate(worker, now_ms);
+            }
+            let is_empty = machine.worker.as_ref().is_none_or(|worker| board.is_empty(worker));
+            let is_paused = self.not_before_ms.get(&name).is_some_and(|at| now_ms < *at);
+            if is_empty && machine.is_up && !is_paused {
+                self.emptying.swap_remove(&name);
+                self.down.insert(name.clone(), now_ms);
+                self.progress.called.insert(name.clone(), machine.worker.clone());
+                calls.push(TakeDown { instance: name, worker: machine.worker.clone() });
+            }
+        }
+        calls
+    }
+
+    /// Notes how a call ended.
+    pub fn taken_down(&mut self, call: &TakeDown, outcome: TakenDown, board: &mut Board, now_ms: u64) {
+        let name = &call.instance;
+        match outcome {
+            TakenDown::Begun => {
+                self.progress.begun.insert(name.clone());
+                self.down.insert(name.clone(), now_ms);
+            }
+            TakenDown::NotDue => {
+                self.progress.begun.insert(name.clone());
+                self.down.swap_remove(name);
+                self.release(call, board);
+            }
+            TakenDown::Refused => {
+                self.down.swap_remove(name);
+                self.not_before_ms.insert(name.clone(), now_ms + AGAIN_MS);
+                self.emptying.insert(name.clone());
+            }
+            // It stays counted as down; the next call tells.
+            TakenDown::Unknown => {
+                self.not_before_ms.insert(name.clone(), now_ms + AGAIN_MS);
+                self.emptying.insert(name.clone());
+            }
+        }
+    }
+
+    fn release(&self, call: &TakeDown, board: &mut Board) {
+        if let Some(worker) = &call.worker {
+            board.cordon(worker, false);
+        }
+    }
+
+    fn note_back(&mut self, machines: &IndexMap<InstanceName, MachineView>, now_ms: u64) {
+        let (called, down_ms) = (&self.progress.called, self.down_ms);
+        self.down.retain(|name, since_ms| {
+            let Some(machine) = machines.get(name) else { return false };
+            let has_new_worker = machine.worker.is_some() && machine.worker != called[name];
+            let is_late = now_ms > *since_ms + down_ms + BACK_AFTER_MS;
+            !(machine.is_up && (has_new_worker || is_late))
+        });
+    }
+
+    /// Takes a called instance with another worker as begun: an earlier
+    /// dispatcher made the call, or its answer was lost.
+    fn note_begun_earlier(&mut self, machines: &IndexMap<InstanceName, MachineView>) {
+        for (name, worker) in &self.progress.called {
+            let Some(machine) = machines.get(name) else { continue };
+            if machine.worker.is_some() && machine.worker != *worker {
+                self.progress.begun.insert(name.clone());
+                self.emptying.swap_remove(name);
+            }
+        }
+    }
+
+    /// Tells the board which workers are still due, so that what lasts is
+    /// placed on others.
+    fn mark_due(&self, machines: &IndexMap<InstanceName, MachineView>, board: &mut Board) {
+        for name in &self.instances {
+            let worker = machines.get(name).and_then(|machine| machine.worker.as_ref());
+            let Some(worker) = worker.and_then(|id| board.workers.get_mut(id)) else { continue };
+            worker.is_due = !self.progress.begun.contains(name);
+        }
+    }
+
+    /// Chooses instances to be emptied, so that the wave is done in time.
+    fn choose(
+        &mut self,
+        machines: &IndexMap<InstanceName, MachineView>,
+        board: &Board,
+        now_ms: u64,
+    ) {
+        let mut waiting: Vec<(bool, u64, &InstanceName)> = Vec::new();
+        for name in &self.instances {
+            let is_taken = self.progress.begun.contains(name)
+                || self.emptying.contains(name)
+                || self.down.contains_key(name);
+            let Some(machine) = machines.get(name).filter(|machine| !is_taken && machine.is_up)
+            else {
+                continue;
+            };
+            let worker = machine.worker.as_ref().and_then(|id| board.workers.get(id));
+            let used = worker.map_or(0, |worker| worker.used.cpu_millis);
+            let has_lasting = machine.worker.as_ref().is_some_and(|id| board.has_lasting(id));
+            waiting.push((has_lasting, used, name));
+        }
+        if waiting.is_empty() {
+            return;
+        }
+        waiting.sort();
+        let left_ms = self.due_ms.saturating_sub(now_ms).max(1) as f64 / HASTE;
+        let each_ms = (EMPTYING_MS + self.down_ms) as f64;
+        let wanted = (waiting.len() as f64 * each_ms / left_ms).ceil() as usize;
+        let wanted = wanted.clamp(1, self.max_at_once.max(1) as usize);
+        let out = self.emptying.len() + self.down.len();
+        let chosen = waiting.iter().take(wanted.saturating_sub(out));
+        let chosen: Vec<InstanceName> = chosen.map(|(_, _, name)| (*name).clone()).collect();
+        self.emptying.extend(chosen);
+    }
+}
--- a/crates/masticfall-core/src/fleet/placing.rs
+++ b/crates/masticfall-core/src/fleet/placing.rs
@@ -40,7 +40,7 @@
 }
 
 /// Order of preference; the smallest is the best.
-type Preference = (bool, bool, bool, u64, u64, u64);
+type Preference = (bool, bool, bool, bool, u64, u64, u64);
 
 fn preference(step: &StepSpec, racks: &[Name], candidate: &Candidate<'_>) -> Preference {
     let worker = candidate.worker;
@@ -61,7 +61,8 @@
     } else {
         (failures, left_over(&free, &step.reserved()))
     };
-    (company.failed_there, is_far, splits_rack, first, second, u64::from(company.same_step))
+    let moves_soon = step.is_long_running && worker.is_due;
+    (company.failed_there, moves_soon, is_far, splits_rack, first, second, u64::from(company.same_step))
 }
 
 /// Returns what would be left of the processor after the placement.
--- a/crates/masticfall-core/src/fleet/worker.rs
+++ b/crates/masticfall-core/src/fleet/worker.rs
@@ -91,6 +91,8 @@
     pub is_listed: bool,
     /// Whether it is kept free of new work, such as before its maintenance.
     pub is_cordoned: bool,
+    /// Whether it is due for maintenance, sooner or later.
+    pub is_due: bool,
     /// Whether the last exchange with it failed.
     pub is_silent: bool,
     /// Life that its ends and runs were read from.
@@ -124,6 +126,7 @@
             facts,
             is_listed: true,
             is_cordoned: false,
+            is_due: false,
             is_silent: false,
             born_wall_ms: None,
             clock: None,
--- /dev/null
+++ b/crates/masticfall-core/tests/suite/fleet_maintenance.rs
@@ -0,0 +1,175 @@
+//! Maintenance waves over a board with tasks that last and plain ones.
+
+use masticfall_core::fleet::board::Order;
+use masticfall_core::fleet::machines::{MachineView, TakeDown, TakenDown, Wave};
+use masticfall_core::fleet::report::RunEnd;
+use masticfall_core::fleet::spec::{StepSpec, TaskKey};
+use masticfall_core::prelude::*;
+
+use crate::fleet_rig::{Listing, Rig, step};
+
+const DOWN_MS: u64 = 2_000;
+const ROUND_MS: u64 = 250;
+
+/// Instances `m0..`, each with a worker that begins another life after maintenance.
+struct Fleet {
+    rig: Rig,
+    machines: IndexMap<InstanceName, MachineView>,
+    back_ms: IndexMap<InstanceName, u64>,
+    lives: u32,
+}
+
+impl Fleet {
+    fn new(count: usize) -> Self {
+        let names: Vec<String> = (0..count).map(|n| format!("w{n}")).collect();
+        let workers: Vec<(&str, u64)> = names.iter().map(|name| (name.as_str(), 16)).collect();
+        let machines = names.iter().enumerate().map(|(n, worker)| {
+            let instance = InstanceName::from(format!("m{n}"));
+            let worker = Some(WorkerId::from(worker.as_str()));
+            (instance.clone(), MachineView { instance, pool: "p".into(), is_up: true, worker })
+        });
+        let machines = machines.collect();
+        Self { rig: Rig::new(&workers), machines, back_ms: IndexMap::new(), lives: 0 }
+    }
+
+    fn is_busy(&self, instance: &InstanceName) -> bool {
+        let worker = self.machines[instance].worker.as_ref();
+        worker.is_some_and(|id| !self.rig.listings[id].running.is_empty())
+    }
+
+    fn take_down(&mut self, instance: &InstanceName) {
+        assert!(!self.is_busy(instance), "{instance} is taken down while it runs something");
+        let worker = self.machines[instance].worker.take().expect("a worker");
+        self.machines[instance].is_up = false;
+        self.rig.listings.swap_remove(&worker);
+        self.rig.board.unlist_worker(&worker);
+        self.back_ms.insert(instance.clone(), self.rig.now_ms + DOWN_MS);
+    }
+
+    fn bring_back(&mut self) {
+        let now_ms = self.rig.now_ms;
+        let back = self.back_ms.iter().filter(|(_, at)| **at <= now_ms);
+        let back: Vec<InstanceName> = back.map(|(name, _)| name.clone()).collect();
+        for instance in back {
+            self.back_ms.swap_remove(&instance);
+            self.lives += 1;
+            let id = format!("life{}", self.lives);
+            self.rig.list(&[(id.as_str(), 16)]);
+            self.rig.listings.insert(WorkerId::from(id.as_str()), Listing::default());
+            self.machines[&instance].worker = Some(WorkerId::from(id));
+            self.machines[&instance].is_up = true;
+        }
+    }
+
+    /// Tasks that last are at work; stops take effect; plain tasks are done now and then.
+    fn work(&mut self) {
+        for listing in self.rig.listings.values_mut() {
+            for run in &mut listing.running {
+                run.percent = 100;
+            }
+        }
+        for order in std::mem::take(&mut self.rig.others) {
+            if let Order::Stop(stop) = order {
+                self.rig.end(&stop.task.to_string(), RunEnd::Stopped);
+            }
+        }
+        self.rig.look_all();
+        self.rig.settle();
+        self.rig.pass(ROUND_MS);
+    }
+
+    fn at_work(&self, job: &JobId, tasks: u32) -> usize {
+        let listed = |index| {
+            let key = TaskKey { job: job.clone(), occurrence: 0, step: 0, index };
+            self.rig.listings.values().any(|l| l.running.iter().any(|run| run.task == key))
+        };
+        (0..tasks).filter(|index| listed(*index)).count()
+    }
+}
+
+fn lasting(tasks: u32) -> StepSpec {
+    StepSpec {
+        is_long_running: true,
+        max_per_worker: 1,
+        max_unavailable: 1,
+        target_tail_ms: 50,
+        ..step(tasks, 3)
+    }
+}
+
+fn play(wave: &mut Wave, fleet: &mut Fleet, max_rounds: usize, fail_first_call: bool) -> usize {
+    let mut most_down = 0;
+    let mut has_failed = !fail_first_call;
+    let job = JobId::from("00000000000000bb");
+    for _ in 0..max_rounds {
+        fleet.bring_back();
+        let now_ms = fleet.rig.now_ms;
+        let calls: Vec<TakeDown> = wave.plan(&fleet.machines, &mut fleet.rig.board, now_ms);
+        for call in calls {
+            let outcome = if has_failed {
+                fleet.take_down(&call.instance);
+                TakenDown::Begun
+            } else {
+                has_failed = true;
+                TakenDown::Refused
+            };
+            wave.taken_down(&call, outcome, &mut fleet.rig.board, now_ms);
+        }
+        most_down = most_down.max(fleet.back_ms.len());
+        fleet.work();
+        assert!(fleet.at_work(&job, 4) >= 3, "more than one task of the step is away");
+        if wave.is_done(&fleet.machines) {
+            break;
+        }
+    }
+    most_down
+}
+
+#[test]
+fn wave_is_done_in_time_within_its_bound_and_the_budget_of_what_lasts() {
+    let mut fleet = Fleet::new(10);
+    fleet.rig.submit("00000000000000bb", vec![lasting(4)]);
+    fleet.rig.settle();
+    fleet.work();
+    let instances = fleet.machines.keys().cloned().collect();
+    let due_ms = fleet.rig.now_ms + 26_000;
+    let mut wave = Wave::new("1".into(), instances, due_ms, 4, DOWN_MS);
+    let most_down = play(&mut wave, &mut fleet, 200, true);
+    assert!(wave.is_done(&fleet.machines));
+    assert!(fleet.rig.now_ms <= due_ms, "done at {} of {due_ms}", fleet.rig.now_ms);
+    assert!((1..=4).contains(&most_down));
+}
+
+#[test]
+fn next_owner_counts_what_was_called_before() {
+    let mut fleet = Fleet::new(3);
+    let instances: Vec<InstanceName> = fleet.machines.keys().cloned().collect();
+    let due_ms = fleet.rig.now_ms + 10_000;
+    let mut wave = Wave::new("1".into(), instances.clone(), due_ms, 3, DOWN_MS);
+    let now_ms = fleet.rig.now_ms;
+    let calls = wave.plan(&fleet.machines, &mut fleet.rig.board, now_ms);
+    assert!(!calls.is_empty());
+    for call in &calls {
+        fleet.take_down(&call.instance);
+    }
+    // The answers are lost with their owner; the progress was stored before the calls.
+    let mut next = Wave::new("1".into(), instances, due_ms, 3, DOWN_MS);
+    next.progress = wave.progress.clone();
+    for _ in 0..12 {
+        fleet.work();
+    }
+    fleet.bring_back();
+    let now_ms = fleet.rig.now_ms;
+    let again = next.plan(&fleet.machines, &mut fleet.rig.board, now_ms);
+    for call in &calls {
+        assert!(!again.iter().any(|c| c.instance == call.instance), "{} twice", call.instance);
+        assert!(next.progress.begun.contains(&call.instance));
+    }
+}
+
+#[test]
+fn instances_that_are_gone_do_not_hold_a_wave_up() {
+    let fleet = Fleet::new(1);
+    let wave = Wave::new("1".into(), vec!["gone".into()], 10_000, 1, DOWN_MS);
+    assert!(wave.is_done(&fleet.machines));
+}
--- a/crates/masticfall-entry/src/fleet.rs
+++ b/crates/masticfall-entry/src/fleet.rs
@@ -9,6 +9,7 @@
 mod follow;
 pub mod jobs;
 mod leadership;
+mod machines;
 pub mod metrics;
 mod notices;
 mod rows;
--- a/crates/masticfall-entry/src/fleet/leadership.rs
+++ b/crates/masticfall-entry/src/fleet/leadership.rs
@@ -22,7 +22,7 @@
 use super::rows::{
     BEAT_KEY, BeatRow, JOBS, LEAD, OWNER_KEY, OwnerRow, PROGRESS, cancelled_job, place, read, value,
 };
-use super::{dispatch, follow};
+use super::{dispatch, follow, machines};
 
 /// Period of the owner's signs of life, in milliseconds.
 const BEAT_MS: u64 = 500;
@@ -212,6 +212,7 @@
     tokio::spawn(dispatch::carry_out(Arc::clone(fleet), epoch));
     tokio::spawn(follow::jobs(Arc::clone(fleet), epoch, jobs_version));
     tokio::spawn(follow::workers(Arc::clone(fleet), epoch));
+    tokio::spawn(machines::run(Arc::clone(fleet), ownership));
     Ok(())
 }
 
