--- a/crates/masticfall-core/src/fleet/board/cordon.rs
+++ b/crates/masticfall-core/src/fleet/board/cordon.rs
@@ -1,9 +1,14 @@
 //! Emptying of workers, such as before maintenance.
 
-use super::{Board, StopReason, TaskState};
+use super::{Board, StopReason, Task, TaskState};
 use crate::fleet::spec::TaskKey;
 use crate::id::WorkerId;
 
+/// Age of a worker's last report after which what ran there no longer counts
+/// as at work, in milliseconds: more than a look may take, and well below the
+/// time from which the platform counts a task as away.
+const HEARD_WITHIN_MS: u64 = 2_500;
+
 /// Progress at which a task that lasts is at work, in percent.
 const AT_WORK_PERCENT: u32 = 100;
 
@@ -36,7 +41,7 @@
         let keys: Vec<TaskKey> =
             worker.placements.iter().filter(|key| self.is_lasting(key)).cloned().collect();
         for key in keys {
-            if self.can_spare(&key) {
+            if self.can_spare(&key, now_ms) {
                 self.stop(&key, StopReason::Maintenance, now_ms);
             }
         }
@@ -48,18 +53,20 @@
     }
 
     /// Tells whether a task is at work and fewer of its step are away than may be.
-    fn can_spare(&self, key: &TaskKey) -> bool {
+    fn can_spare(&self, key: &TaskKey, now_ms: u64) -> bool {
         let Some(job) = self.jobs.get(&key.job) else { return false };
         let Some(task) = job.task(key) else { return false };
-        let away = job.step(key).tasks.iter().filter(|task| !is_at_work(&task.state)).count();
+        let is_away = |task: &&Task| !self.is_at_work(&task.state, now_ms);
+        let away = job.step(key).tasks.iter().filter(is_away).count();
         let may_be_away = job.record.spec.steps[key.step as usize].max_unavailable.max(1);
-        is_at_work(&task.state) && away < may_be_away as usize
+        self.is_at_work(&task.state, now_ms) && away < may_be_away as usize
     }
-}
 
-fn is_at_work(state: &TaskState) -> bool {
-    match state {
-        TaskState::Placed(run) => run.percent >= AT_WORK_PERCENT && run.stop_sent_ms.is_none(),
-        TaskState::Waiting | TaskState::Done => false,
+    fn is_at_work(&self, state: &TaskState, now_ms: u64) -> bool {
+        let TaskState::Placed(run) = state else { return false };
+        let clock = self.workers.get(&run.worker).filter(|w| !w.is_silent).and_then(|w| w.clock);
+        run.percent >= AT_WORK_PERCENT
+            && run.stop_sent_ms.is_none()
+            && clock.is_some_and(|clock| now_ms <= clock.ours_ms + HEARD_WITHIN_MS)
     }
 }
--- a/crates/masticfall-core/src/fleet/board/reports.rs
+++ b/crates/masticfall-core/src/fleet/board/reports.rs
@@ -20,7 +20,8 @@
     pub worker: WorkerId,
     /// Number of the last end that it may forget.
     pub stored_end: u64,
-    /// End of the lease to give, by its clock; none before its clock is known.
+    /// End of the lease to give, by its clock; none before its clock is known
+    /// or while it is silent.
     pub lease_until_theirs_ms: Option<u64>,
 }
 
@@ -29,7 +30,10 @@
     pub fn look(&mut self, id: &WorkerId, now_ms: u64) -> Option<LookRequest> {
         let lease_ms = self.bounds.lease_ms;
         let worker = self.workers.get_mut(id)?;
-        let lease_until_theirs_ms = worker.lease(now_ms, lease_ms);
+        // A silent worker gets no longer lease: whether it takes effect would
+        // not be known, and its tasks would never count as ended.
+        let may_extend = !worker.is_silent;
+        let lease_until_theirs_ms = may_extend.then(|| worker.lease(now_ms, lease_ms)).flatten();
         let stored_end = worker.stored_end;
         Some(LookRequest { worker: id.clone(), stored_end, lease_until_theirs_ms })
     }
--- a/crates/masticfall-core/src/fleet/board/time.rs
+++ b/crates/masticfall-core/src/fleet/board/time.rs
@@ -19,6 +19,7 @@
         self.begin_occurrences(now);
         self.send_again(now.steady_ms);
         self.end_leases(now.steady_ms);
+        self.leave_draining(now.steady_ms);
         // Tasks may have waited for a pause or for a worker's rest to end.
         self.wants_placing = true;
     }
@@ -49,6 +50,9 @@
                     continue;
                 };
                 let OrderState::Unclear(since_ms) = run.order else { continue };
+                if self.workers.get(&run.worker).is_none_or(|worker| worker.is_silent) {
+                    continue;
+                }
                 match run.stop_sent_ms {
                     None if now_ms >= since_ms + ORDER_AGAIN_MS => starts.push((key, run.attempt)),
                     Some(sent_ms) if now_ms >= sent_ms + ORDER_AGAIN_MS => stops.push(key),
@@ -64,6 +68,14 @@
         }
     }
 
+    /// Moves what lasts away from workers that are about to leave.
+    fn leave_draining(&mut self, now_ms: u64) {
+        let draining = self.workers.iter().filter(|(_, worker)| worker.facts.is_draining);
+        for id in draining.map(|(id, _)| id.clone()).collect::<Vec<WorkerId>>() {
+            self.relocate(&id, now_ms);
+        }
+    }
+
     fn end_leases(&mut self, now_ms: u64) {
         let lapsed: Vec<WorkerId> = self
             .workers
--- a/crates/masticfall-core/tests/suite/fleet_maintenance.rs
+++ b/crates/masticfall-core/tests/suite/fleet_maintenance.rs
@@ -173,3 +173,29 @@
     let wave = Wave::new("1".into(), vec!["gone".into()], 10_000, 1, DOWN_MS);
     assert!(wave.is_done(&fleet.machines));
 }
+
+#[test]
+fn what_lasts_stays_while_another_of_its_step_is_on_a_silent_worker() {
+    let mut fleet = Fleet::new(6);
+    fleet.rig.submit("00000000000000bb", vec![lasting(4)]);
+    fleet.rig.settle();
+    fleet.work();
+    fleet.work();
+    let busy: Vec<WorkerId> = fleet
+        .rig
+        .listings
+        .iter()
+        .filter(|(_, listing)| !listing.running.is_empty())
+        .map(|(id, _)| id.clone())
+        .collect();
+    let (silent, other) = (busy[0].clone(), busy[1].clone());
+    // Nobody has told yet that the worker is silent: its last report is old.
+    fleet.rig.listings.swap_remove(&silent);
+    for _ in 0..11 {
+        fleet.work();
+    }
+    let now_ms = fleet.rig.now_ms;
+    fleet.rig.board.cordon(&other, true);
+    fleet.rig.board.relocate(&other, now_ms);
+    assert!(fleet.rig.board.take_orders().is_empty(), "one of the step is away already");
+}
