Instances follow demand between pools; standby in use; what lasts is packed and goes first

Change: fleet/pools.rs sizes pools by what is placed, waits in time, or arrived in the last second; empty instances move, from standby first, and rest there when a pool has too many for 1.5 s. Tasks that last are packed on few workers.

--- a/crates/masticfall-core/src/fleet.rs
+++ b/crates/masticfall-core/src/fleet.rs
@@ -10,6 +10,7 @@
 pub mod machines;
 pub mod pacing;
 pub mod placing;
+pub mod pools;
 pub mod progress;
 pub mod report;
 pub mod spec;
--- a/crates/masticfall-core/src/fleet/admission.rs
+++ b/crates/masticfall-core/src/fleet/admission.rs
@@ -10,8 +10,11 @@
 /// Order in which jobs get workers; the smallest goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
-    /// Whether the objective can no longer be met.
+    /// Whether it is neither lasting work nor can still meet its objective.
+    /// What lasts goes first: it earns as long as it runs, and takes little.
     pub is_late: bool,
+    /// Whether it ends by itself.
+    pub ends: bool,
     /// The queue's priority.
     pub priority: u32,
     /// When the objective ends, by our clock.
@@ -23,7 +26,9 @@
     (queue.stretch * spec.longest_chain_ms() as f64) as u64 + queue.target_ms
 }
 
-/// Ranks a job that needs `remaining_ms` on a free worker.
-pub fn rank(queue: &QueueConfig, due_ms: u64, remaining_ms: u64, now_ms: u64) -> Rank {
-    Rank { is_late: now_ms + remaining_ms > due_ms, priority: queue.priority, due_ms }
+/// Ranks a job that needs `remaining_ms` on a free worker; one that `lasts`
+/// has no objective to miss.
+pub fn rank(queue: &QueueConfig, lasts: bool, due_ms: u64, remaining_ms: u64, now_ms: u64) -> Rank {
+    let is_late = !lasts && now_ms + remaining_ms > due_ms;
+    Rank { is_late, ends: !lasts, priority: queue.priority, due_ms }
 }
--- a/crates/masticfall-core/src/fleet/board.rs
+++ b/crates/masticfall-core/src/fleet/board.rs
@@ -7,6 +7,7 @@
 //! lease is over.
 
 mod cordon;
+mod demand;
 mod job;
 mod place;
 mod reports;
@@ -232,6 +233,7 @@
     bounds: BoardBounds,
     /// Time until which tasks on workers that nobody lists may be running.
     foreign_lease_until_ms: u64,
+    arrivals: demand::Arrivals,
     dirty: IndexSet<JobId>,
     /// Jobs that ended under this ownership, so that a late announcement of
     /// their acceptance doesn't run them again.
@@ -254,6 +256,7 @@
             config: None,
             bounds,
             foreign_lease_until_ms: now_ms + tail_ms + drift_ms + super::worker::LEASE_SLACK_MS,
+            arrivals: demand::Arrivals::default(),
             dirty: IndexSet::new(),
             ended: IndexSet::new(),
             orders: Vec::new(),
@@ -313,6 +316,10 @@
 
     /// Adds a job that was just accepted.
     pub fn accept(&mut self, id: &JobId, record: JobRecord, now: Now) {
+        if self.jobs.contains_key(id) || self.ended.contains(id) {
+            return;
+        }
+        self.note_arrival(&record, now.steady_ms);
         self.load(id, JobRow::Active(record), None, now);
     }
 
--- /dev/null
+++ b/crates/masticfall-core/src/fleet/board/demand.rs
@@ -0,0 +1,78 @@
+//! What is asked of each pool.
+
+use std::collections::VecDeque;
+
+use indexmap::IndexMap;
+
+use super::{Board, TaskState};
+use crate::fleet::pools::PoolDemand;
+use crate::fleet::spec::JobRecord;
+use crate::id::PoolName;
+
+/// Time over which arrivals are counted, in milliseconds: short enough to see a
+/// burst before its first jobs are late.
+const ARRIVALS_MS: u64 = 1_000;
+
+/// Work that arrived lately.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Arrivals(IndexMap<PoolName, VecDeque<(u64, u64)>>);
+
+impl Arrivals {
+    fn add(&mut self, pool: &PoolName, now_ms: u64, core_ms: u64) {
+        self.0.entry(pool.clone()).or_default().push_back((now_ms, core_ms));
+    }
+
+    /// Returns the mean of the work that arrived, in thousandths of a core.
+    fn offered_millis(&mut self, pool: &PoolName, now_ms: u64) -> u64 {
+        let Some(arrivals) = self.0.get_mut(pool) else { return 0 };
+        while arrivals.front().is_some_and(|(at, _)| at + ARRIVALS_MS < now_ms) {
+            arrivals.pop_front();
+        }
+        let core_ms: u64 = arrivals.iter().map(|(_, core_ms)| core_ms).sum();
+        core_ms * 1_000 / ARRIVALS_MS
+    }
+}
+
+impl Board {
+    /// Counts a job that was just accepted towards its pool's arrivals.
+    pub(super) fn note_arrival(&mut self, record: &JobRecord, now_ms: u64) {
+        let config = self.config.as_ref();
+        if let Some(queue) = config.and_then(|config| config.queues.get(&record.queue)) {
+            self.arrivals.add(&queue.pool, now_ms, record.spec.work_core_ms());
+        }
+    }
+
+    /// Returns what is asked of each pool.
+    pub fn pool_demand(&self, now_ms: u64) -> IndexMap<PoolName, PoolDemand> {
+        let mut demands: IndexMap<PoolName, PoolDemand> = IndexMap::new();
+        let Some(config) = &self.config else { return demands };
+        for job in self.jobs.values() {
+            let Some(queue) = config.queues.get(&job.record.queue) else { continue };
+            let demand = demands.entry(queue.pool.clone()).or_default();
+            let can_wait = job.phase.is_final() || now_ms + job.remaining_ms() > job.due_ms;
+            let is_lasting = job.record.spec.is_long_running();
+            for (number, occurrence) in &job.occurrences {
+                for (index, step) in occurrence.steps.iter().enumerate() {
+                    let millis = step.spec_reserved.cpu_millis;
+                    let placed =
+                        step.tasks.iter().filter(|t| matches!(t.state, TaskState::Placed(_)));
+                    let placed_millis = placed.count() as u64 * millis;
+                    demand.placed_millis += placed_millis;
+                    if is_lasting {
+                        demand.lasting_millis += placed_millis;
+                    }
+                    if (!can_wait || is_lasting) && job.is_unlocked(*number, index) {
+                        let waiting = step.tasks.iter().filter(|t| t.state == TaskState::Waiting);
+                        demand.waiting_millis += waiting.count() as u64 * millis;
+                    }
+                }
+            }
+        }
+        let mut arrivals = self.arrivals.clone();
+        for queue in config.queues.values() {
+            let demand = demands.entry(queue.pool.clone()).or_default();
+            demand.offered_millis = arrivals.offered_millis(&queue.pool, now_ms);
+        }
+        demands
+    }
+}
--- a/crates/masticfall-core/src/fleet/board/place.rs
+++ b/crates/masticfall-core/src/fleet/board/place.rs
@@ -30,7 +30,8 @@
         let mut pools: IndexMap<PoolName, Vec<(Rank, JobId)>> = IndexMap::new();
         for (id, job) in self.jobs.iter().filter(|(_, job)| job.has_waiting()) {
             let Some(queue) = config.queues.get(&job.record.queue) else { continue };
-            let rank = rank(queue, job.due_ms, job.remaining_ms(), now_ms);
+            let lasts = job.record.spec.is_long_running();
+            let rank = rank(queue, lasts, job.due_ms, job.remaining_ms(), now_ms);
             pools.entry(queue.pool.clone()).or_default().push((rank, id.clone()));
         }
         for (pool, mut waiting) in pools {
@@ -188,6 +189,7 @@
             let step = &spec.steps[other.step as usize];
             company.serving += u32::from(step.target_tail_ms > 0);
             company.fillers += u32::from(step.is_filler);
+            company.lasting += u32::from(step.is_long_running);
         }
         company
     }
--- a/crates/masticfall-core/src/fleet/machines.rs
+++ b/crates/masticfall-core/src/fleet/machines.rs
@@ -34,6 +34,8 @@
     pub pool: PoolName,
     /// Whether it is up, neither moving nor in maintenance nor down.
     pub is_up: bool,
+    /// What it offers, in thousandths of a core.
+    pub capacity_millis: u64,
     /// Its worker, if it has one.
     pub worker: Option<WorkerId>,
 }
@@ -42,9 +44,9 @@
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct WaveProgress {
     /// Instances whose maintenance has begun, or which don't belong to the wave.
+    /// Only the provider's own answer counts: a worker may be another one for
+    /// many reasons.
     pub begun: IndexSet<InstanceName>,
-    /// Instances that a call was made for, with their worker at that time.
-    pub called: IndexMap<InstanceName, Option<WorkerId>>,
 }
 
 /// A wave in progress.
@@ -62,8 +64,9 @@
     pub down_ms: u64,
     /// Progress that is stored.
     pub progress: WaveProgress,
-    /// Instances that are down by a call of ours, with the time of the call.
-    down: IndexMap<InstanceName, u64>,
+    /// Instances that are down by a call of ours, with the time of the call and
+    /// their worker at that time.
+    down: IndexMap<InstanceName, (u64, Option<WorkerId>)>,
     /// Instances being emptied.
     emptying: IndexSet<InstanceName>,
     /// Time before which an instance isn't called again.
@@ -114,6 +117,11 @@
         }
     }
 
+    /// Tells whether an instance is being emptied or is down for this wave.
+    pub fn is_out(&self, instance: &InstanceName) -> bool {
+        self.emptying.contains(instance) || self.down.contains_key(instance)
+    }
+
     /// Tells whether the maintenance of every instance that is left has begun.
     ///
     /// Instances that aren't listed any more don't count.
@@ -130,7 +138,6 @@
         now_ms: u64,
     ) -> Vec<TakeDown> {
         self.note_back(machines, now_ms);
-        self.note_begun_earlier(machines);
         self.mark_due(machines, board);
         self.choose(machines, board, now_ms);
         let mut calls = Vec::new();
@@ -147,8 +154,7 @@
             let is_paused = self.not_before_ms.get(&name).is_some_and(|at| now_ms < *at);
             if is_empty && machine.is_up && !is_paused {
                 self.emptying.swap_remove(&name);
-                self.down.insert(name.clone(), now_ms);
-                self.progress.called.insert(name.clone(), machine.worker.clone());
+                self.down.insert(name.clone(), (now_ms, machine.worker.clone()));
                 calls.push(TakeDown { instance: name, worker: machine.worker.clone() });
             }
         }
@@ -156,12 +162,18 @@
     }
 
     /// Notes how a call ended.
-    pub fn taken_down(&mut self, call: &TakeDown, outcome: TakenDown, board: &mut Board, now_ms: u64) {
+    pub fn taken_down(
+        &mut self,
+        call: &TakeDown,
+        outcome: TakenDown,
+        board: &mut Board,
+        now_ms: u64,
+    ) {
         let name = &call.instance;
         match outcome {
             TakenDown::Begun => {
                 self.progress.begun.insert(name.clone());
-                self.down.insert(name.clone(), now_ms);
+                self.down.insert(name.clone(), (now_ms, call.worker.clone()));
             }
             TakenDown::NotDue => {
                 self.progress.begun.insert(name.clone());
@@ -188,27 +200,15 @@
     }
 
     fn note_back(&mut self, machines: &IndexMap<InstanceName, MachineView>, now_ms: u64) {
-        let (called, down_ms) = (&self.progress.called, self.down_ms);
-        self.down.retain(|name, since_ms| {
+        let down_ms = self.down_ms;
+        self.down.retain(|name, (since_ms, worker)| {
             let Some(machine) = machines.get(name) else { return false };
-            let has_new_worker = machine.worker.is_some() && machine.worker != called[name];
+            let has_new_worker = machine.worker.is_some() && machine.worker != *worker;
             let is_late = now_ms > *since_ms + down_ms + BACK_AFTER_MS;
             !(machine.is_up && (has_new_worker || is_late))
         });
     }
 
-    /// Takes a called instance with another worker as begun: an earlier
-    /// dispatcher made the call, or its answer was lost.
-    fn note_begun_earlier(&mut self, machines: &IndexMap<InstanceName, MachineView>) {
-        for (name, worker) in &self.progress.called {
-            let Some(machine) = machines.get(name) else { continue };
-            if machine.worker.is_some() && machine.worker != *worker {
-                self.progress.begun.insert(name.clone());
-                self.emptying.swap_remove(name);
-            }
-        }
-    }
-
     /// Tells the board which workers are still due, so that what lasts is
     /// placed on others.
     fn mark_due(&self, machines: &IndexMap<InstanceName, MachineView>, board: &mut Board) {
@@ -248,7 +248,13 @@
         let each_ms = (EMPTYING_MS + self.down_ms) as f64;
         let wanted = (waiting.len() as f64 * each_ms / left_ms).ceil() as usize;
         let wanted = wanted.clamp(1, self.max_at_once.max(1) as usize);
-        let out = self.emptying.len() + self.down.len();
+        let is_away = |name: &&InstanceName| {
+            let is_up = machines.get(*name).is_none_or(|machine| machine.is_up);
+            !is_up && !self.emptying.contains(*name) && !self.down.contains_key(*name)
+        };
+        // An earlier owner may have taken instances down.
+        let away = self.instances.iter().filter(is_away).count();
+        let out = self.emptying.len() + self.down.len() + away;
         let chosen = waiting.iter().take(wanted.saturating_sub(out));
         let chosen: Vec<InstanceName> = chosen.map(|(_, _, name)| (*name).clone()).collect();
         self.emptying.extend(chosen);
--- a/crates/masticfall-core/src/fleet/placing.rs
+++ b/crates/masticfall-core/src/fleet/placing.rs
@@ -16,6 +16,8 @@
     pub same_step: u32,
     /// Tasks on it that serve users.
     pub serving: u32,
+    /// Tasks on it that last.
+    pub lasting: u32,
     /// Fillers on it.
     pub fillers: u32,
     /// Whether the task failed there before.
@@ -58,11 +60,22 @@
     } else if step.is_filler {
         let crowd = u64::from(company.serving) * 2 + u64::from(company.fillers);
         (crowd, u64::MAX - free.cpu_millis)
+    } else if step.is_long_running {
+        // Together, so that other workers stay free to move.
+        (u64::from(company.lasting == 0), left_over(&free, &step.reserved()))
     } else {
         (failures, left_over(&free, &step.reserved()))
     };
     let moves_soon = step.is_long_running && worker.is_due;
-    (company.failed_there, moves_soon, is_far, splits_rack, first, second, u64::from(company.same_step))
+    (
+        company.failed_there,
+        moves_soon,
+        is_far,
+        splits_rack,
+        first,
+        second,
+        u64::from(company.same_step),
+    )
 }
 
 /// Returns what would be left of the processor after the placement.
--- /dev/null
+++ b/crates/masticfall-core/src/fleet/pools.rs
@@ -0,0 +1,322 @@
+//! Which instances to move between pools.
+//!
+//! Load answered: queues that peak in turn, each for some seconds, with more
+//! than its own pool holds, and want almost nothing in between. Instances follow
+//! the demand, and rest in a standby pool, where they cost nothing, while
+//! nobody needs them. Only empty instances move, so that nothing is cut.
+
+use indexmap::{IndexMap, IndexSet};
+
+use super::board::Board;
+use super::config::FleetConfig;
+use super::machines::MachineView;
+use crate::id::{InstanceName, PoolName, WorkerId};
+
+/// Share of a pool's processors that is filled when it counts as full; the rest
+/// is lost to the sizes of tasks.
+const FILL: f64 = 0.88;
+
+/// Free instances that each pool keeps for what comes before others arrive.
+const SPARE_INSTANCES: u64 = 2;
+
+/// Time for which a pool has to have instances too many before one is put on
+/// standby, in milliseconds: about what a move there and back costs, in
+/// seconds of an instance in a pool.
+const SURPLUS_MS: u64 = 1_500;
+
+/// Time after which a move without a visible effect is given up, in
+/// milliseconds: a call without an answer may be carried out 12 s later.
+const GIVE_UP_MS: u64 = 13_000;
+
+/// Most moves that are begun in one round.
+const MOVES_PER_ROUND: usize = 12;
+
+/// What a pool is asked for, in thousandths of a core.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct PoolDemand {
+    /// Placed on its workers.
+    pub placed_millis: u64,
+    /// Of that, by tasks that last.
+    pub lasting_millis: u64,
+    /// Waiting, of jobs that can still meet their objective.
+    pub waiting_millis: u64,
+    /// What recent arrivals need when they go on.
+    pub offered_millis: u64,
+}
+
+impl PoolDemand {
+    /// Returns what the pool should hold.
+    fn wanted_millis(&self) -> u64 {
+        let now = self.placed_millis + self.waiting_millis;
+        let soon = self.offered_millis + self.lasting_millis;
+        (now.max(soon) as f64 / FILL) as u64
+    }
+}
+
+/// A call to move an instance.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MoveCall {
+    /// The instance.
+    pub instance: InstanceName,
+    /// Its worker.
+    pub worker: Option<WorkerId>,
+    /// Pool it leaves.
+    pub from: PoolName,
+    /// Pool it joins.
+    pub to: PoolName,
+}
+
+/// How a call to move an instance ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Moved {
+    /// The move has begun.
+    Begun,
+    /// Nothing was done.
+    Refused,
+    /// The instance can't join that pool.
+    NotAllowed,
+    /// It may have begun.
+    Unknown,
+}
+
+#[derive(Debug, Clone)]
+struct Moving {
+    to: PoolName,
+    since_ms: u64,
+    worker: Option<WorkerId>,
+}
+
+/// Moves in progress, and what was learned from earlier ones.
+#[derive(Debug, Clone, Default)]
+pub struct PoolPlanner {
+    moving: IndexMap<InstanceName, Moving>,
+    surplus_since_ms: IndexMap<PoolName, u64>,
+    not_allowed: IndexSet<(InstanceName, PoolName)>,
+}
+
+/// A pool with its members.
+#[derive(Debug, Default)]
+struct PoolState {
+    wanted_millis: u64,
+    held_millis: u64,
+    /// Members that nothing runs on, with what each offers.
+    empty: Vec<(InstanceName, u64)>,
+    is_standby: bool,
+}
+
+impl PoolState {
+    fn lack_millis(&self) -> u64 {
+        if self.is_standby { 0 } else { self.wanted_millis.saturating_sub(self.held_millis) }
+    }
+
+    fn can_give(&self, millis: u64) -> bool {
+        self.is_standby || self.held_millis >= self.wanted_millis + millis
+    }
+}
+
+impl PoolPlanner {
+    /// Decides the moves of this round; the workers of the instances to be moved
+    /// are cordoned. `is_taken` names instances that are due for something else.
+    pub fn plan(
+        &mut self,
+        machines: &IndexMap<InstanceName, MachineView>,
+        is_taken: impl Fn(&InstanceName) -> bool,
+        board: &mut Board,
+        config: &FleetConfig,
+        now_ms: u64,
+    ) -> Vec<MoveCall> {
+        self.note_arrived(machines, board, now_ms);
+        let mut pools = self.pools(machines, is_taken, board, config, now_ms);
+        let mut calls = Vec::new();
+        while calls.len() < MOVES_PER_ROUND {
+            let Some(call) = self.next_move(&mut pools, machines) else { break };
+            calls.push(call);
+        }
+        calls.extend(self.to_standby(&mut pools, machines, now_ms));
+        for call in &calls {
+            let (to, worker) = (call.to.clone(), call.worker.clone());
+            if let Some(worker) = &worker {
+                board.cordon(worker, true);
+            }
+            self.moving.insert(call.instance.clone(), Moving { to, since_ms: now_ms, worker });
+        }
+        calls
+    }
+
+    /// Notes how a call ended.
+    pub fn moved(&mut self, call: &MoveCall, outcome: Moved, board: &mut Board) {
+        match outcome {
+            Moved::Begun | Moved::Unknown => return,
+            Moved::NotAllowed => {
+                self.not_allowed.insert((call.instance.clone(), call.to.clone()));
+            }
+            Moved::Refused => {}
+        }
+        self.moving.swap_remove(&call.instance);
+        if let Some(worker) = &call.worker {
+            board.cordon(worker, false);
+        }
+    }
+
+    /// Tells whether an instance is being moved.
+    pub fn is_moving(&self, instance: &InstanceName) -> bool {
+        self.moving.contains_key(instance)
+    }
+
+    fn note_arrived(
+        &mut self,
+        machines: &IndexMap<InstanceName, MachineView>,
+        board: &mut Board,
+        now_ms: u64,
+    ) {
+        self.moving.retain(|name, moving| {
+            let Some(machine) = machines.get(name) else { return false };
+            let is_there = machine.is_up && machine.pool == moving.to;
+            let is_given_up = now_ms > moving.since_ms + GIVE_UP_MS;
+            if is_given_up
+                && !is_there
+                && let Some(worker) = &moving.worker
+            {
+                board.cordon(worker, false);
+            }
+            !is_there && !is_given_up
+        });
+    }
+
+    fn pools(
+        &self,
+        machines: &IndexMap<InstanceName, MachineView>,
+        is_taken: impl Fn(&InstanceName) -> bool,
+        board: &Board,
+        config: &FleetConfig,
+        now_ms: u64,
+    ) -> IndexMap<PoolName, PoolState> {
+        let demand = board.pool_demand(now_ms);
+        let mut pools: IndexMap<PoolName, PoolState> = IndexMap::new();
+        for (name, pool) in &config.pools {
+            let wanted_millis = demand.get(name).map_or(0, PoolDemand::wanted_millis);
+            let is_standby = pool.is_standby;
+            let state = PoolState { wanted_millis, is_standby, ..PoolState::default() };
+            pools.insert(name.clone(), state);
+        }
+        let mut largest: IndexMap<PoolName, u64> = IndexMap::new();
+        for (name, machine) in machines {
+            let millis = machine.capacity_millis;
+            if let Some(moving) = self.moving.get(name) {
+                if let Some(pool) = pools.get_mut(&moving.to) {
+                    pool.held_millis += millis;
+                }
+                continue;
+            }
+            let Some(pool) = pools.get_mut(&machine.pool) else { continue };
+            if !machine.is_up || is_taken(name) {
+                continue;
+            }
+            let worker = machine.worker.as_ref().and_then(|id| board.workers.get(id));
+            let is_sound = worker.is_some_and(|worker| worker.takes_work(now_ms));
+            if is_sound || pool.is_standby {
+                pool.held_millis += millis;
+                let is_empty = worker.is_none_or(|worker| worker.placements.is_empty());
+                if is_empty {
+                    pool.empty.push((name.clone(), millis));
+                }
+            }
+            let most = largest.entry(machine.pool.clone()).or_default();
+            *most = (*most).max(millis);
+        }
+        for (name, pool) in pools.iter_mut().filter(|(_, pool)| !pool.is_standby) {
+            pool.wanted_millis += SPARE_INSTANCES * largest.get(name).copied().unwrap_or_default();
+        }
+        pools
+    }
+
+    /// Gives the pool that lacks most the best donor's instance.
+    fn next_move(
+        &self,
+        pools: &mut IndexMap<PoolName, PoolState>,
+        machines: &IndexMap<InstanceName, MachineView>,
+    ) -> Option<MoveCall> {
+        let mut lacking: Vec<(u64, PoolName)> = pools
+            .iter()
+            .filter(|(_, pool)| pool.lack_millis() > 0)
+            .map(|(name, pool)| (pool.lack_millis(), name.clone()))
+            .collect();
+        lacking.sort();
+        for (_, to) in lacking.into_iter().rev() {
+            if let Some((from, instance, millis)) = self.donor(pools, &to) {
+                take(pools, &from, &instance, millis);
+                pools[&to].held_millis += millis;
+                let worker = machines[&instance].worker.clone();
+                return Some(MoveCall { instance, worker, from, to });
+            }
+        }
+        None
+    }
+
+    /// Returns an empty instance that a pool can spare, from standby first.
+    fn donor(
+        &self,
+        pools: &IndexMap<PoolName, PoolState>,
+        to: &PoolName,
+    ) -> Option<(PoolName, InstanceName, u64)> {
+        let mut best: Option<((bool, u64), PoolName, InstanceName, u64)> = None;
+        for (from, pool) in pools.iter().filter(|(from, _)| *from != to) {
+            let allowed = |(instance, _): &&(InstanceName, u64)| {
+                !self.not_allowed.contains(&(instance.clone(), to.clone()))
+            };
+            let Some((instance, millis)) = pool.empty.iter().find(allowed) else { continue };
+            if !pool.can_give(*millis) {
+                continue;
+            }
+            let rank = (pool.is_standby, pool.held_millis.saturating_sub(pool.wanted_millis));
+            if best.as_ref().is_none_or(|(other, ..)| *other < rank) {
+                best = Some((rank, from.clone(), instance.clone(), *millis));
+            }
+        }
+        best.map(|(_, from, instance, millis)| (from, instance, millis))
+    }
+
+    /// Puts instances on standby that their pools had too many of for some time.
+    fn to_standby(
+        &mut self,
+        pools: &mut IndexMap<PoolName, PoolState>,
+        machines: &IndexMap<InstanceName, MachineView>,
+        now_ms: u64,
+    ) -> Vec<MoveCall> {
+        let standby = pools.iter().find(|(_, pool)| pool.is_standby).map(|(name, _)| name.clone());
+        let Some(to) = standby else { return Vec::new() };
+        let mut calls = Vec::new();
+        let names: Vec<PoolName> = pools.keys().filter(|name| **name != to).cloned().collect();
+        for from in names {
+            let spare =
+                pools[&from].empty.iter().find(|(_, millis)| pools[&from].can_give(*millis));
+            let Some((_, millis)) = spare.cloned() else {
+                self.surplus_since_ms.swap_remove(&from);
+                continue;
+            };
+            let since_ms = *self.surplus_since_ms.entry(from.clone()).or_insert(now_ms);
+            if now_ms < since_ms + SURPLUS_MS {
+                continue;
+            }
+            while pools[&from].can_give(millis) && calls.len() < MOVES_PER_ROUND {
+                let Some((instance, millis)) = pools[&from].empty.last().cloned() else { break };
+                take(pools, &from, &instance, millis);
+                let worker = machines[&instance].worker.clone();
+                let (from, to) = (from.clone(), to.clone());
+                calls.push(MoveCall { instance, worker, from, to });
+            }
+        }
+        calls
+    }
+}
+
+fn take(
+    pools: &mut IndexMap<PoolName, PoolState>,
+    from: &PoolName,
+    instance: &InstanceName,
+    millis: u64,
+) {
+    let pool = &mut pools[from];
+    pool.held_millis = pool.held_millis.saturating_sub(millis);
+    pool.empty.retain(|(name, _)| name != instance);
+}
--- a/crates/masticfall-core/tests/suite/main.rs
+++ b/crates/masticfall-core/tests/suite/main.rs
@@ -6,6 +6,7 @@
 mod escrow;
 mod fleet_leases;
 mod fleet_maintenance;
+mod fleet_order;
 mod fleet_rig;
 mod fleet_takeover;
 mod guard;
--- a/crates/masticfall-entry/src/fleet/leadership.rs
+++ b/crates/masticfall-entry/src/fleet/leadership.rs
@@ -20,7 +20,8 @@
 
 use super::context::{Fleet, FleetPhase, Ownership};
 use super::rows::{
-    BEAT_KEY, BeatRow, JOBS, LEAD, OWNER_KEY, OwnerRow, PROGRESS, cancelled_job, place, read, value,
+    BEAT_KEY, BeatRow, JOBS, LEAD, OWNER_KEY, OwnerRow, PROGRESS, PROOF, cancelled_job, place,
+    read, value,
 };
 use super::{dispatch, follow, machines};
 
@@ -316,6 +317,15 @@
     }
 }
 
+/// Proves by a write that this process owns the cell; `false` when it doesn't.
+///
+/// # Errors
+/// The platform's failure.
+pub async fn prove(fleet: &Fleet, ownership: Ownership) -> Result<bool> {
+    let row = value(&ownership.epoch)?;
+    write(fleet, ownership, vec![(place(PROOF, OWNER_KEY), Some(row))]).await
+}
+
 /// Hands the cell over to whoever is first, before this process stops.
 pub async fn hand_over(fleet: &Fleet) {
     let Some(ownership) = fleet.shared().ownership else { return };
--- a/crates/masticfall-entry/src/fleet/machines.rs
+++ b/crates/masticfall-entry/src/fleet/machines.rs
@@ -1,4 +1,4 @@
-//! Maintenance waves, carried out by the cell's owner.
+//! Maintenance waves and moves between pools, carried out by the cell's owner.
 //!
 //! Instances have no fencing of their own on some platforms, so calls about
 //! them rest on time: a new owner waits for a lease's length before its first
@@ -9,6 +9,7 @@
 
 use indexmap::IndexMap;
 use masticfall_core::fleet::machines::{MachineView, TakeDown, TakenDown, Wave, WaveProgress};
+use masticfall_core::fleet::pools::{MoveCall, Moved, PoolPlanner};
 use masticfall_core::id::{InstanceName, Name, WaveName};
 use masticfall_platform::Result;
 use masticfall_platform::fleet::{Machine, MachineCall, MachineOutcome, MachineState};
@@ -38,8 +39,10 @@
     sleep(Duration::from_millis(fleet.settings.machine_lease_ms + LEASE_MARGIN_MS)).await;
     let mut waves: IndexMap<WaveName, Wave> = IndexMap::new();
     let mut finished: Vec<WaveName> = Vec::new();
+    let mut planner = PoolPlanner::default();
     while fleet.shared().ownership == Some(ownership) {
-        if let Err(error) = round(&fleet, ownership, &mut waves, &mut finished).await {
+        let done = round(&fleet, ownership, &mut waves, &mut finished, &mut planner).await;
+        if let Err(error) = done {
             tracing::warn!(name: "wave.round_failed", %error, "trying again");
         }
         sleep(Duration::from_millis(ROUND_MS)).await;
@@ -51,11 +54,9 @@
     ownership: Ownership,
     waves: &mut IndexMap<WaveName, Wave>,
     finished: &mut Vec<WaveName>,
+    planner: &mut PoolPlanner,
 ) -> Result<()> {
     begin_waves(fleet, waves, finished).await?;
-    if waves.is_empty() {
-        return Ok(());
-    }
     let machines = views((fleet.platform.machines)(()).await?);
     for wave in waves.values_mut() {
         advance(fleet, ownership, wave, &machines).await?;
@@ -66,9 +67,66 @@
         }
     }
     waves.retain(|name, _| !finished.contains(name));
+    move_instances(fleet, ownership, waves, planner, &machines).await
+}
+
+async fn move_instances(
+    fleet: &Arc<Fleet>,
+    ownership: Ownership,
+    waves: &IndexMap<WaveName, Wave>,
+    planner: &mut PoolPlanner,
+    machines: &IndexMap<InstanceName, MachineView>,
+) -> Result<()> {
+    let Some(config) = fleet.config() else { return Ok(()) };
+    let epoch = ownership.epoch;
+    let now_ms = fleet.now_ms();
+    let is_taken = |name: &InstanceName| waves.values().any(|wave| wave.is_out(name));
+    let calls =
+        fleet.with_board(epoch, |board| planner.plan(machines, is_taken, board, &config, now_ms));
+    let calls = calls.unwrap_or_default();
+    if calls.is_empty() {
+        return Ok(());
+    }
+    // The write proves that nobody else owns the cell.
+    let proven = leadership::prove(fleet, ownership).await;
+    if !matches!(proven, Ok(true)) {
+        for call in &calls {
+            fleet.with_board(epoch, |board| planner.moved(call, Moved::Refused, board));
+        }
+        return proven.map(drop);
+    }
+    let asked = calls.iter().map(|call| move_instance(fleet, ownership, call));
+    let outcomes = futures_util::future::join_all(asked).await;
+    for (call, outcome) in calls.iter().zip(outcomes) {
+        let MoveCall { instance, from, to, .. } = call;
+        tracing::info!(name: "pool.move", epoch, %instance, %from, %to, ?outcome, "asked to move an instance");
+        fleet.with_board(epoch, |board| planner.moved(call, outcome, board));
+    }
     Ok(())
 }
 
+async fn move_instance(fleet: &Fleet, ownership: Ownership, call: &MoveCall) -> Moved {
+    let change = MachineCall {
+        instance: call.instance.clone(),
+        pool: Some(call.to.clone()),
+        wave: None,
+        holder: Name::clone(fleet.who.name()),
+        fencing_token: ownership.epoch,
+    };
+    match (fleet.platform.change_machine)(change).await {
+        Ok(MachineOutcome::Done) => Moved::Begun,
+        Ok(MachineOutcome::Invalid | MachineOutcome::NotInWave) => Moved::NotAllowed,
+        Ok(MachineOutcome::Busy | MachineOutcome::Limited | MachineOutcome::Fenced) => {
+            Moved::Refused
+        }
+        Ok(MachineOutcome::Unknown) => Moved::Unknown,
+        Err(error) => {
+            tracing::warn!(name: "pool.call_failed", instance = %call.instance, %error, "not sent");
+            Moved::Refused
+        }
+    }
+}
+
 /// Takes in waves that were announced, with the progress of earlier owners.
 async fn begin_waves(
     fleet: &Fleet,
@@ -85,8 +143,7 @@
     for (plan, seen_ms) in new {
         let due_ms = seen_ms + plan.finish_within_ms;
         let name = plan.wave;
-        let mut wave =
-            Wave::new(name.clone(), plan.instances, due_ms, plan.max_at_once, DOWN_MS);
+        let mut wave = Wave::new(name.clone(), plan.instances, due_ms, plan.max_at_once, DOWN_MS);
         let key = wave_key(&name);
         let row = rows.iter().find(|row| *row.key == *key).and_then(|row| row.value.as_deref());
         if let Some(bytes) = row {
@@ -101,8 +158,9 @@
 fn views(machines: Vec<Machine>) -> IndexMap<InstanceName, MachineView> {
     let views = machines.into_iter().map(|machine| {
         let is_up = machine.state == MachineState::Up;
-        let Machine { instance, pool, worker, .. } = machine;
-        (instance.clone(), MachineView { instance, pool, is_up, worker })
+        let Machine { instance, pool, worker, capacity, .. } = machine;
+        let capacity_millis = capacity.cpu_millis;
+        (instance.clone(), MachineView { instance, pool, is_up, capacity_millis, worker })
     });
     views.collect()
 }
--- a/crates/masticfall-entry/src/fleet/rows.rs
+++ b/crates/masticfall-entry/src/fleet/rows.rs
@@ -27,6 +27,9 @@
 /// Key of the sign of life of a cell's owner.
 pub const BEAT_KEY: &str = "beat";
 
+/// Table of a row that is written only to prove the ownership; nobody follows it.
+pub const PROOF: &str = "proof";
+
 /// Who owns a cell.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OwnerRow {
