--- a/crates/masticfall-entry/src/fleet/context.rs
+++ b/crates/masticfall-entry/src/fleet/context.rs
@@ -64,6 +64,8 @@
     pub platform: FleetPlatform,
     /// This start of the process.
     pub who: Incarnation,
+    /// When the process started, by our clock.
+    pub started_ms: u64,
     /// Metrics.
     pub metrics: FleetMetrics,
     /// Wakes whoever places tasks and sends orders.
@@ -104,6 +106,7 @@
             settings,
             platform,
             who,
+            started_ms: boot_ms(),
             metrics: FleetMetrics::new(),
             board_changed: Notify::new(),
             store_wanted: Notify::new(),
@@ -138,8 +141,7 @@
     /// Returns our clock. It counts time that the instance was suspended, so
     /// that no lease seems to hold longer than it does.
     pub fn now_ms(&self) -> u64 {
-        let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
-        time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000
+        boot_ms()
     }
 
     /// Returns a reading of both clocks.
@@ -170,6 +172,11 @@
     }
 }
 
+fn boot_ms() -> u64 {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000
+}
+
 /// A request that is being answered.
 #[derive(Debug)]
 pub struct RequestGuard {
--- a/crates/masticfall-entry/src/fleet/leadership.rs
+++ b/crates/masticfall-entry/src/fleet/leadership.rs
@@ -36,6 +36,14 @@
 /// don't all write at once.
 const SPREAD_MS: u64 = 300;
 
+/// Wait before a cell that was handed over is claimed, as a part of the time
+/// that the process has run. Where processes are restarted one after the other,
+/// the youngest is the last to be restarted again.
+const AGE_PART: u64 = 80;
+
+/// Longest such wait, in milliseconds.
+const MAX_AGE_WAIT_MS: u64 = 350;
+
 /// Time for which an owner goes on after its last confirmed write, in
 /// milliseconds. Longer than most outages of the store, in which nobody else
 /// can take the cell over; an owner that others have replaced is refused by
@@ -43,7 +51,7 @@
 pub const UNCONFIRMED_MS: u64 = 6_000;
 
 /// Period at which a process looks whether the cell has an owner, in milliseconds.
-const WATCH_MS: u64 = 150;
+const WATCH_MS: u64 = 50;
 
 /// What a process has seen of the ownership.
 #[derive(Debug, Default)]
@@ -136,7 +144,10 @@
     let seen = fleet.watch.0.lock();
     match &seen.owner {
         None => seen.read_ms > 0 && now_ms > seen.changed_ms + spread_ms,
-        Some((owner, _)) if owner.process.is_none() => now_ms > seen.changed_ms + spread_ms / 4,
+        Some((owner, _)) if owner.process.is_none() => {
+            let age_ms = now_ms.saturating_sub(fleet.started_ms);
+            now_ms >= seen.changed_ms + (age_ms / AGE_PART).min(MAX_AGE_WAIT_MS)
+        }
         Some(_) => now_ms > seen.changed_ms + SILENCE_MS + spread_ms,
     }
 }
