Jobs that have begun go first; fresh ones start only with a margin

Cause: under overload, earliest deadline first starts each job just before it becomes hopeless; with rough estimates many of those end late, and half-run jobs are overtaken.

--- a/crates/masticfall-core/src/fleet/admission.rs
+++ b/crates/masticfall-core/src/fleet/admission.rs
@@ -7,28 +7,68 @@
 use super::config::QueueConfig;
 use super::spec::JobSpec;
 
+/// Part of a job's remaining time that has to be left over when it first starts,
+/// since estimates are rough: one that starts too late takes workers from jobs
+/// that still earn.
+const START_MARGIN: f64 = 0.2;
+
+/// The same, for the way through store and workers, in milliseconds.
+const START_MARGIN_MS: u64 = 100;
+
+/// Groups of jobs, in the order in which they get workers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Group {
+    /// Lasting work: it earns as long as it runs, and takes little.
+    Lasting,
+    /// Has begun and can still meet its objective; what it ran is lost otherwise.
+    Begun,
+    /// Has not begun and can still meet its objective.
+    Fresh,
+    /// Can't meet its objective any more.
+    Late,
+}
+
 /// Order in which jobs get workers; the smallest goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
-    /// Whether it is neither lasting work nor can still meet its objective.
-    /// What lasts goes first: it earns as long as it runs, and takes little.
-    pub is_late: bool,
-    /// Whether it ends by itself.
-    pub ends: bool,
+    /// Its group.
+    pub group: Group,
     /// The queue's priority.
     pub priority: u32,
     /// When the objective ends, by our clock.
     pub due_ms: u64,
 }
 
+/// What a job's rank depends on.
+#[derive(Debug, Clone, Copy)]
+pub struct Standing {
+    /// Whether it lasts until it is cancelled.
+    pub lasts: bool,
+    /// Whether a task of it was placed.
+    pub has_begun: bool,
+    /// When its objective ends, by our clock.
+    pub due_ms: u64,
+    /// What it needs on free workers, in milliseconds.
+    pub remaining_ms: u64,
+}
+
 /// Returns a job's objective, in milliseconds from its acceptance.
 pub fn objective_ms(queue: &QueueConfig, spec: &JobSpec) -> u64 {
     (queue.stretch * spec.longest_chain_ms() as f64) as u64 + queue.target_ms
 }
 
-/// Ranks a job that needs `remaining_ms` on a free worker; one that `lasts`
-/// has no objective to miss.
-pub fn rank(queue: &QueueConfig, lasts: bool, due_ms: u64, remaining_ms: u64, now_ms: u64) -> Rank {
-    let is_late = !lasts && now_ms + remaining_ms > due_ms;
-    Rank { is_late, ends: !lasts, priority: queue.priority, due_ms }
+/// Ranks a job.
+pub fn rank(queue: &QueueConfig, standing: Standing, now_ms: u64) -> Rank {
+    let Standing { lasts, has_begun, due_ms, remaining_ms } = standing;
+    let margin_ms = (remaining_ms as f64 * START_MARGIN) as u64 + START_MARGIN_MS;
+    let group = if lasts {
+        Group::Lasting
+    } else if has_begun && now_ms + remaining_ms <= due_ms {
+        Group::Begun
+    } else if !has_begun && now_ms + remaining_ms + margin_ms <= due_ms {
+        Group::Fresh
+    } else {
+        Group::Late
+    };
+    Rank { group, priority: queue.priority, due_ms }
 }
--- a/crates/masticfall-core/src/fleet/board/place.rs
+++ b/crates/masticfall-core/src/fleet/board/place.rs
@@ -3,9 +3,10 @@
 use indexmap::IndexMap;
 
 use super::{Board, Job, Notice, Placement, TaskState};
-use crate::fleet::admission::{Rank, rank};
+use crate::fleet::admission::{Group, Rank, Standing, rank};
 use crate::fleet::config::FleetConfig;
 use crate::fleet::placing::{Candidate, Company, choose};
+use crate::fleet::progress::JobPhase;
 use crate::fleet::spec::{Resources, TaskKey};
 use crate::id::{AccountName, JobId, Name, PoolName, WorkerId};
 
@@ -30,8 +31,13 @@
         let mut pools: IndexMap<PoolName, Vec<(Rank, JobId)>> = IndexMap::new();
         for (id, job) in self.jobs.iter().filter(|(_, job)| job.has_waiting()) {
             let Some(queue) = config.queues.get(&job.record.queue) else { continue };
-            let lasts = job.record.spec.is_long_running();
-            let rank = rank(queue, lasts, job.due_ms, job.remaining_ms(), now_ms);
+            let standing = Standing {
+                lasts: job.record.spec.is_long_running(),
+                has_begun: job.phase != JobPhase::Queued || job.has_placements(),
+                due_ms: job.due_ms,
+                remaining_ms: job.remaining_ms(),
+            };
+            let rank = rank(queue, standing, now_ms);
             pools.entry(queue.pool.clone()).or_default().push((rank, id.clone()));
         }
         for (pool, mut waiting) in pools {
@@ -77,7 +83,7 @@
             self.dirty.insert(id.clone());
             let config_version = config.version;
             let job = id.clone();
-            let is_late = rank.is_late;
+            let is_late = rank.group == Group::Late;
             self.notices.push(Notice::Placed {
                 job,
                 tasks: placed,
--- a/crates/masticfall-core/tests/suite/fleet_order.rs
+++ b/crates/masticfall-core/tests/suite/fleet_order.rs
@@ -32,7 +32,7 @@
     rig.submit("00000000000000b1", vec![step(1, 4)]);
     rig.pass(3_000);
     let mut late = rig.board.jobs[&JobId::from("00000000000000b1")].clone();
-    late.record.accepted_wall_ms += 3_000;
+    late.record.accepted_wall_ms += 3_000 + 1_000;
     rig.board.accept(
         &JobId::from("00000000000000b2"),
         late.record,
