--- a/crates/masticfall-core/src/fleet/machines.rs
+++ b/crates/masticfall-core/src/fleet/machines.rs
@@ -180,7 +180,9 @@
             TakenDown::NotDue => {
                 self.progress.begun.insert(name.clone());
                 self.down.swap_remove(name);
-                self.release(call, board);
+                if let Some(worker) = &call.worker {
+                    board.cordon(worker, false);
+                }
             }
             TakenDown::Refused => {
                 self.down.swap_remove(name);
@@ -195,12 +197,6 @@
         }
     }
 
-    fn release(&self, call: &TakeDown, board: &mut Board) {
-        if let Some(worker) = &call.worker {
-            board.cordon(worker, false);
-        }
-    }
-
     fn note_back(&mut self, machines: &IndexMap<InstanceName, MachineView>, now_ms: u64) {
         let down_ms = self.down_ms;
         self.down.retain(|name, (since_ms, worker)| {
--- a/crates/masticfall-core/src/fleet/pools.rs
+++ b/crates/masticfall-core/src/fleet/pools.rs
@@ -133,7 +133,7 @@
             let Some(call) = self.next_move(&mut pools, machines) else { break };
             calls.push(call);
         }
-        calls.extend(self.to_standby(&mut pools, machines, now_ms));
+        calls.extend(self.rest_surplus(&mut pools, machines, now_ms));
         for call in &calls {
             let (to, worker) = (call.to.clone(), call.worker.clone());
             if let Some(worker) = &worker {
@@ -278,7 +278,7 @@
     }
 
     /// Puts instances on standby that their pools had too many of for some time.
-    fn to_standby(
+    fn rest_surplus(
         &mut self,
         pools: &mut IndexMap<PoolName, PoolState>,
         machines: &IndexMap<InstanceName, MachineView>,
--- a/crates/masticfall-core/src/fleet/worker.rs
+++ b/crates/masticfall-core/src/fleet/worker.rs
@@ -83,6 +83,7 @@
 }
 
 /// A worker with what is placed on it.
+#[expect(clippy::struct_excessive_bools, reason = "independent reasons to give it no work")]
 #[derive(Debug, Clone)]
 pub struct Worker {
     /// What the platform lists.
