Fillers are paced beside tasks that serve; queues with a placement policy ask for permits

Change: a worker's fillers follow the worst tail among its serving tasks; permits are asked for a step at a time, kept until they expire, and refusals remembered.

--- a/crates/masticfall-core/src/fleet/board.rs
+++ b/crates/masticfall-core/src/fleet/board.rs
@@ -9,6 +9,8 @@
 mod cordon;
 mod demand;
 mod job;
+mod pace;
+mod permits;
 mod place;
 mod reports;
 mod results;
@@ -21,6 +23,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 pub use job::{Job, Occurrence, OrderState, Placement, Step, Task, TaskState};
+pub use permits::AdviceQuestion;
 pub use reports::LookRequest;
 pub use store::{Batch, BatchWrite};
 
@@ -71,6 +74,8 @@
     pub payload: Name,
     /// Checkpoint to resume from.
     pub checkpoint: Option<Name>,
+    /// Permit of the placement policy, where the queue needs one.
+    pub permit: Option<Name>,
     /// End of the lease, by the worker's clock.
     pub lease_until_theirs_ms: u64,
 }
@@ -234,6 +239,8 @@
     /// Time until which tasks on workers that nobody lists may be running.
     foreign_lease_until_ms: u64,
     arrivals: demand::Arrivals,
+    permits: IndexMap<TaskKey, permits::StepPermits>,
+    questions: Vec<AdviceQuestion>,
     /// What each pool has or can get soon, in thousandths of a core.
     reach: IndexMap<PoolName, u64>,
     /// Tasks whose last order may or may not have been carried out.
@@ -261,6 +268,8 @@
             bounds,
             foreign_lease_until_ms: now_ms + tail_ms + drift_ms + super::worker::LEASE_SLACK_MS,
             arrivals: demand::Arrivals::default(),
+            permits: IndexMap::new(),
+            questions: Vec::new(),
             reach: IndexMap::new(),
             unclear: IndexSet::new(),
             dirty: IndexSet::new(),
--- /dev/null
+++ b/crates/masticfall-core/src/fleet/board/pace.rs
@@ -0,0 +1,84 @@
+//! Pace of fillers beside tasks that serve users.
+
+use super::{Board, Order, OrderState, PaceOrder, Placement, TaskState};
+use crate::fleet::pacing::{Strain, next_pace};
+use crate::fleet::spec::{StepSpec, TaskKey};
+use crate::id::WorkerId;
+
+/// Time between two steps of a worker's pace, in milliseconds: tails are
+/// figures of the last half second, and a pace takes effect after a tenth.
+const STEP_MS: u64 = 650;
+
+/// Progress from which a tail says something, in percent.
+const AT_WORK_PERCENT: u32 = 100;
+
+impl Board {
+    /// Sets the pace of the fillers on a worker after a report.
+    pub(super) fn pace_fillers(&mut self, id: &WorkerId, now_ms: u64) {
+        let fillers = self.runs_on(id, |step| step.is_filler);
+        if fillers.is_empty() {
+            return;
+        }
+        let strain = self.strain_on(id);
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let is_due = now_ms >= worker.paced_ms + STEP_MS;
+        let is_over = strain.is_some_and(|Strain(strain)| strain >= 1.0);
+        if is_due || (is_over && worker.pace_percent > 0) {
+            let percent = next_pace(worker.pace_percent, strain);
+            if percent != worker.pace_percent {
+                worker.pace_percent = percent;
+                worker.paced_ms = now_ms;
+            }
+        }
+        let percent = worker.pace_percent;
+        for (key, attempt) in fillers {
+            let Some(run) = self.jobs.get_mut(&key.job).and_then(|job| job.run_mut(&key, attempt))
+            else {
+                continue;
+            };
+            if run.pace_percent != percent && run.stop_sent_ms.is_none() {
+                run.pace_percent = percent;
+                let worker = id.clone();
+                self.orders.push(Order::Pace(PaceOrder { worker, task: key, attempt, percent }));
+            }
+        }
+    }
+
+    /// Tells whether fillers run beside tasks that serve, which takes close watching.
+    pub(super) fn is_shared(&self, id: &WorkerId) -> bool {
+        !self.runs_on(id, |step| step.is_filler).is_empty()
+            && !self.runs_on(id, |step| step.target_tail_ms > 0).is_empty()
+    }
+
+    fn strain_on(&self, id: &WorkerId) -> Option<Strain> {
+        let serving = self.runs_on(id, |step| step.target_tail_ms > 0);
+        let strains = serving.iter().filter_map(|(key, _)| {
+            let job = self.jobs.get(&key.job)?;
+            let TaskState::Placed(run) = &job.task(key)?.state else { return None };
+            let target_ms = job.record.spec.steps[key.step as usize].target_tail_ms;
+            let says = run.percent >= AT_WORK_PERCENT && run.load > 0;
+            says.then(|| run.load as f64 / target_ms as f64)
+        });
+        strains.reduce(f64::max).map(Strain)
+    }
+
+    /// Returns the settled runs on a worker of steps of a kind.
+    fn runs_on(&self, id: &WorkerId, is_meant: fn(&StepSpec) -> bool) -> Vec<(TaskKey, u32)> {
+        let Some(worker) = self.workers.get(id) else { return Vec::new() };
+        let runs = worker.placements.iter().filter_map(|key| {
+            let job = self.jobs.get(&key.job)?;
+            let step = &job.record.spec.steps[key.step as usize];
+            match &job.task(key)?.state {
+                TaskState::Placed(run) if is_meant(step) && is_settled(run) => {
+                    Some((key.clone(), run.attempt))
+                }
+                _ => None,
+            }
+        });
+        runs.collect()
+    }
+}
+
+fn is_settled(run: &Placement) -> bool {
+    matches!(run.order, OrderState::Settled(_))
+}
--- a/crates/masticfall-core/src/fleet/board/place.rs
+++ b/crates/masticfall-core/src/fleet/board/place.rs
@@ -5,7 +5,7 @@
 use super::{Board, Job, Notice, Placement, TaskState};
 use crate::fleet::admission::{Group, Rank, Standing, rank};
 use crate::fleet::config::FleetConfig;
-use crate::fleet::placing::{Candidate, Company, choose};
+use crate::fleet::placing::{Candidate, Company, choose, is_allowed};
 use crate::fleet::progress::JobPhase;
 use crate::fleet::spec::{Resources, StepSpec, TaskKey};
 use crate::id::{AccountName, JobId, Name, PoolName, WorkerId};
@@ -99,6 +99,9 @@
             let is_gang = self.jobs[id].record.spec.steps[step as usize].is_gang;
             let keys = waiting_tasks(&self.jobs[id], id, occurrence, step, now_ms);
             let chosen = self.place_step(&keys, is_gang, workers, config, refused, now_ms);
+            if chosen.len() < keys.len() {
+                self.ask_for_permits(&keys[chosen.len()..], workers, config);
+            }
             placed += chosen.len() as u32;
             last = chosen.into_iter().next_back().or(last);
         }
@@ -133,7 +136,7 @@
         }
         let attempt = self.gang_attempt(keys, is_gang);
         for key in keys {
-            let Some(worker) = self.find_worker(key, workers, config, refused) else {
+            let Some(worker) = self.find_worker(key, workers, config, refused, now_ms) else {
                 if is_gang {
                     self.undo(&keys[..chosen.len()]);
                     chosen.clear();
@@ -147,6 +150,24 @@
         chosen
     }
 
+    /// Asks about workers for tasks that found none, where their queue needs permits.
+    fn ask_for_permits(&mut self, keys: &[TaskKey], workers: &[WorkerId], config: &FleetConfig) {
+        let Some(key) = keys.first() else { return };
+        let job = &self.jobs[&key.job];
+        let queue = config.queues.get(&job.record.queue);
+        let Some(advice) = queue.and_then(|queue| queue.advice) else { return };
+        let spec = &job.record.spec.steps[key.step as usize];
+        let fits = |id: &&WorkerId| {
+            let candidate = self
+                .workers
+                .get(*id)
+                .map(|worker| Candidate { worker, company: self.company(worker, job, key) });
+            candidate.is_some_and(|candidate| is_allowed(spec, &candidate))
+        };
+        let fitting: Vec<WorkerId> = workers.iter().filter(fits).cloned().collect();
+        self.ask_about(key, keys.len(), &fitting, advice);
+    }
+
     /// Tells whether a gang has no member left that runs or is done.
     fn is_gang_ready(&self, keys: &[TaskKey]) -> bool {
         let Some(first) = keys.first() else { return false };
@@ -165,8 +186,11 @@
         workers: &[WorkerId],
         config: &FleetConfig,
         refused: &mut Refused,
+        now_ms: u64,
     ) -> Option<WorkerId> {
         let job = &self.jobs[&key.job];
+        let needs_permit =
+            config.queues.get(&job.record.queue).is_some_and(|queue| queue.advice.is_some());
         let spec = &job.record.spec.steps[key.step as usize];
         if !self.is_within_limit(job.record.account.as_ref(), &spec.needs, config) {
             return None;
@@ -175,12 +199,12 @@
             return None;
         }
         let racks = if spec.wants_same_rack { self.racks_of(job, key) } else { Vec::new() };
-        let candidates = workers
-            .iter()
-            .filter_map(|id| self.workers.get(id))
-            .map(|worker| Candidate { worker, company: self.company(worker, job, key) });
+        let permitted = |id: &&WorkerId| !needs_permit || self.permit(key, id, now_ms).is_some();
+        let allowed = workers.iter().filter(permitted).filter_map(|id| self.workers.get(id));
+        let candidates =
+            allowed.map(|worker| Candidate { worker, company: self.company(worker, job, key) });
         let found = choose(spec, &racks, candidates).map(|worker| worker.facts.id.clone());
-        if found.is_none() {
+        if found.is_none() && !needs_permit {
             refused.add(spec);
         }
         found
--- a/crates/masticfall-core/src/fleet/board/reports.rs
+++ b/crates/masticfall-core/src/fleet/board/reports.rs
@@ -13,6 +13,13 @@
 /// milliseconds, beyond the time that a stop may take.
 const STOP_AGAIN_MS: u64 = 300;
 
+/// Longest wait of a look for an end, in milliseconds; a quarter of the leases.
+const LOOK_WAIT_MS: u64 = 1_500;
+
+/// The same where fillers run beside tasks that serve: as long as their figures
+/// reach back.
+const SHARED_WAIT_MS: u64 = 500;
+
 /// What to ask a worker.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LookRequest {
@@ -23,6 +30,8 @@
     /// End of the lease to give, by its clock; none before its clock is known
     /// or while it is silent.
     pub lease_until_theirs_ms: Option<u64>,
+    /// Longest wait for an end, in milliseconds.
+    pub wait_ms: u64,
 }
 
 impl Board {
@@ -35,7 +44,12 @@
         let may_extend = !worker.is_silent;
         let lease_until_theirs_ms = may_extend.then(|| worker.lease(now_ms, lease_ms)).flatten();
         let stored_end = worker.stored_end;
-        Some(LookRequest { worker: id.clone(), stored_end, lease_until_theirs_ms })
+        let wait_ms = match lease_until_theirs_ms {
+            None => 0,
+            Some(_) if self.is_shared(id) => SHARED_WAIT_MS,
+            Some(_) => LOOK_WAIT_MS,
+        };
+        Some(LookRequest { worker: id.clone(), stored_end, lease_until_theirs_ms, wait_ms })
     }
 
     /// Notes that a worker didn't answer.
@@ -76,6 +90,7 @@
                 report.ended.iter().map(|ended| ended.number).fold(first_new, u64::max);
         }
         self.compare(id, sent_ms, report, now_ms);
+        self.pace_fillers(id, now_ms);
     }
 
     /// Applies a reported end to the run that it belongs to.
--- a/crates/masticfall-core/src/fleet/board/results.rs
+++ b/crates/masticfall-core/src/fleet/board/results.rs
@@ -54,7 +54,11 @@
                 self.unclear.insert(key.clone());
                 self.stop(key, StopReason::Stray, now_ms);
             }
-            StartOutcome::NoRoom | StartOutcome::NoPermit | StartOutcome::Late => {
+            StartOutcome::NoPermit => {
+                self.vacate(key, Some(now_ms + NO_ROOM_PAUSE_MS));
+                self.drop_permit(key, worker);
+            }
+            StartOutcome::NoRoom | StartOutcome::Late => {
                 self.vacate(key, Some(now_ms + NO_ROOM_PAUSE_MS));
                 if let Some(worker) = self.workers.get_mut(worker) {
                     worker.rest_until_ms = worker.rest_until_ms.max(now_ms + NO_ROOM_PAUSE_MS);
--- a/crates/masticfall-core/src/fleet/board/store.rs
+++ b/crates/masticfall-core/src/fleet/board/store.rs
@@ -78,6 +78,7 @@
         for write in batch.writes {
             if let BatchWrite::Ended(id, _) = write {
                 self.jobs.swap_remove(&id);
+                self.forget_permits(&id);
                 self.ended.insert(id);
             }
         }
@@ -111,6 +112,8 @@
         };
         run.order = OrderState::Sent(now_ms);
         let checkpoint = job.task(key).and_then(|task| task.checkpoint.clone());
+        let permit = self.permit(key, &worker_id, now_ms);
+        let Some(job) = self.jobs.get(&key.job) else { return };
         let payload = Name::clone(&job.record.spec.payload);
         self.orders.push(Order::Start(StartOrder {
             worker: worker_id,
@@ -118,6 +121,7 @@
             attempt,
             payload,
             checkpoint,
+            permit,
             lease_until_theirs_ms,
         }));
     }
--- a/crates/masticfall-core/src/fleet/worker.rs
+++ b/crates/masticfall-core/src/fleet/worker.rs
@@ -114,6 +114,10 @@
     pub stored_end: u64,
     /// Time before which it gets no new work.
     pub rest_until_ms: u64,
+    /// Pace of its fillers, in percent.
+    pub pace_percent: u32,
+    /// When that last changed.
+    pub paced_ms: u64,
     /// Runs that belong to no task, with the time at which each was told to stop.
     pub strays: IndexMap<(TaskKey, u32), u64>,
     recent: VecDeque<(JobId, bool)>,
@@ -138,6 +142,8 @@
             read_end: 0,
             stored_end: 0,
             rest_until_ms: 0,
+            pace_percent: 100,
+            paced_ms: 0,
             strays: IndexMap::new(),
             recent: VecDeque::new(),
             quarantines: 0,
--- /dev/null
+++ b/crates/masticfall-core/tests/suite/fleet_sharing.rs
@@ -0,0 +1,126 @@
+//! Fillers beside tasks that serve users, and placement by permits.
+
+use std::sync::Arc;
+
+use masticfall_core::fleet::board::Order;
+use masticfall_core::fleet::config::{AdviceConfig, FleetConfig};
+use masticfall_core::fleet::spec::{Resources, StepSpec};
+use masticfall_core::prelude::*;
+
+use crate::fleet_rig::{Rig, config, step};
+
+const SERVING: &str = "00000000000000d1";
+const FILLING: &str = "00000000000000d2";
+
+fn shared_worker() -> Rig {
+    let mut rig = Rig::new(&[("w1", 16)]);
+    let serving = StepSpec { is_long_running: true, target_tail_ms: 100, ..step(1, 4) };
+    let filling = StepSpec { is_long_running: true, is_filler: true, ..step(2, 8) };
+    rig.submit(SERVING, vec![serving]);
+    rig.submit(FILLING, vec![filling]);
+    rig.settle();
+    assert_eq!(rig.started.len(), 3, "fillers take no part of the capacity");
+    rig
+}
+
+/// Reports a tail latency of the serving task, and returns the paces ordered.
+fn report_tail(rig: &mut Rig, tail_ms: u64) -> Vec<u32> {
+    for run in &mut rig.listings[&WorkerId::from("w1")].running {
+        run.percent = 100;
+        run.load = if run.task.job.as_str() == SERVING { tail_ms } else { 6_000 };
+    }
+    rig.pass(700);
+    rig.look_all();
+    rig.settle();
+    let paces = std::mem::take(&mut rig.others).into_iter().filter_map(|order| match order {
+        Order::Pace(pace) => Some(pace.percent),
+        _ => None,
+    });
+    paces.collect()
+}
+
+#[test]
+fn fillers_stop_at_once_when_a_tail_is_over_its_target_and_come_back_slowly() {
+    let mut rig = shared_worker();
+    assert!(report_tail(&mut rig, 50).is_empty(), "nothing to change");
+    assert_eq!(report_tail(&mut rig, 130), vec![0, 0]);
+    let mut last = 0;
+    for _ in 0..3 {
+        let paces = report_tail(&mut rig, 40);
+        assert_eq!(paces.len(), 2);
+        assert!(paces[0] > last && paces[0] <= last + 20, "{} after {last}", paces[0]);
+        last = paces[0];
+    }
+}
+
+#[test]
+fn fillers_slow_down_before_the_target_is_reached() {
+    let mut rig = shared_worker();
+    let paces = report_tail(&mut rig, 90);
+    assert!(!paces.is_empty() && paces[0] < 100 && paces[0] > 0);
+}
+
+#[test]
+fn pace_without_an_answer_is_set_again() {
+    let mut rig = shared_worker();
+    let tail = |rig: &mut Rig| {
+        report_tail(rig, 130);
+    };
+    tail(&mut rig);
+    let filler = rig.started.iter().find(|start| start.task.job.as_str() == FILLING);
+    let start = filler.expect("a filler").clone();
+    let order = masticfall_core::fleet::board::StopOrder {
+        worker: start.worker,
+        task: start.task,
+        attempt: start.attempt,
+    };
+    rig.board.pace_failed(&order);
+    assert_eq!(report_tail(&mut rig, 130), vec![0]);
+}
+
+fn advised_config() -> Arc<FleetConfig> {
+    let mut config = (*config(2, Resources::default())).clone();
+    let advice = AdviceConfig { decide_ms: 20, per_worker_ms: 5, validity_ms: 3_000 };
+    config.queues[&QueueName::from("q")].advice = Some(advice);
+    Arc::new(config)
+}
+
+#[test]
+fn tasks_start_only_with_a_permit_and_only_where_they_may() {
+    let mut rig = Rig::new(&[("w1", 8), ("w2", 8)]);
+    rig.board.set_config(advised_config());
+    rig.submit("00000000000000e1", vec![step(2, 2)]);
+    rig.settle();
+    assert!(rig.started.is_empty(), "nobody was asked yet");
+    let questions = rig.board.take_questions();
+    assert_eq!(questions.len(), 1, "one question for a step: {questions:?}");
+    assert_eq!(questions[0].takes_ms, 20 + 2 * 5);
+    rig.settle();
+    assert!(rig.board.take_questions().is_empty(), "no second one while it is open");
+    let permits = vec![(WorkerId::from("w2"), Name::from("permit"))];
+    let now_ms = rig.now_ms;
+    rig.board.advised(&questions[0], Some((permits, 3_000)), now_ms);
+    rig.settle();
+    assert_eq!(rig.started.len(), 2);
+    for start in &rig.started {
+        assert_eq!(start.worker.as_str(), "w2");
+        assert_eq!(start.permit.as_deref(), Some("permit"));
+    }
+}
+
+#[test]
+fn permit_that_has_expired_is_not_used() {
+    let mut rig = Rig::new(&[("w1", 2)]);
+    rig.board.set_config(advised_config());
+    rig.submit("00000000000000e2", vec![step(1, 2)]);
+    rig.settle();
+    let question = rig.board.take_questions().remove(0);
+    let now_ms = rig.now_ms;
+    let permits = vec![(WorkerId::from("w1"), Name::from("permit"))];
+    rig.board.advised(&question, Some((permits, 1_000)), now_ms);
+    rig.pass(1_000);
+    rig.look_all();
+    rig.settle();
+    assert!(rig.started.is_empty());
+    assert_eq!(rig.board.take_questions().len(), 1, "it is asked for anew");
+}
--- a/crates/masticfall-core/tests/suite/main.rs
+++ b/crates/masticfall-core/tests/suite/main.rs
@@ -8,6 +8,7 @@
 mod fleet_maintenance;
 mod fleet_order;
 mod fleet_rig;
+mod fleet_sharing;
 mod fleet_takeover;
 mod guard;
 mod instances;
--- a/crates/masticfall-entry/src/fleet/dispatch.rs
+++ b/crates/masticfall-entry/src/fleet/dispatch.rs
@@ -1,14 +1,18 @@
 //! Carrying out what the board decides: storing progress, sending orders,
 //! looking after workers.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
-use masticfall_core::fleet::board::{Batch, BatchWrite, Order, PaceOrder, StartOrder, StopOrder};
+use masticfall_core::fleet::board::{
+    AdviceQuestion, Batch, BatchWrite, Order, PaceOrder, StartOrder, StopOrder,
+};
 use masticfall_core::fleet::report::{StartOutcome, StopOutcome};
 use masticfall_core::id::{Name, WorkerId};
-use masticfall_platform::fleet::{LookCall, Looked, RowPlace, RunCall, StartCall};
+use masticfall_platform::fleet::{AdviceCall, LookCall, Looked, RowPlace, RunCall, StartCall};
 use masticfall_platform::{PlatformError, Result};
+use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
 
 use super::context::{Fleet, Ownership};
@@ -26,9 +30,6 @@
 /// so that a crowded board leaves most of the processor to everything else.
 const PASS_PAUSE_FACTOR: u32 = 3;
 
-/// Longest wait of a look for an end, in milliseconds; a third of the shortest lease.
-const LOOK_WAIT_MS: u64 = 1_500;
-
 /// Pause after a look, in milliseconds: ends that come together are read together.
 const LOOK_PAUSE_MS: u64 = 15;
 
@@ -41,9 +42,18 @@
 /// Pause after a batch that could not be stored, in milliseconds.
 const STORE_RETRY_MS: u64 = 120;
 
+/// Time for an answer of the placement policy service beyond what it says that
+/// it takes, in milliseconds.
+const ADVICE_MARGIN_MS: u64 = 600;
+
+/// Pause after a question without an answer, in milliseconds.
+const ADVICE_RETRY_MS: u64 = 150;
+
 /// Places tasks and sends orders until the cell is lost.
 pub async fn carry_out(fleet: Arc<Fleet>, epoch: u32) {
     let mut ticked_ms = 0;
+    let mut questions: VecDeque<AdviceQuestion> = VecDeque::new();
+    let mut asking: Option<JoinHandle<()>> = None;
     loop {
         let changed = fleet.board_changed.notified();
         // An elapsed time means that only a tick is due.
@@ -60,12 +70,18 @@
                 board.advance(now);
             }
             board.place(now.steady_ms);
+            questions.extend(board.take_questions());
             (board.take_orders(), board.take_notices())
         };
         fleet.store_wanted.notify_one();
         for order in done.0 {
             send(&fleet, epoch, order);
         }
+        if asking.as_ref().is_none_or(JoinHandle::is_finished)
+            && let Some(question) = questions.pop_front()
+        {
+            asking = Some(tokio::spawn(ask(Arc::clone(&fleet), epoch, question)));
+        }
         for notice in &done.1 {
             notices::log(&fleet, epoch, notice);
         }
@@ -86,6 +102,25 @@
     }
 }
 
+/// Asks the placement policy service, which takes one question of a process at a time.
+async fn ask(fleet: Arc<Fleet>, epoch: u32, question: AdviceQuestion) {
+    let call = AdviceCall {
+        step: question.step.clone(),
+        workers: question.workers.clone(),
+        timeout_ms: question.takes_ms + ADVICE_MARGIN_MS,
+    };
+    let permits = match (fleet.platform.advise)(call).await {
+        Ok(advice) => Some((advice.permits, advice.validity_ms)),
+        Err(error) => {
+            tracing::info!(name: "advice.none", step = %question.step, %error, "asked again");
+            sleep(Duration::from_millis(ADVICE_RETRY_MS)).await;
+            None
+        }
+    };
+    let now_ms = fleet.now_ms();
+    fleet.with_board(epoch, |board| board.advised(&question, permits, now_ms));
+}
+
 fn address_of(fleet: &Fleet, epoch: u32, worker: &WorkerId) -> Option<std::net::SocketAddr> {
     let shared = fleet.shared();
     let board = shared.board.as_ref().filter(|board| board.epoch == epoch)?;
@@ -105,7 +140,7 @@
                 checkpoint: order.checkpoint.clone(),
                 lease_until_theirs_ms: order.lease_until_theirs_ms,
                 fencing_token: epoch,
-                permit: None,
+                permit: order.permit.clone(),
             };
             (fleet.platform.start)(call).await.unwrap_or_else(|error| {
                 tracing::warn!(name: "order.failed", task = %order.task, %error, "start not sent");
@@ -238,14 +273,13 @@
             look.zip(board.workers.get(&id).map(|worker| worker.facts.address))
         };
         let Some((look, address)) = prepared else { return };
-        let wait_ms = if look.lease_until_theirs_ms.is_some() { LOOK_WAIT_MS } else { 0 };
         let call = LookCall {
             address,
             worker: id.clone(),
             fencing_token: epoch,
             stored_end: look.stored_end,
             lease_until_theirs_ms: look.lease_until_theirs_ms,
-            wait_ms,
+            wait_ms: look.wait_ms,
         };
         let pause_ms = match (fleet.platform.look)(call).await {
             Ok(Looked::Report(report)) => {
