Model of the platform behind the seam, with checks that read its own record

masticfall-standin grows a store with feeds, workers with leases, fences and ends, and faults (store silent, refusing, refusing one process, losing answers; workers silent; orders carried out late). Checks for two runs of a task, a start after an end that was forgotten, order of steps, room, unasked runs and lost tasks; each is shown a planted breach (fleet_checks::*).

--- a/crates/masticfall-entry/src/fleet/context.rs
+++ b/crates/masticfall-entry/src/fleet/context.rs
@@ -57,6 +57,9 @@
     pub confirmed_ms: u64,
 }
 
+/// A clock in milliseconds that counts time spent suspended.
+pub type Clock = Arc<dyn Fn() -> u64 + Send + Sync>;
+
 /// A process.
 pub struct Fleet {
     /// Settings.
@@ -79,6 +82,7 @@
     pub(super) watch: super::leadership::Watch,
     /// Wakes whoever follows the ownership.
     pub lead_changed: Notify,
+    clock: Clock,
     in_flight: AtomicUsize,
     shared: Mutex<Shared>,
 }
@@ -91,7 +95,7 @@
 
 impl Fleet {
     /// Makes the context of a new incarnation.
-    pub fn new(settings: FleetSettings, platform: FleetPlatform) -> Arc<Self> {
+    pub fn new(settings: FleetSettings, platform: FleetPlatform, clock: Clock) -> Arc<Self> {
         let number: u32 = rand::rng().random();
         let who = Incarnation::from(format!("{}.{number:08x}", settings.name));
         let shared = Shared {
@@ -107,13 +111,14 @@
             settings,
             platform,
             who,
-            started_ms: boot_ms(),
+            started_ms: clock(),
             metrics: FleetMetrics::new(),
             board_changed: Notify::new(),
             store_wanted: Notify::new(),
             batch_stored: Notify::new(),
             watch: super::leadership::Watch::default(),
             lead_changed: Notify::new(),
+            clock,
             in_flight: AtomicUsize::new(0),
             shared: Mutex::new(shared),
         })
@@ -142,7 +147,7 @@
     /// Returns our clock. It counts time that the instance was suspended, so
     /// that no lease seems to hold longer than it does.
     pub fn now_ms(&self) -> u64 {
-        boot_ms()
+        (self.clock)()
     }
 
     /// Returns a reading of both clocks.
@@ -173,7 +178,8 @@
     }
 }
 
-fn boot_ms() -> u64 {
+/// Reads the system's clock that counts time spent suspended.
+pub fn boot_ms() -> u64 {
     let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
     time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000
 }
--- a/crates/masticfall-entry/src/fleet/run.rs
+++ b/crates/masticfall-entry/src/fleet/run.rs
@@ -8,7 +8,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
-use super::context::{Fleet, FleetPhase};
+use super::context::{Clock, Fleet, FleetPhase};
 use super::settings::FleetSettings;
 use super::{follow, leadership};
 
@@ -30,9 +30,10 @@
     tasks: Vec<JoinHandle<()>>,
 }
 
-/// Starts the systems of a process.
-pub fn start(settings: FleetSettings, platform: FleetPlatform) -> RunningFleet {
-    let fleet = Fleet::new(settings, platform);
+/// Starts the systems of a process; `clock` is [`boot_ms`](super::context::boot_ms)
+/// but in tests.
+pub fn start(settings: FleetSettings, platform: FleetPlatform, clock: Clock) -> RunningFleet {
+    let fleet = Fleet::new(settings, platform, clock);
     let systems: Vec<BoxFuture<'static, ()>> = vec![
         Box::pin(follow::operators(Arc::clone(&fleet))),
         Box::pin(follow::ownership(Arc::clone(&fleet))),
@@ -51,6 +52,17 @@
 }
 
 impl RunningFleet {
+    /// Ends at once, as a crash would: nothing is handed over or written.
+    pub fn crash(self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+        let mut shared = self.fleet.shared();
+        shared.ownership = None;
+        shared.board = None;
+        shared.phase = FleetPhase::Leaving;
+    }
+
     /// Leaves: hands the cell over, still takes requests until the balancer
     /// has noticed, and waits for those in flight.
     pub async fn leave(&self, close_listeners: impl FnOnce()) {
--- a/crates/masticfall-entry/src/fleet/settings.rs
+++ b/crates/masticfall-entry/src/fleet/settings.rs
@@ -64,6 +64,31 @@
 pub type Result<T> = std::result::Result<T, Vec<Fault>>;
 
 impl FleetSettings {
+    /// Returns settings on free loopback ports, with the defaults of the file.
+    pub fn local(name: &str, data_centre: &str) -> Self {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            name: Name::from(name),
+            data_centre: DataCentre::from(data_centre),
+            callers: any_port,
+            readiness: any_port,
+            peers: any_port,
+            metrics: any_port,
+            store: any_port,
+            machines: any_port,
+            advice: None,
+            worker_lease_ms: 6_000,
+            stop_grace_ms: 1_000,
+            machine_lease_ms: 3_000,
+            stop_signal_grace_ms: 6_000,
+            away_notice_ms: 4_500,
+            move_ms: 1_500,
+            keep_ended_ms: 120_000,
+            cpu_share: AMPLE_CPU_SHARE,
+            link_mbps: AMPLE_LINK_MBPS,
+        }
+    }
+
     /// Tells whether a settings file is for such a platform.
     pub fn is_meant(text: &str) -> bool {
         Document::parse(text).is_ok_and(|doc| doc.has_section(SECTION))
--- /dev/null
+++ b/crates/masticfall-entry/tests/suite/fleet.rs
@@ -0,0 +1,318 @@
+//! Entry processes on the model of a platform that runs fleets of workers:
+//! real systems, paused clock, seeded faults.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use masticfall_core::error::ErrorKind;
+use masticfall_core::fleet::config::{
+    AccountConfig, FleetConfig, PoolConfig, QueueConfig, RequestBounds,
+};
+use masticfall_core::fleet::progress::JobPhase;
+use masticfall_core::fleet::spec::{JobSpec, Resources, StepSpec};
+use masticfall_core::id::{AccountName, JobId, Name, PoolName, QueueName};
+use masticfall_core::key::KeyHash;
+use masticfall_entry::fleet::jobs::{self, Caller};
+use masticfall_entry::fleet::{Fleet, FleetSettings, RunningFleet, start};
+use masticfall_standin::fleet::check::{
+    overfull_workers, overlapping_runs, starts_after_done, starts_out_of_order, unasked_runs,
+    unfinished_tasks,
+};
+use masticfall_standin::fleet::{StoreMode, World};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+use tokio::time::sleep;
+
+const WORKERS: usize = 6;
+const CAPACITY: Resources = Resources { cpu_millis: 8_000, memory_mib: 64_000, accelerators: 0 };
+
+fn config(version: u64, keys: &[&str]) -> Arc<FleetConfig> {
+    let queue = QueueConfig {
+        name: "q".into(),
+        host: "h".into(),
+        prefix: "/q/".into(),
+        pool: "p".into(),
+        priority: 0,
+        max_attempts: 3,
+        stretch: 1.6,
+        target_ms: 600,
+        is_open: false,
+        advice: None,
+    };
+    let accounts = IndexMap::from([(
+        AccountName::from("a"),
+        AccountConfig { weight: 1.0, limit: Resources::default() },
+    )]);
+    let keys = keys.iter().map(|key| (KeyHash::of(key), AccountName::from("a")));
+    Arc::new(FleetConfig {
+        version,
+        queues: IndexMap::from([(QueueName::from("q"), queue)]),
+        pools: IndexMap::from([(
+            PoolName::from("p"),
+            PoolConfig { checks_capacity: true, is_standby: false },
+        )]),
+        accounts,
+        keys: keys.collect(),
+        bounds: RequestBounds { max_header_bytes: 9_000, max_body_bytes: 9_000 },
+    })
+}
+
+fn launch(world: &Arc<World>, name: &str) -> RunningFleet {
+    let clock = Arc::clone(world);
+    start(FleetSettings::local(name, "dc"), world.platform(name), Arc::new(move || clock.now_ms()))
+}
+
+fn caller(path: &str) -> Caller {
+    Caller {
+        host: "h".into(),
+        path: Name::from(format!("/q/{path}")),
+        key: Some("key".into()),
+        deadline_ms: Some(3_000),
+    }
+}
+
+fn two_steps() -> JobSpec {
+    let step = StepSpec {
+        tasks: 3,
+        needs: Resources { cpu_millis: 2_000, memory_mib: 100, accelerators: 0 },
+        estimate_ms: 400,
+        ..StepSpec::default()
+    };
+    let second = StepSpec { after: vec![0], tasks: 2, ..step.clone() };
+    JobSpec {
+        payload: "payload".into(),
+        steps: vec![step, second],
+        repeat: 0,
+        first_due_wall_ms: 0,
+        interval_ms: 0,
+    }
+}
+
+async fn submit(world: &World, fleet: &Arc<Fleet>, id: &JobId) -> Result<(), ErrorKind> {
+    let spec = two_steps();
+    world.know(id, &spec);
+    let subject = jobs::admit(fleet, &caller(id.as_str())).map_err(|refusal| refusal.kind)?;
+    jobs::submit(fleet, &subject, spec).await.map_err(|refusal| refusal.kind)
+}
+
+async fn phase(fleet: &Arc<Fleet>, id: &JobId) -> Result<JobPhase, ErrorKind> {
+    let subject = jobs::admit(fleet, &caller(id.as_str())).map_err(|refusal| refusal.kind)?;
+    jobs::show(fleet, &subject).await.map_err(|refusal| refusal.kind)
+}
+
+fn job(number: u64) -> JobId {
+    JobId::from(format!("{number:016x}"))
+}
+
+/// Holds the promises against the model's record; `accepted` may have been
+/// taken, `done` have to be finished.
+fn check(world: &World, accepted: &[JobId], done: &[JobId]) {
+    let record = world.record();
+    let specs = world.specs();
+    assert_eq!(overlapping_runs(&record), Vec::<String>::new(), "two runs of one task");
+    assert_eq!(starts_after_done(&record), Vec::<String>::new(), "started again after done");
+    assert_eq!(starts_out_of_order(&record, &specs), Vec::<String>::new(), "out of order");
+    assert_eq!(overfull_workers(&record, CAPACITY), Vec::<String>::new(), "too much on a worker");
+    assert_eq!(unasked_runs(&record, accepted), Vec::<String>::new(), "nobody asked for it");
+    assert_eq!(unfinished_tasks(&record, &specs, done), Vec::<String>::new(), "lost");
+}
+
+async fn settled(world: &Arc<World>, names: &[&str]) -> Vec<RunningFleet> {
+    world.set_config(config(1, &["key"]));
+    let processes: Vec<RunningFleet> = names.iter().map(|name| launch(world, name)).collect();
+    sleep(Duration::from_secs(3)).await;
+    processes
+}
+
+#[tokio::test(start_paused = true)]
+async fn calm_jobs_are_done_and_shown_by_every_process() {
+    let world = World::new(WORKERS, "p");
+    let processes = settled(&world, &["a", "b", "c"]).await;
+    let ids: Vec<JobId> = (1..20).map(job).collect();
+    for (number, id) in ids.iter().enumerate() {
+        submit(&world, &processes[number % 3].fleet, id).await.expect("accepted");
+    }
+    sleep(Duration::from_secs(20)).await;
+    check(&world, &ids, &ids);
+    for process in &processes {
+        for id in &ids {
+            assert_eq!(phase(&process.fleet, id).await, Ok(JobPhase::Completed));
+        }
+    }
+    let unknown = phase(&processes[0].fleet, &job(999)).await;
+    assert_eq!(unknown, Err(ErrorKind::NoSuchJob));
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_same_job_at_every_process_is_one_job() {
+    let world = World::new(WORKERS, "p");
+    let processes = settled(&world, &["a", "b", "c"]).await;
+    let id = job(1);
+    for process in &processes {
+        submit(&world, &process.fleet, &id).await.expect("accepted");
+    }
+    sleep(Duration::from_secs(6)).await;
+    submit(&world, &processes[1].fleet, &id).await.expect("accepted long ago");
+    sleep(Duration::from_secs(6)).await;
+    check(&world, std::slice::from_ref(&id), std::slice::from_ref(&id));
+    assert_eq!(world.record().len(), 5, "each task ran once");
+}
+
+#[tokio::test(start_paused = true)]
+async fn withdrawn_key_is_refused_and_a_lower_version_is_ignored() {
+    let world = World::new(WORKERS, "p");
+    let processes = settled(&world, &["a"]).await;
+    submit(&world, &processes[0].fleet, &job(1)).await.expect("accepted");
+    world.set_config(config(5, &[]));
+    sleep(Duration::from_millis(200)).await;
+    let refused = submit(&world, &processes[0].fleet, &job(2)).await;
+    assert_eq!(refused, Err(ErrorKind::Unauthorized));
+    world.set_config(config(4, &["key"]));
+    sleep(Duration::from_millis(200)).await;
+    let refused = submit(&world, &processes[0].fleet, &job(3)).await;
+    assert_eq!(refused, Err(ErrorKind::Unauthorized), "an older configuration never comes back");
+}
+
+#[tokio::test(start_paused = true)]
+async fn refusal_while_the_store_is_down_is_true_and_lost_answers_are_settled() {
+    let world = World::new(WORKERS, "p");
+    let processes = settled(&world, &["a", "b"]).await;
+    world.set_store(StoreMode::Refuses);
+    let refused = submit(&world, &processes[0].fleet, &job(1)).await;
+    assert_eq!(refused, Err(ErrorKind::PlatformUnavailable));
+    world.set_store(StoreMode::LosesAnswers);
+    let mut accepted = Vec::new();
+    for number in 2..8 {
+        match submit(&world, &processes[0].fleet, &job(number)).await {
+            Ok(()) => accepted.push(job(number)),
+            // It may run; the caller is not told that it doesn't.
+            Err(kind) => assert_eq!(kind, ErrorKind::PlatformUnknown),
+        }
+    }
+    assert!(!accepted.is_empty());
+    world.set_store(StoreMode::Up);
+    sleep(Duration::from_secs(20)).await;
+    let asked: Vec<JobId> = (2..8).map(job).collect();
+    check(&world, &asked, &accepted);
+}
+
+#[tokio::test(start_paused = true)]
+async fn cancelled_job_stops_and_is_shown_so() {
+    let world = World::new(WORKERS, "p");
+    let processes = settled(&world, &["a", "b"]).await;
+    let id = job(1);
+    submit(&world, &processes[0].fleet, &id).await.expect("accepted");
+    sleep(Duration::from_millis(100)).await;
+    let subject = jobs::admit(&processes[1].fleet, &caller(id.as_str())).expect("admitted");
+    jobs::cancel(&processes[1].fleet, &subject).await.expect("cancelled");
+    sleep(Duration::from_secs(3)).await;
+    let record = world.record();
+    assert!(record.iter().all(|run| run.ended.is_some()), "nothing runs on");
+    assert_eq!(record.len(), 3, "the second step never starts");
+    assert_eq!(phase(&processes[0].fleet, &id).await, Ok(JobPhase::Cancelled));
+}
+
+#[tokio::test(start_paused = true)]
+async fn stopped_owner_hands_over_and_nothing_is_run_twice() {
+    let world = World::new(WORKERS, "p");
+    let mut processes = settled(&world, &["a", "b", "c"]).await;
+    let ids: Vec<JobId> = (1..10).map(job).collect();
+    for id in &ids {
+        submit(&world, &processes[1].fleet, id).await.expect("accepted");
+    }
+    let owner = processes.iter().position(|p| p.fleet.shared().ownership.is_some());
+    let owner = processes.remove(owner.expect("an owner"));
+    let before_ms = world.now_ms();
+    owner.leave(|| {}).await;
+    sleep(Duration::from_secs(12)).await;
+    check(&world, &ids, &ids);
+    let record = world.record();
+    let first = record.iter().map(|run| run.began_ms).filter(|at| *at > before_ms + 50).min();
+    let gap_ms = first.expect("starts by the next owner") - before_ms;
+    assert!(gap_ms < 1_500, "dispatch went on after {gap_ms} ms");
+}
+
+#[rstest]
+#[case::seed_1(1)]
+#[case::seed_2(2)]
+#[case::seed_3(3)]
+#[case::seed_4(4)]
+#[case::seed_5(5)]
+#[case::seed_6(6)]
+#[case::seed_7(7)]
+#[case::seed_8(8)]
+#[tokio::test(start_paused = true)]
+async fn promises_hold_under_faults(#[case] seed: u64) {
+    play_faults(seed).await;
+}
+
+/// A longer search: `FLEET_SEEDS=200 cargo test -p masticfall-entry more_seeds`.
+#[tokio::test(start_paused = true)]
+async fn promises_hold_over_more_seeds() {
+    let seeds = std::env::var("FLEET_SEEDS").ok().and_then(|text| text.parse().ok());
+    for seed in 100..100 + seeds.unwrap_or(4_u64) {
+        eprintln!("seed {seed}");
+        play_faults(seed).await;
+    }
+}
+
+async fn play_faults(seed: u64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let world = World::new(WORKERS, "p");
+    let names = ["a", "b", "c", "d"];
+    let mut processes: IndexMap<&str, RunningFleet> =
+        names.iter().copied().zip(settled(&world, &names).await).collect();
+    world.set_late_orders(random.random_range(7..20));
+    let (mut asked, mut accepted) = (Vec::new(), Vec::new());
+    for number in 0..60 {
+        let id = job(number + 1);
+        let at = names[random.random_range(0..names.len())];
+        // A job that is refused was handed in once and must never run.
+        match submit(&world, &processes[at].fleet, &id).await {
+            Ok(()) => {
+                accepted.push(id.clone());
+                asked.push(id);
+            }
+            Err(ErrorKind::PlatformUnknown) => asked.push(id),
+            Err(_) => {}
+        }
+        sleep(Duration::from_millis(random.random_range(50..400))).await;
+        match random.random_range(0..12) {
+            0 => {
+                let owner = processes.iter().find(|(_, p)| p.fleet.shared().ownership.is_some());
+                if let Some(name) = owner.map(|(name, _)| *name) {
+                    let old = processes.insert(name, launch(&world, name)).expect("a process");
+                    old.crash();
+                }
+            }
+            1 => world.set_store(StoreMode::Silent),
+            2 => world.set_store(StoreMode::LosesAnswers),
+            3 => world.set_store_for(at, StoreMode::Refuses),
+            4 => world.set_silent(random.random_range(0..WORKERS), true),
+            5 => {
+                world.set_store(StoreMode::Up);
+                world.set_store_for(at, StoreMode::Up);
+            }
+            6 => {
+                for worker in 0..WORKERS {
+                    world.set_silent(worker, false);
+                }
+            }
+            _ => {}
+        }
+    }
+    world.set_store(StoreMode::Up);
+    world.set_late_orders(0);
+    for name in names {
+        world.set_store_for(name, StoreMode::Up);
+    }
+    (0..WORKERS).for_each(|worker| world.set_silent(worker, false));
+    sleep(Duration::from_mins(1)).await;
+    check(&world, &asked, &accepted);
+    let shown = &processes["b"].fleet;
+    for id in &accepted {
+        assert_eq!(phase(shown, id).await, Ok(JobPhase::Completed), "{id}");
+    }
+}
--- a/crates/masticfall-entry/tests/suite/main.rs
+++ b/crates/masticfall-entry/tests/suite/main.rs
@@ -8,6 +8,8 @@
 
 mod config;
 mod eject;
+mod fleet;
+mod fleet_checks;
 mod jobs;
 mod keys;
 mod lab;
--- /dev/null
+++ b/crates/masticfall-standin/src/fleet/store.rs
@@ -0,0 +1,238 @@
+//! The model's store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use masticfall_core::id::Name;
+use masticfall_platform::error::{Result, UnavailableSnafu, UnknownSnafu};
+use masticfall_platform::fleet::{
+    FleetRow, Follow, Followed, OperatorNews, RowCommit, RowPage, RowRange, RowTransaction,
+    WorkerNews,
+};
+use masticfall_platform::{Operation, operation};
+use tokio::time::{Instant, timeout_at};
+
+use super::{CALL_MS, GIVE_UP_MS, StoreMode, World, WorldState, pause};
+
+/// Waits for a call's way to the store, and fails as the store does.
+async fn reach(world: &World, process: &Name) -> Result<()> {
+    pause(CALL_MS).await;
+    let mode = world.state.lock().mode_of(process);
+    match mode {
+        StoreMode::Up | StoreMode::LosesAnswers => {
+            world.state.lock().calls += 1;
+            Ok(())
+        }
+        StoreMode::Refuses => UnavailableSnafu { reason: "the store refuses" }.fail(),
+        StoreMode::Silent => {
+            pause(GIVE_UP_MS).await;
+            UnavailableSnafu { reason: "the store is silent" }.fail()
+        }
+    }
+}
+
+pub(super) fn transact(world: &Arc<World>, process: &Name) -> Operation<RowTransaction, RowCommit> {
+    let (world, process) = (Arc::clone(world), Name::clone(process));
+    operation(move |transaction: RowTransaction| {
+        let (world, process) = (Arc::clone(&world), Name::clone(&process));
+        async move {
+            if world.state.lock().mode_of(&process) == StoreMode::Silent {
+                pause(GIVE_UP_MS).await;
+                return UnknownSnafu { reason: "the store is silent" }.fail();
+            }
+            reach(&world, &process).await?;
+            let (commit, is_lost) = {
+                let mut state = world.state.lock();
+                let is_losing = state.mode_of(&process) == StoreMode::LosesAnswers;
+                state.lost += u64::from(is_losing);
+                let is_lost = is_losing && state.lost.is_multiple_of(2);
+                (state.apply(transaction), is_lost)
+            };
+            world.changed.notify_waiters();
+            if is_lost {
+                pause(GIVE_UP_MS).await;
+                return UnknownSnafu { reason: "the answer is lost" }.fail();
+            }
+            pause(CALL_MS).await;
+            Ok(commit)
+        }
+    })
+}
+
+impl WorldState {
+    fn apply(&mut self, transaction: RowTransaction) -> RowCommit {
+        let mut conflicts = Vec::new();
+        let mut holds = true;
+        for (place, version) in &transaction.checks {
+            let key = (place.table, Name::clone(&place.part), Name::clone(&place.key));
+            let row = self.rows.get(&key);
+            holds &= row.map_or(0, |(_, version)| *version) == *version;
+            conflicts.extend(row.map(|(value, version)| FleetRow {
+                part: Name::clone(&place.part),
+                key: Name::clone(&place.key),
+                value: Some(value.clone()),
+                version: *version,
+            }));
+        }
+        if !holds {
+            return RowCommit::Conflict(conflicts);
+        }
+        self.version += 1;
+        let version = self.version;
+        for (place, value) in transaction.writes {
+            let key = (place.table, Name::clone(&place.part), Name::clone(&place.key));
+            match &value {
+                Some(value) => drop(self.rows.insert(key, (value.clone(), version))),
+                None => drop(self.rows.remove(&key)),
+            }
+            let row = FleetRow { part: place.part, key: place.key, value, version };
+            self.log.push((place.table, row));
+        }
+        RowCommit::Done(version)
+    }
+}
+
+pub(super) fn range(world: &Arc<World>, process: &Name) -> Operation<RowRange, RowPage> {
+    let (world, process) = (Arc::clone(world), Name::clone(process));
+    operation(move |range: RowRange| {
+        let (world, process) = (Arc::clone(&world), Name::clone(&process));
+        async move {
+            reach(&world, &process).await?;
+            let page = {
+                let state = world.state.lock();
+                let rows = state.rows.iter().filter(|((table, part, key), _)| {
+                    *table == range.table
+                        && *part == range.part
+                        && **key >= *range.from
+                        && (range.to.is_empty() || **key < *range.to)
+                });
+                let rows = rows.map(|((_, part, key), (value, version))| FleetRow {
+                    part: Name::clone(part),
+                    key: Name::clone(key),
+                    value: Some(value.clone()),
+                    version: *version,
+                });
+                RowPage { rows: rows.collect(), has_more: false, version: state.version }
+            };
+            pause(CALL_MS).await;
+            Ok(page)
+        }
+    })
+}
+
+/// Waits until `read` finds something that is newer, or the time is over.
+async fn wait_for<T>(
+    world: &World,
+    process: &Name,
+    wait_ms: u64,
+    read: impl Fn(&WorldState) -> Vec<T>,
+) -> Result<(Vec<T>, u64)> {
+    reach(world, process).await?;
+    let until = Instant::now() + Duration::from_millis(wait_ms);
+    loop {
+        let changed = world.changed.notified();
+        let (found, version) = {
+            let state = world.state.lock();
+            (read(&state), state.version)
+        };
+        if !found.is_empty() || Instant::now() >= until {
+            // A feed that was open when the store failed ends as a new call would.
+            reach(world, process).await?;
+            return Ok((found, version));
+        }
+        // An elapsed time is found by the loop.
+        drop(timeout_at(until, changed).await);
+    }
+}
+
+pub(super) fn follow(world: &Arc<World>, process: &Name) -> Operation<Follow, Followed<FleetRow>> {
+    let (world, process) = (Arc::clone(world), Name::clone(process));
+    operation(move |follow: Follow| {
+        let (world, process) = (Arc::clone(&world), Name::clone(&process));
+        async move {
+            let read = |state: &WorldState| {
+                let newer = |row: &FleetRow| row.version > follow.after;
+                let rows =
+                    state.log.iter().filter(|(table, row)| *table == follow.table && newer(row));
+                rows.map(|(_, row)| row.clone()).collect::<Vec<_>>()
+            };
+            let (rows, version) = wait_for(&world, &process, follow.wait_ms, read).await?;
+            let version = rows.last().map_or(version, |row| row.version);
+            Ok(Followed::Changes(rows, version))
+        }
+    })
+}
+
+fn operator_rows(state: &WorldState, after: u64) -> Vec<OperatorNews> {
+    let config = state.config.iter().filter(|(_, version)| *version > after);
+    config.map(|(config, _)| OperatorNews::Config(Arc::clone(config))).collect()
+}
+
+pub(super) fn operator_list(
+    world: &Arc<World>,
+    process: &Name,
+) -> Operation<(), (Vec<OperatorNews>, u64)> {
+    let (world, process) = (Arc::clone(world), Name::clone(process));
+    operation(move |()| {
+        let (world, process) = (Arc::clone(&world), Name::clone(&process));
+        async move {
+            reach(&world, &process).await?;
+            let state = world.state.lock();
+            Ok((operator_rows(&state, 0), state.version))
+        }
+    })
+}
+
+pub(super) fn operator_follow(
+    world: &Arc<World>,
+    process: &Name,
+) -> Operation<Follow, Followed<OperatorNews>> {
+    let (world, process) = (Arc::clone(world), Name::clone(process));
+    operation(move |follow: Follow| {
+        let (world, process) = (Arc::clone(&world), Name::clone(&process));
+        async move {
+            let read = |state: &WorldState| operator_rows(state, follow.after);
+            let (news, version) = wait_for(&world, &process, follow.wait_ms, read).await?;
+            Ok(Followed::Changes(news, version))
+        }
+    })
+}
+
+fn worker_rows(state: &WorldState, after: u64) -> Vec<WorkerNews> {
+    let changed = state.worker_log.iter().filter(|(version, _)| *version > after);
+    let news = changed.map(|(_, id)| match state.workers.get(id) {
+        Some(worker) if worker.is_listed => WorkerNews::Listed(worker.facts.clone()),
+        _ => WorkerNews::Unlisted(id.clone()),
+    });
+    news.collect()
+}
+
+pub(super) fn worker_list(
+    world: &Arc<World>,
+    process: &Name,
+) -> Operation<(), (Vec<WorkerNews>, u64)> {
+    let (world, process) = (Arc::clone(world), Name::clone(process));
+    operation(move |()| {
+        let (world, process) = (Arc::clone(&world), Name::clone(&process));
+        async move {
+            reach(&world, &process).await?;
+            let state = world.state.lock();
+            Ok((worker_rows(&state, 0), state.version))
+        }
+    })
+}
+
+pub(super) fn worker_follow(
+    world: &Arc<World>,
+    process: &Name,
+) -> Operation<Follow, Followed<WorkerNews>> {
+    let (world, process) = (Arc::clone(world), Name::clone(process));
+    operation(move |follow: Follow| {
+        let (world, process) = (Arc::clone(&world), Name::clone(&process));
+        async move {
+            let read = |state: &WorldState| worker_rows(state, follow.after);
+            let (news, version) = wait_for(&world, &process, follow.wait_ms, read).await?;
+            Ok(Followed::Changes(news, version))
+        }
+    })
+}
--- /dev/null
+++ b/crates/masticfall-standin/src/fleet/workers.rs
@@ -0,0 +1,212 @@
+//! The model's workers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use masticfall_core::fleet::report::{ActiveRun, RunEnd, StartOutcome, StopOutcome, WorkerReport};
+use masticfall_core::fleet::spec::Resources;
+use masticfall_platform::error::UnavailableSnafu;
+use masticfall_platform::fleet::{LookCall, Looked, RunCall, StartCall};
+use masticfall_platform::{Operation, operation};
+use tokio::time::{Instant, timeout_at};
+
+use super::{CALL_MS, GIVE_UP_MS, ModelRun, RunRecord, World, WorldState, pause};
+
+/// Delay of an order that is carried out late, in milliseconds.
+const LATE_MS: u64 = 3_000;
+
+/// Longest time between two readings of a worker that is looked at, in milliseconds.
+const STEP_MS: u64 = 20;
+
+impl WorldState {
+    fn start(&mut self, call: &StartCall, now_ms: u64) -> StartOutcome {
+        self.advance(now_ms);
+        let Some(spec) = self.specs.get(&call.task.job) else { return StartOutcome::Invalid };
+        let step = spec.steps[call.task.step as usize].clone();
+        let Some(worker) = self.workers.get_mut(&call.worker) else {
+            return StartOutcome::WrongWorker;
+        };
+        if call.fencing_token < worker.token {
+            return StartOutcome::Fenced;
+        }
+        worker.token = call.fencing_token;
+        if call.lease_until_theirs_ms <= now_ms {
+            return StartOutcome::Late;
+        }
+        let key = (call.task.clone(), call.attempt);
+        if worker.running.contains_key(&key) {
+            return StartOutcome::Started;
+        }
+        let highest = worker.refused.get(&call.task).copied().unwrap_or_default();
+        if call.attempt <= highest {
+            return StartOutcome::Superseded;
+        }
+        let running = worker.running.values().map(|run| self.record[run.record].needs);
+        let used = running.fold(Resources::default(), |sum, needs| sum.plus(&needs));
+        if !step.needs.fits(&worker.facts.capacity.minus(&used)) {
+            return StartOutcome::NoRoom;
+        }
+        worker.note_lapse(&mut self.record, now_ms);
+        worker.lease_until_ms = worker.lease_until_ms.max(call.lease_until_theirs_ms);
+        let record = self.record.len();
+        let done_ms = if step.is_long_running { u64::MAX } else { now_ms + step.estimate_ms };
+        worker.running.insert(key, ModelRun { record, done_ms, pace_percent: 100 });
+        self.record.push(RunRecord {
+            task: call.task.clone(),
+            attempt: call.attempt,
+            worker: call.worker.clone(),
+            began_ms: now_ms,
+            ended: None,
+            forgotten_ms: None,
+            lapsed_unread: false,
+            needs: step.needs,
+        });
+        StartOutcome::Started
+    }
+
+    fn stop(&mut self, call: &RunCall, now_ms: u64) -> StopOutcome {
+        self.advance(now_ms);
+        let Some(worker) = self.workers.get_mut(&call.worker) else {
+            return StopOutcome::WrongWorker;
+        };
+        if call.fencing_token < worker.token {
+            return StopOutcome::Fenced;
+        }
+        worker.token = call.fencing_token;
+        let highest = worker.refused.entry(call.task.clone()).or_default();
+        *highest = (*highest).max(call.attempt);
+        worker.end(&mut self.record, &(call.task.clone(), call.attempt), now_ms, RunEnd::Stopped);
+        StopOutcome::Accepted
+    }
+
+    fn is_silent(&self, worker: &masticfall_core::id::WorkerId) -> bool {
+        self.workers.get(worker).is_none_or(|worker| worker.is_silent || !worker.is_alive)
+    }
+}
+
+pub(super) fn start(world: &Arc<World>) -> Operation<StartCall, StartOutcome> {
+    let world = Arc::clone(world);
+    operation(move |call: StartCall| {
+        let world = Arc::clone(&world);
+        async move {
+            pause(CALL_MS).await;
+            let is_late = {
+                let mut state = world.state.lock();
+                state.orders += 1;
+                state.late_orders > 0 && state.orders.is_multiple_of(state.late_orders)
+            };
+            if world.state.lock().is_silent(&call.worker) {
+                pause(GIVE_UP_MS).await;
+                return Ok(StartOutcome::Unknown);
+            }
+            if is_late {
+                let late = Arc::clone(&world);
+                tokio::spawn(async move {
+                    pause(LATE_MS).await;
+                    let now_ms = late.now_ms();
+                    late.state.lock().start(&call, now_ms);
+                });
+                pause(GIVE_UP_MS).await;
+                return Ok(StartOutcome::Unknown);
+            }
+            let now_ms = world.now_ms();
+            let outcome = world.state.lock().start(&call, now_ms);
+            pause(CALL_MS).await;
+            Ok(outcome)
+        }
+    })
+}
+
+pub(super) fn stop(world: &Arc<World>) -> Operation<RunCall, StopOutcome> {
+    let world = Arc::clone(world);
+    operation(move |call: RunCall| {
+        let world = Arc::clone(&world);
+        async move {
+            pause(CALL_MS).await;
+            if world.state.lock().is_silent(&call.worker) {
+                pause(GIVE_UP_MS).await;
+                return Ok(StopOutcome::Unknown);
+            }
+            let now_ms = world.now_ms();
+            let outcome = world.state.lock().stop(&call, now_ms);
+            world.changed.notify_waiters();
+            Ok(outcome)
+        }
+    })
+}
+
+pub(super) fn pace(world: &Arc<World>) -> Operation<RunCall, StopOutcome> {
+    let world = Arc::clone(world);
+    operation(move |call: RunCall| {
+        let world = Arc::clone(&world);
+        async move {
+            pause(CALL_MS).await;
+            let mut state = world.state.lock();
+            let worker = state.workers.get_mut(&call.worker);
+            let key = (call.task.clone(), call.attempt);
+            if let Some(run) = worker.and_then(|worker| worker.running.get_mut(&key)) {
+                run.pace_percent = call.pace_percent;
+            }
+            Ok(StopOutcome::Accepted)
+        }
+    })
+}
+
+pub(super) fn look(world: &Arc<World>) -> Operation<LookCall, Looked> {
+    let world = Arc::clone(world);
+    operation(move |call: LookCall| {
+        let world = Arc::clone(&world);
+        async move {
+            pause(CALL_MS).await;
+            let until = Instant::now() + Duration::from_millis(call.wait_ms);
+            loop {
+                if world.state.lock().is_silent(&call.worker) {
+                    pause(GIVE_UP_MS).await;
+                    return UnavailableSnafu { reason: "the worker is silent" }.fail();
+                }
+                let looked = look_once(&world, &call);
+                let is_over = Instant::now() >= until;
+                match looked {
+                    Looked::Report(report) if report.ended.is_empty() && !is_over => {}
+                    looked => {
+                        pause(CALL_MS).await;
+                        return Ok(looked);
+                    }
+                }
+                let step = Instant::now() + Duration::from_millis(STEP_MS);
+                // An elapsed time is the usual case.
+                drop(timeout_at(step.min(until), world.changed.notified()).await);
+            }
+        }
+    })
+}
+
+fn look_once(world: &World, call: &LookCall) -> Looked {
+    let now_ms = world.now_ms();
+    let mut state = world.state.lock();
+    state.advance(now_ms);
+    let WorldState { workers, record, .. } = &mut *state;
+    let Some(worker) = workers.get_mut(&call.worker) else { return Looked::WrongWorker };
+    if call.fencing_token < worker.token {
+        return Looked::Fenced;
+    }
+    worker.token = call.fencing_token;
+    worker.note_lapse(record, now_ms);
+    if let Some(until_ms) = call.lease_until_theirs_ms {
+        worker.lease_until_ms = worker.lease_until_ms.max(until_ms);
+    }
+    worker.forget(record, call.stored_end, now_ms);
+    let running = worker.running.keys().map(|(task, attempt)| ActiveRun {
+        task: task.clone(),
+        attempt: *attempt,
+        checkpoint: None,
+        percent: 100,
+        load: 0,
+    });
+    Looked::Report(WorkerReport {
+        clock_ms: now_ms,
+        born_wall_ms: worker.facts.born_wall_ms,
+        running: running.collect(),
+        ended: worker.ended.clone(),
+    })
+}
--- a/crates/masticfall-standin/src/lib.rs
+++ b/crates/masticfall-standin/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod cloud;
 pub mod fault;
+pub mod fleet;
 pub mod platform;
 pub mod server;
 pub mod target;
--- a/crates/masticfalld/src/fleet.rs
+++ b/crates/masticfalld/src/fleet.rs
@@ -3,9 +3,11 @@
 use std::io::Write;
 use std::path::Path;
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use masticfall_adapter::edge::Edge;
 use masticfall_adapter::{Services, connect};
+use masticfall_entry::fleet::context::boot_ms;
 use masticfall_entry::fleet::{FleetSettings, start};
 use tokio::signal::unix::{SignalKind, signal};
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
@@ -70,7 +72,7 @@
         Ok(signals) => signals,
         Err(error) => return fail(&format!("cannot listen for signals: {error}")),
     };
-    let running = start(settings, connect(services));
+    let running = start(settings, connect(services), Arc::new(boot_ms));
     let edge = match Edge::open(&running.fleet).await {
         Ok(edge) => edge,
         Err(error) => return fail(&format!("cannot listen: {error}")),
