Silent workers are announced to the next owner; leases of at most 6 s

Change: the sign of life names silent workers with the end of their leases; an owner gives none to them until it has said that they answer; leases are 6 s at most. The announcement counts only from the owner just before.

--- a/crates/masticfall-core/src/fleet/board/reports.rs
+++ b/crates/masticfall-core/src/fleet/board/reports.rs
@@ -39,10 +39,7 @@
     pub fn look(&mut self, id: &WorkerId, now_ms: u64) -> Option<LookRequest> {
         let lease_ms = self.bounds.lease_ms;
         let worker = self.workers.get_mut(id)?;
-        // A silent worker gets no longer lease: whether it takes effect would
-        // not be known, and its tasks would never count as ended.
-        let may_extend = !worker.is_silent;
-        let lease_until_theirs_ms = may_extend.then(|| worker.lease(now_ms, lease_ms)).flatten();
+        let lease_until_theirs_ms = worker.lease(now_ms, lease_ms);
         let stored_end = worker.stored_end;
         let wait_ms = match lease_until_theirs_ms {
             None => 0,
@@ -52,6 +49,37 @@
         Some(LookRequest { worker: id.clone(), stored_end, lease_until_theirs_ms, wait_ms })
     }
 
+    /// Returns the silent workers to be announced to the next owner, with the
+    /// time after which nothing runs there. They get no lease from now on.
+    pub fn announce_silent(&mut self, now_ms: u64) -> IndexMap<WorkerId, u64> {
+        let mut silent = IndexMap::new();
+        for (id, worker) in self.workers.iter_mut().filter(|(_, worker)| worker.is_silent) {
+            worker.is_written_off = true;
+            silent.insert(id.clone(), worker.lapses_ms().saturating_sub(now_ms));
+        }
+        silent
+    }
+
+    /// Notes that an announcement was stored: workers that it doesn't name may
+    /// get leases again.
+    pub fn announced(&mut self, silent: &IndexMap<WorkerId, u64>) {
+        for (id, worker) in &mut self.workers {
+            if !silent.contains_key(id) && !worker.is_silent {
+                worker.is_written_off = false;
+            }
+        }
+    }
+
+    /// Takes in what the last owner announced.
+    pub fn hear_silent(&mut self, silent: &IndexMap<WorkerId, u64>, now_ms: u64) {
+        for (id, left_ms) in silent {
+            if let Some(worker) = self.workers.get_mut(id) {
+                let lapse_ms = now_ms + left_ms;
+                worker.foreign_lease_until_ms = worker.foreign_lease_until_ms.min(lapse_ms);
+            }
+        }
+    }
+
     /// Notes that a worker didn't answer.
     pub fn look_failed(&mut self, id: &WorkerId) {
         let Some(worker) = self.workers.get_mut(id) else { return };
--- a/crates/masticfall-core/src/fleet/board/time.rs
+++ b/crates/masticfall-core/src/fleet/board/time.rs
@@ -4,6 +4,7 @@
 use super::{Board, Notice, Now, OrderState, StopReason, TaskState};
 use crate::fleet::report::RunEnd;
 use crate::fleet::spec::TaskKey;
+use crate::fleet::worker::Worker;
 use crate::id::WorkerId;
 
 /// Pause before an order without an answer is sent again, in milliseconds.
@@ -48,7 +49,8 @@
             let task = self.jobs.get(&key.job).and_then(|job| job.task(key));
             let Some(TaskState::Placed(run)) = task.map(|task| &task.state) else { return false };
             let OrderState::Unclear(since_ms) = run.order else { return false };
-            if self.workers.get(&run.worker).is_none_or(|worker| worker.is_silent) {
+            let has_lease = |worker: &Worker| !worker.is_silent && !worker.is_written_off;
+            if !self.workers.get(&run.worker).is_some_and(has_lease) {
                 return true;
             }
             match run.stop_sent_ms {
--- a/crates/masticfall-core/src/fleet/worker.rs
+++ b/crates/masticfall-core/src/fleet/worker.rs
@@ -96,6 +96,9 @@
     pub is_due: bool,
     /// Whether the last exchange with it failed.
     pub is_silent: bool,
+    /// Whether the next owner may have been told that it is silent, in which case
+    /// it gets no lease.
+    pub is_written_off: bool,
     /// Life that its ends and runs were read from.
     pub born_wall_ms: Option<u64>,
     /// Last reading of its clock.
@@ -133,6 +136,7 @@
             is_cordoned: false,
             is_due: false,
             is_silent: false,
+            is_written_off: false,
             born_wall_ms: None,
             clock: None,
             leased_until_theirs_ms: 0,
@@ -157,7 +161,13 @@
 
     /// Notes that a call with a lease of `lease_ms` is about to be sent;
     /// returns the lease's end by the worker's clock.
+    ///
+    /// A silent worker gets no lease: whether it takes effect would not be
+    /// known, and its tasks would never count as ended.
     pub fn lease(&mut self, now_ms: u64, lease_ms: u64) -> Option<u64> {
+        if self.is_silent || self.is_written_off {
+            return None;
+        }
         let until = self.clock_at(now_ms)? + lease_ms;
         self.leased_until_theirs_ms = self.leased_until_theirs_ms.max(until);
         Some(until)
@@ -183,6 +193,7 @@
             && !self.facts.is_draining
             && !self.is_cordoned
             && !self.is_silent
+            && !self.is_written_off
             && self.clock.is_some()
             && now_ms >= self.rest_until_ms
     }
--- a/crates/masticfall-core/tests/suite/fleet_leases.rs
+++ b/crates/masticfall-core/tests/suite/fleet_leases.rs
@@ -2,6 +2,7 @@
 
 use masticfall_core::fleet::board::Order;
 use masticfall_core::fleet::spec::StepSpec;
+use masticfall_core::prelude::*;
 
 use crate::fleet_rig::{LEASE_MS, Rig, facts, step};
 
@@ -65,3 +66,46 @@
     rig.settle();
     assert!(matches!(&rig.others[..], [Order::Stop(stop)] if stop.worker == on));
 }
+
+#[test]
+fn next_owner_restarts_sooner_what_was_on_a_worker_announced_as_silent() {
+    let mut rig = Rig::new(WORKERS);
+    rig.submit(JOB, vec![step(1, 1)]);
+    rig.settle();
+    let on = rig.started[0].worker.as_str().to_string();
+    let other = if on == "w1" { "w2" } else { "w1" };
+    fall_silent(&mut rig, &on, 3_000);
+    let now_ms = rig.now_ms;
+    let silent = rig.board.announce_silent(now_ms);
+    assert!(silent[&WorkerId::from(on.as_str())] <= LEASE_MS - 2_500);
+    rig.take_over(2);
+    rig.list(&[(other, 8)]);
+    rig.board.hear_silent(&silent, now_ms);
+    rig.look(&other.into());
+    rig.settle();
+    assert_eq!(rig.started.len(), 1, "it may still run");
+    rig.pass(LEASE_MS - 2_500 + 200);
+    rig.look(&other.into());
+    rig.settle();
+    assert_eq!(rig.started.len(), 2, "long before a lease given by the last owner could end");
+}
+
+#[test]
+fn worker_announced_as_silent_gets_a_lease_only_after_it_was_taken_back() {
+    let mut rig = Rig::new(WORKERS);
+    let now_ms = rig.now_ms;
+    rig.board.look_failed(&"w1".into());
+    let silent = rig.board.announce_silent(now_ms);
+    // It answers again, but the store still says otherwise.
+    rig.look(&"w1".into());
+    let look = rig.board.look(&"w1".into(), now_ms).expect("a worker");
+    assert_eq!(look.lease_until_theirs_ms, None);
+    rig.board.announced(&silent);
+    assert_eq!(rig.board.look(&"w1".into(), now_ms).expect("a worker").lease_until_theirs_ms, None);
+    let silent = rig.board.announce_silent(now_ms);
+    assert!(silent.is_empty());
+    rig.board.announced(&silent);
+    assert!(
+        rig.board.look(&"w1".into(), now_ms).expect("a worker").lease_until_theirs_ms.is_some()
+    );
+}
--- a/crates/masticfall-entry/src/fleet/leadership.rs
+++ b/crates/masticfall-entry/src/fleet/leadership.rs
@@ -211,7 +211,16 @@
     // Read after the progress: a job that ends in between is then shown as ended.
     let (jobs, jobs_version) = follow::read_table(fleet, JOBS).await?;
     let epoch = ownership.epoch;
-    let board = load_board(fleet, epoch, fell_silent, &jobs, &progress);
+    let mut board = load_board(fleet, epoch, fell_silent, &jobs, &progress);
+    let (rows, _) = follow::read_table(fleet, LEAD).await?;
+    let last = rows.iter().find(|row| &*row.key == BEAT_KEY);
+    if let Some(bytes) = last.and_then(|row| row.value.as_deref()) {
+        let beat = read::<BeatRow>(bytes)?;
+        // An owner in between may have reached the workers and said nothing.
+        if beat.epoch + 1 == epoch {
+            board.hear_silent(&beat.silent_ms, fleet.now_ms());
+        }
+    }
     let count = board.jobs.len();
     let remembered: Vec<WorkerId> = board.workers.keys().cloned().collect();
     {
@@ -283,17 +292,22 @@
     loop {
         let epoch = ownership.epoch;
         let sent_ms = fleet.now_ms();
-        let counts = fleet
-            .with_board(epoch, |board| (board.waiting_by_queue(), board.backlog_by_queue(sent_ms)));
-        let Some((waiting, backlog_ms)) = counts else { return };
+        let counts = fleet.with_board(epoch, |board| {
+            let backlog_ms = board.backlog_by_queue(sent_ms);
+            (board.waiting_by_queue(), backlog_ms, board.announce_silent(sent_ms))
+        });
+        let Some((waiting, backlog_ms, silent_ms)) = counts else { return };
         number += 1;
-        let row = BeatRow { epoch, number, waiting, backlog_ms };
+        let row = BeatRow { epoch, number, waiting, backlog_ms, silent_ms };
         let written = match value(&row) {
             Ok(bytes) => write(&fleet, ownership, vec![(place(LEAD, BEAT_KEY), Some(bytes))]).await,
             Err(error) => Err(error),
         };
         match written {
-            Ok(true) => confirm(&fleet, epoch, sent_ms),
+            Ok(true) => {
+                confirm(&fleet, epoch, sent_ms);
+                fleet.with_board(epoch, |board| board.announced(&row.silent_ms));
+            }
             Ok(false) => return,
             Err(error) => {
                 tracing::debug!(name: "cell.not_renewed", epoch, %error, "trying again");
--- a/crates/masticfall-entry/src/fleet/rows.rs
+++ b/crates/masticfall-entry/src/fleet/rows.rs
@@ -1,7 +1,7 @@
 //! Our rows in the platform's store.
 
 use indexmap::IndexMap;
-use masticfall_core::id::{Incarnation, InstanceName, JobId, Name, QueueName};
+use masticfall_core::id::{Incarnation, InstanceName, JobId, Name, QueueName, WorkerId};
 use masticfall_platform::error::{MalformedSnafu, Result};
 use masticfall_platform::fleet::RowPlace;
 use masticfall_wire::{decode, encode};
@@ -50,6 +50,10 @@
     pub waiting: IndexMap<QueueName, u32>,
     /// Time that each queue's pool needs for what waits, in milliseconds.
     pub backlog_ms: IndexMap<QueueName, u64>,
+    /// Silent workers, with the time after which nothing runs there any more, in
+    /// milliseconds. The owner gives them no lease before it has said that they
+    /// answer again.
+    pub silent_ms: IndexMap<WorkerId, u64>,
 }
 
 /// Instances that an owner may have called lately.
--- a/crates/masticfall-entry/src/fleet/settings.rs
+++ b/crates/masticfall-entry/src/fleet/settings.rs
@@ -11,6 +11,10 @@
 /// Longest lease, in milliseconds; bounds what a file may ask for.
 const MAX_MS: u64 = 600_000;
 
+/// Longest lease given to workers, in milliseconds, however long the platform
+/// allows: what lasts on a lost worker has to run elsewhere some 6 s later.
+const MAX_WORKER_LEASE_MS: u64 = 6_000;
+
 /// Share of a core with which a process dispatches a large cell with ease: about
 /// 0.2 ms of processor time for each start, at 1,500 starts a second.
 const AMPLE_CPU_SHARE: f64 = 0.4;
@@ -117,7 +121,7 @@
             store: address(&mut doc, "store"),
             machines: address(&mut doc, "machines"),
             advice: doc.text(SECTION, "advice").and_then(|text| text.parse().ok()),
-            worker_lease_ms: millis(&mut doc, "worker_lease_ms", 6_000),
+            worker_lease_ms: millis(&mut doc, "worker_lease_ms", 6_000).min(MAX_WORKER_LEASE_MS),
             stop_grace_ms: millis(&mut doc, "stop_grace_ms", 1_000),
             machine_lease_ms: millis(&mut doc, "machine_lease_ms", 3_000),
             stop_signal_grace_ms: seconds(&mut doc, "stop_signal_grace_s", 6.0),
