--- a/crates/masticfall-core/src/fleet/machines.rs
+++ b/crates/masticfall-core/src/fleet/machines.rs
@@ -224,7 +224,8 @@
         board: &Board,
         now_ms: u64,
     ) {
-        let mut waiting: Vec<(bool, u64, &InstanceName)> = Vec::new();
+        let mut plain: Vec<(u64, &InstanceName)> = Vec::new();
+        let mut lasting: Vec<(u64, &InstanceName)> = Vec::new();
         for name in &self.instances {
             let is_taken = self.progress.begun.contains(name)
                 || self.emptying.contains(name)
@@ -236,12 +237,18 @@
             let worker = machine.worker.as_ref().and_then(|id| board.workers.get(id));
             let used = worker.map_or(0, |worker| worker.used.cpu_millis);
             let has_lasting = machine.worker.as_ref().is_some_and(|id| board.has_lasting(id));
-            waiting.push((has_lasting, used, name));
+            let list = if has_lasting { &mut lasting } else { &mut plain };
+            list.push((used, name));
         }
+        plain.sort();
+        lasting.sort();
+        // What lasts leaves one by one, so those instances take longest.
+        let longest = plain.len().max(lasting.len());
+        let pairs = (0..longest).flat_map(|at| [lasting.get(at), plain.get(at)]);
+        let waiting: Vec<&InstanceName> = pairs.flatten().map(|(_, name)| *name).collect();
         if waiting.is_empty() {
             return;
         }
-        waiting.sort();
         let left_ms = self.due_ms.saturating_sub(now_ms).max(1) as f64 / HASTE;
         let each_ms = (EMPTYING_MS + self.down_ms) as f64;
         let wanted = (waiting.len() as f64 * each_ms / left_ms).ceil() as usize;
@@ -254,7 +261,7 @@
         let away = self.instances.iter().filter(is_away).count();
         let out = self.emptying.len() + self.down.len() + away;
         let chosen = waiting.iter().take(wanted.saturating_sub(out));
-        let chosen: Vec<InstanceName> = chosen.map(|(_, _, name)| (*name).clone()).collect();
+        let chosen: Vec<InstanceName> = chosen.map(|name| (*name).clone()).collect();
         self.emptying.extend(chosen);
     }
 }
--- a/crates/masticfall-entry/src/fleet/machines.rs
+++ b/crates/masticfall-entry/src/fleet/machines.rs
@@ -218,7 +218,9 @@
         if let Some(bytes) = row {
             wave.progress = read::<WaveProgress>(bytes)?;
         }
-        (fleet.platform.report_wave)((name.clone(), false)).await?;
+        if !wave.instances.iter().all(|name| wave.progress.begun.contains(name)) {
+            (fleet.platform.report_wave)((name.clone(), false)).await?;
+        }
         waves.insert(name, wave);
     }
     Ok(())
@@ -266,7 +268,9 @@
         tracing::info!(name: "wave.instance", wave = %wave.name, instance = %call.instance, ?outcome, epoch = ownership.epoch, "asked to take an instance down");
         fleet.with_board(ownership.epoch, |board| wave.taken_down(call, outcome, board, now_ms));
     }
-    Ok(())
+    // A later owner need not ask again about what has begun.
+    let row = (place(LEAD, wave_key(&wave.name)), Some(value(&wave.progress)?));
+    leadership::write(fleet, ownership, vec![row]).await.map(drop)
 }
 
 fn undo(fleet: &Fleet, ownership: Ownership, wave: &mut Wave, calls: &[TakeDown]) {
