--- a/crates/masticfall-entry/src/fleet/context.rs
+++ b/crates/masticfall-entry/src/fleet/context.rs
@@ -2,12 +2,13 @@
 
 use std::fmt;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use indexmap::IndexMap;
 use masticfall_core::fleet::board::{Board, Now};
 use masticfall_core::fleet::config::FleetConfig;
 use masticfall_core::id::{Incarnation, WaveName};
+use masticfall_platform::PlatformError;
 use masticfall_platform::fleet::{FleetPlatform, WavePlan};
 use parking_lot::{Mutex, MutexGuard};
 use rand::Rng;
@@ -82,6 +83,7 @@
     pub(super) watch: super::leadership::Watch,
     /// Wakes whoever follows the ownership.
     pub lead_changed: Notify,
+    store_lost: AtomicBool,
     clock: Clock,
     in_flight: AtomicUsize,
     shared: Mutex<Shared>,
@@ -118,6 +120,7 @@
             batch_stored: Notify::new(),
             watch: super::leadership::Watch::default(),
             lead_changed: Notify::new(),
+            store_lost: AtomicBool::new(false),
             clock,
             in_flight: AtomicUsize::new(0),
             shared: Mutex::new(shared),
@@ -166,6 +169,22 @@
         Some(result)
     }
 
+    /// Notes how a call to the store's feeds ended; writes a line when the store
+    /// was lost or is back.
+    pub fn note_store<T>(&self, result: &Result<T, PlatformError>) {
+        let is_lost = result.is_err();
+        if self.store_lost.swap(is_lost, Ordering::Relaxed) == is_lost {
+            return;
+        }
+        let (process, store) = (&self.who, self.settings.store);
+        match result {
+            Ok(_) => tracing::info!(name: "store.back", %process, %store, "store answers again"),
+            Err(error) => {
+                tracing::warn!(name: "store.lost", %process, %store, %error, "store does not answer");
+            }
+        }
+    }
+
     /// Counts a request until the guard is dropped.
     pub fn request(self: &Arc<Self>) -> RequestGuard {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
--- a/crates/masticfall-entry/src/fleet/follow.rs
+++ b/crates/masticfall-entry/src/fleet/follow.rs
@@ -28,6 +28,7 @@
 pub async fn operators(fleet: Arc<Fleet>) {
     loop {
         let listed = (fleet.platform.operator_list)(()).await;
+        fleet.note_store(&listed);
         let mut after = match listed {
             Ok((news, version)) => {
                 for news in news {
@@ -42,7 +43,9 @@
         };
         loop {
             let follow = Follow { table: "", after, wait_ms: FEED_WAIT_MS };
-            match (fleet.platform.operator_follow)(follow).await {
+            let followed = (fleet.platform.operator_follow)(follow).await;
+            fleet.note_store(&followed);
+            match followed {
                 Ok(Followed::Changes(news, version)) => {
                     after = after.max(version);
                     for news in news {
