--- a/crates/masticfall-standin/src/fleet/store.rs
+++ b/crates/masticfall-standin/src/fleet/store.rs
@@ -168,71 +168,73 @@
     config.map(|(config, _)| OperatorNews::Config(Arc::clone(config))).collect()
 }
 
-pub(super) fn operator_list(
+fn worker_rows(state: &WorldState, after: u64) -> Vec<WorkerNews> {
+    let changed = state.worker_log.iter().filter(|(version, _)| *version > after);
+    let news = changed.map(|(_, id)| match state.workers.get(id) {
+        Some(worker) if worker.is_listed => WorkerNews::Listed(worker.facts.clone()),
+        _ => WorkerNews::Unlisted(id.clone()),
+    });
+    news.collect()
+}
+
+/// Lists news of one kind.
+fn list_news<T: Send + 'static>(
     world: &Arc<World>,
     process: &Name,
-) -> Operation<(), (Vec<OperatorNews>, u64)> {
+    news: fn(&WorldState, u64) -> Vec<T>,
+) -> Operation<(), (Vec<T>, u64)> {
     let (world, process) = (Arc::clone(world), Name::clone(process));
     operation(move |()| {
         let (world, process) = (Arc::clone(&world), Name::clone(&process));
         async move {
             reach(&world, &process).await?;
             let state = world.state.lock();
-            Ok((operator_rows(&state, 0), state.version))
+            Ok((news(&state, 0), state.version))
         }
     })
 }
 
-pub(super) fn operator_follow(
+/// Follows news of one kind.
+fn follow_news<T: Send + 'static>(
     world: &Arc<World>,
     process: &Name,
-) -> Operation<Follow, Followed<OperatorNews>> {
+    news: fn(&WorldState, u64) -> Vec<T>,
+) -> Operation<Follow, Followed<T>> {
     let (world, process) = (Arc::clone(world), Name::clone(process));
     operation(move |follow: Follow| {
         let (world, process) = (Arc::clone(&world), Name::clone(&process));
         async move {
-            let read = |state: &WorldState| operator_rows(state, follow.after);
+            let read = |state: &WorldState| news(state, follow.after);
             let (news, version) = wait_for(&world, &process, follow.wait_ms, read).await?;
             Ok(Followed::Changes(news, version))
         }
     })
 }
 
-fn worker_rows(state: &WorldState, after: u64) -> Vec<WorkerNews> {
-    let changed = state.worker_log.iter().filter(|(version, _)| *version > after);
-    let news = changed.map(|(_, id)| match state.workers.get(id) {
-        Some(worker) if worker.is_listed => WorkerNews::Listed(worker.facts.clone()),
-        _ => WorkerNews::Unlisted(id.clone()),
-    });
-    news.collect()
+pub(super) fn operator_list(
+    world: &Arc<World>,
+    process: &Name,
+) -> Operation<(), (Vec<OperatorNews>, u64)> {
+    list_news(world, process, operator_rows)
+}
+
+pub(super) fn operator_follow(
+    world: &Arc<World>,
+    process: &Name,
+) -> Operation<Follow, Followed<OperatorNews>> {
+    follow_news(world, process, operator_rows)
 }
 
 pub(super) fn worker_list(
     world: &Arc<World>,
     process: &Name,
 ) -> Operation<(), (Vec<WorkerNews>, u64)> {
-    let (world, process) = (Arc::clone(world), Name::clone(process));
-    operation(move |()| {
-        let (world, process) = (Arc::clone(&world), Name::clone(&process));
-        async move {
-            reach(&world, &process).await?;
-            let state = world.state.lock();
-            Ok((worker_rows(&state, 0), state.version))
-        }
-    })
+    list_news(world, process, worker_rows)
 }
 
 pub(super) fn worker_follow(
     world: &Arc<World>,
     process: &Name,
 ) -> Operation<Follow, Followed<WorkerNews>> {
-    let (world, process) = (Arc::clone(world), Name::clone(process));
-    operation(move |follow: Follow| {
-        let (world, process) = (Arc::clone(&world), Name::clone(&process));
-        async move {
-            let read = |state: &WorldState| worker_rows(state, follow.after);
-            let (news, version) = wait_for(&world, &process, follow.wait_ms, read).await?;
-            Ok(Followed::Changes(news, version))
-        }
-    })
+    follow_news(world, process, worker_rows)
 }
