A restarted owner takes its cell back at once

Change: a process whose earlier life is the owner claims the cell at once, and needs no wait for leases that life may go on to extend. Shown: fleet::restarted_owner_goes_on_at_once fails before.

--- a/crates/masticfall-entry/src/fleet/leadership.rs
+++ b/crates/masticfall-entry/src/fleet/leadership.rs
@@ -154,10 +154,21 @@
             let age_wait_ms = (age_ms / AGE_PART).min(MAX_AGE_WAIT_MS);
             now_ms >= seen.changed_ms + age_wait_ms + spread_ms.saturating_sub(SPREAD_MS)
         }
+        // Our own former life has ended; nobody needs to wait for it.
+        Some((owner, _)) if is_former_self(fleet, owner) => true,
         Some(_) => now_ms > seen.changed_ms + SILENCE_MS + spread_ms,
     }
 }
 
+/// Tells whether an owner is an earlier life of this process.
+fn is_former_self(fleet: &Fleet, owner: &OwnerRow) -> bool {
+    let Some(process) = owner.process.as_ref().filter(|process| **process != fleet.who) else {
+        return false;
+    };
+    let name = process.as_str().rsplit_once('.').map(|(name, _)| name);
+    name == Some(&*fleet.settings.name)
+}
+
 async fn take_over(fleet: &Arc<Fleet>) -> Result<()> {
     // The feed may lag: what it hasn't shown may be a sign of life.
     let (rows, _) = follow::read_table(fleet, LEAD).await?;
@@ -190,7 +201,8 @@
     let former = fleet.watch.0.lock().owner.replace((owner, version));
     fleet.shared().confirmed_ms = sent_ms;
     // An owner that handed over has stopped; one that fell silent may go on.
-    let fell_silent = former.is_some_and(|(owner, _)| owner.process.is_some());
+    let fell_silent =
+        former.is_some_and(|(owner, _)| owner.process.is_some() && !is_former_self(fleet, &owner));
     lead(fleet, Ownership { epoch, version }, fell_silent).await
 }
 
--- a/crates/masticfall-entry/tests/suite/fleet.rs
+++ b/crates/masticfall-entry/tests/suite/fleet.rs
@@ -234,6 +234,24 @@
     assert!(gap_ms < 1_500, "dispatch went on after {gap_ms} ms");
 }
 
+#[tokio::test(start_paused = true)]
+async fn restarted_owner_goes_on_at_once() {
+    let world = World::new(WORKERS, "p");
+    let mut processes = settled(&world, &["a"]).await;
+    let ids: Vec<JobId> = (1..6).map(job).collect();
+    for id in &ids {
+        submit(&world, &processes[0].fleet, id).await.expect("accepted");
+    }
+    sleep(Duration::from_millis(100)).await;
+    processes.remove(0).crash();
+    sleep(Duration::from_millis(100)).await;
+    let again = launch(&world, "a");
+    sleep(Duration::from_millis(300)).await;
+    assert!(again.fleet.shared().ownership.is_some(), "its former life needs no silence");
+    sleep(Duration::from_secs(10)).await;
+    check(&world, &ids, &ids);
+}
+
 #[rstest]
 #[case::seed_1(1)]
 #[case::seed_2(2)]
