--- a/crates/masticfall-core/src/fleet/board.rs
+++ b/crates/masticfall-core/src/fleet/board.rs
@@ -295,14 +295,12 @@
             return;
         }
         let mut job = Job::new(record, self.config.as_deref(), now);
+        job.attempt_floor = self.epoch.saturating_sub(1) * ATTEMPTS_PER_EPOCH;
         if let Some(progress) = progress {
             for (worker, address) in &progress.workers {
                 self.remember_worker(worker, *address);
             }
-            let worst_attempt = self.epoch.saturating_sub(1) * ATTEMPTS_PER_EPOCH;
-            job.restore(&progress, worst_attempt);
-        } else {
-            job.attempt_floor = self.epoch.saturating_sub(1) * ATTEMPTS_PER_EPOCH;
+            job.restore(&progress);
         }
         let placements = job.placements(id);
         self.jobs.insert(id.clone(), job);
--- a/crates/masticfall-core/src/fleet/board/job.rs
+++ b/crates/masticfall-core/src/fleet/board/job.rs
@@ -342,9 +342,8 @@
     }
 
     /// Restores the progress that an earlier dispatcher stored.
-    pub fn restore(&mut self, progress: &ProgressRow, attempt_floor: u32) {
+    pub fn restore(&mut self, progress: &ProgressRow) {
         self.phase = progress.phase;
-        self.attempt_floor = attempt_floor;
         self.occurrences.clear();
         self.occurrences_done = progress.occurrences_done.iter().copied().collect();
         if self.record.spec.repeat == 0 {
--- a/crates/masticfall-entry/src/fleet/jobs.rs
+++ b/crates/masticfall-entry/src/fleet/jobs.rs
@@ -211,7 +211,7 @@
 /// [`ErrorKind::NoSuchJob`] only when the store has no such job.
 pub async fn show(fleet: &Fleet, subject: &Subject) -> Result<JobPhase> {
     let id = subject.job()?;
-    if let Some(phase) = phase_on_board(fleet, subject, &id) {
+    if let Some(phase) = phase_on_board(fleet, &id) {
         return Ok(phase);
     }
     let progress: Option<ProgressRow> = get(fleet, PROGRESS, id.as_str()).await?;
@@ -227,7 +227,7 @@
 
 /// Returns the phase of a job that this process dispatches, unless it is a
 /// final one, which counts only once it is stored.
-fn phase_on_board(fleet: &Fleet, _subject: &Subject, id: &JobId) -> Option<JobPhase> {
+fn phase_on_board(fleet: &Fleet, id: &JobId) -> Option<JobPhase> {
     let shared = fleet.shared();
     let job = shared.board.as_ref()?.jobs.get(id)?;
     Some(job.phase).filter(|phase| !phase.is_final())
