A new owner stops nothing that lasts before stops of the last one have ended

Relocation now waits for the stop's grace and 1.2 s after a take-over. Shown: fleet_maintenance::next_owner_waits_for_stops_of_the_last_one fails before.

--- a/crates/masticfall-core/src/fleet/board.rs
+++ b/crates/masticfall-core/src/fleet/board.rs
@@ -38,6 +38,10 @@
 /// former dispatcher started can't share its number with a new one.
 const ATTEMPTS_PER_EPOCH: u32 = 64;
 
+/// Time that a new dispatcher takes to reach its workers, in milliseconds; until
+/// then a stop of the former one may still be taken.
+const FORMER_STOPS_MS: u64 = 1_200;
+
 /// Bounds that a board works within.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BoardBounds {
@@ -236,6 +240,8 @@
     /// Configuration in force.
     pub config: Option<Arc<FleetConfig>>,
     bounds: BoardBounds,
+    /// Time before which runs may be ending by stops of an earlier dispatcher.
+    former_stops_until_ms: u64,
     /// Time until which tasks on workers that nobody lists may be running.
     foreign_lease_until_ms: u64,
     arrivals: demand::Arrivals,
@@ -266,6 +272,11 @@
             account_use: IndexMap::new(),
             config: None,
             bounds,
+            former_stops_until_ms: if epoch > 1 {
+                now_ms + bounds.stop_grace_ms + FORMER_STOPS_MS
+            } else {
+                0
+            },
             foreign_lease_until_ms: now_ms + tail_ms + drift_ms + super::worker::LEASE_SLACK_MS,
             arrivals: demand::Arrivals::default(),
             permits: IndexMap::new(),
--- a/crates/masticfall-core/src/fleet/board/cordon.rs
+++ b/crates/masticfall-core/src/fleet/board/cordon.rs
@@ -36,7 +36,13 @@
 
     /// Stops tasks that last on a worker, so that they start again elsewhere,
     /// as far as their steps can spare them now.
+    ///
+    /// Right after a take-over nothing is stopped: a run that is listed may be
+    /// ending by an order of the former dispatcher.
     pub fn relocate(&mut self, id: &WorkerId, now_ms: u64) {
+        if now_ms < self.former_stops_until_ms {
+            return;
+        }
         let Some(worker) = self.workers.get(id) else { return };
         let keys: Vec<TaskKey> =
             worker.placements.iter().filter(|key| self.is_lasting(key)).cloned().collect();
--- a/crates/masticfall-core/tests/suite/fleet_maintenance.rs
+++ b/crates/masticfall-core/tests/suite/fleet_maintenance.rs
@@ -217,3 +217,27 @@
     fleet.rig.board.relocate(&other, now_ms);
     assert!(fleet.rig.board.take_orders().is_empty(), "one of the step is away already");
 }
+
+#[test]
+fn next_owner_waits_for_stops_of_the_last_one() {
+    let mut fleet = Fleet::new(6);
+    fleet.rig.submit("00000000000000bb", vec![lasting(4)]);
+    fleet.rig.settle();
+    fleet.work();
+    let busy = fleet.rig.started[0].worker.clone();
+    let workers: Vec<String> = fleet.rig.listings.keys().map(ToString::to_string).collect();
+    let workers: Vec<(&str, u64)> = workers.iter().map(|id| (id.as_str(), 16)).collect();
+    fleet.rig.take_over(2);
+    fleet.rig.list(&workers);
+    fleet.rig.look_all();
+    // The last owner may have told another of the step to stop just before.
+    let now_ms = fleet.rig.now_ms;
+    fleet.rig.board.relocate(&busy, now_ms);
+    assert!(fleet.rig.board.take_orders().is_empty());
+    for _ in 0..9 {
+        fleet.work();
+    }
+    let now_ms = fleet.rig.now_ms;
+    fleet.rig.board.relocate(&busy, now_ms);
+    assert_eq!(fleet.rig.board.take_orders().len(), 1);
+}
