Read again: arrivals pruned where they are kept; one copy of what stood twice

Cause: a second reading of the whole change. Arrivals of work were pruned on a clone made at each look at the pools, so that the list on the board grew for as long as a process owned the cell, and was copied four times a second. Change: pruned when work arrives, counted in place.

--- a/crates/masticfall-core/src/fleet/board.rs
+++ b/crates/masticfall-core/src/fleet/board.rs
@@ -120,10 +120,6 @@
     Stray,
     /// The worker is due for maintenance.
     Maintenance,
-    /// Another member of the gang didn't start.
-    GangIncomplete,
-    /// The run makes no progress.
-    Stalled,
 }
 
 /// A decision or a change of belief, for the logs.
--- a/crates/masticfall-core/src/fleet/board/cordon.rs
+++ b/crates/masticfall-core/src/fleet/board/cordon.rs
@@ -10,7 +10,7 @@
 const HEARD_WITHIN_MS: u64 = 2_500;
 
 /// Progress at which a task that lasts is at work, in percent.
-const AT_WORK_PERCENT: u32 = 100;
+pub(super) const AT_WORK_PERCENT: u32 = 100;
 
 impl Board {
     /// Keeps a worker free of new work, or gives it work again.
--- a/crates/masticfall-core/src/fleet/board/demand.rs
+++ b/crates/masticfall-core/src/fleet/board/demand.rs
@@ -18,21 +18,28 @@
 pub(super) struct Arrivals(IndexMap<PoolName, VecDeque<(u64, u64)>>);
 
 impl Arrivals {
+    /// Adds work, and forgets what is too old to count.
     fn add(&mut self, pool: &PoolName, now_ms: u64, core_ms: u64) {
-        self.0.entry(pool.clone()).or_default().push_back((now_ms, core_ms));
+        let arrivals = self.0.entry(pool.clone()).or_default();
+        while arrivals.front().is_some_and(|(at, _)| !is_recent(*at, now_ms)) {
+            arrivals.pop_front();
+        }
+        arrivals.push_back((now_ms, core_ms));
     }
 
     /// Returns the mean of the work that arrived, in thousandths of a core.
-    fn offered_millis(&mut self, pool: &PoolName, now_ms: u64) -> u64 {
-        let Some(arrivals) = self.0.get_mut(pool) else { return 0 };
-        while arrivals.front().is_some_and(|(at, _)| at + ARRIVALS_MS < now_ms) {
-            arrivals.pop_front();
-        }
-        let core_ms: u64 = arrivals.iter().map(|(_, core_ms)| core_ms).sum();
+    fn offered_millis(&self, pool: &PoolName, now_ms: u64) -> u64 {
+        let Some(arrivals) = self.0.get(pool) else { return 0 };
+        let recent = arrivals.iter().filter(|(at, _)| is_recent(*at, now_ms));
+        let core_ms: u64 = recent.map(|(_, core_ms)| core_ms).sum();
         core_ms * 1_000 / ARRIVALS_MS
     }
 }
 
+fn is_recent(at_ms: u64, now_ms: u64) -> bool {
+    at_ms + ARRIVALS_MS >= now_ms
+}
+
 impl Board {
     /// Counts a job that was just accepted towards its pool's arrivals.
     pub(super) fn note_arrival(&mut self, record: &JobRecord, now_ms: u64) {
@@ -103,10 +110,9 @@
                 }
             }
         }
-        let mut arrivals = self.arrivals.clone();
         for queue in config.queues.values() {
             let demand = demands.entry(queue.pool.clone()).or_default();
-            demand.offered_millis = arrivals.offered_millis(&queue.pool, now_ms);
+            demand.offered_millis = self.arrivals.offered_millis(&queue.pool, now_ms);
         }
         demands
     }
--- a/crates/masticfall-core/src/fleet/board/job.rs
+++ b/crates/masticfall-core/src/fleet/board/job.rs
@@ -34,16 +34,12 @@
     pub attempt: u32,
     /// Where the start order is.
     pub order: OrderState,
-    /// When the task was placed.
-    pub placed_ms: u64,
     /// Whether an earlier order of the same run got no answer.
     pub had_unclear: bool,
     /// When the run was last told to stop.
     pub stop_sent_ms: Option<u64>,
     /// Progress, in percent.
     pub percent: u32,
-    /// When the progress last changed.
-    pub progress_ms: u64,
     /// Load as last reported.
     pub load: u64,
     /// Pace it was set to, in percent.
@@ -373,16 +369,14 @@
 
 impl Placement {
     /// Makes a placement whose order wasn't sent.
-    pub fn new(worker: &WorkerId, attempt: u32, now_ms: u64) -> Self {
+    pub fn new(worker: &WorkerId, attempt: u32) -> Self {
         Self {
             worker: worker.clone(),
             attempt,
             order: OrderState::Unstored,
-            placed_ms: now_ms,
             had_unclear: false,
             stop_sent_ms: None,
             percent: 0,
-            progress_ms: now_ms,
             load: 0,
             pace_percent: 100,
         }
@@ -391,6 +385,6 @@
     /// Makes a placement of an earlier dispatcher. The first listing under the
     /// new fencing token decides whether it exists.
     fn restored(worker: &WorkerId, attempt: u32) -> Self {
-        Self { order: OrderState::Settled(0), ..Self::new(worker, attempt, 0) }
+        Self { order: OrderState::Settled(0), ..Self::new(worker, attempt) }
     }
 }
--- a/crates/masticfall-core/src/fleet/board/pace.rs
+++ b/crates/masticfall-core/src/fleet/board/pace.rs
@@ -1,5 +1,6 @@
 //! Pace of fillers beside tasks that serve users.
 
+use super::cordon::AT_WORK_PERCENT;
 use super::{Board, Order, OrderState, PaceOrder, Placement, TaskState};
 use crate::fleet::pacing::{Strain, next_pace};
 use crate::fleet::spec::{StepSpec, TaskKey};
@@ -9,9 +10,6 @@
 /// figures of the last half second, and a pace takes effect after a tenth.
 const STEP_MS: u64 = 650;
 
-/// Progress from which a tail says something, in percent.
-const AT_WORK_PERCENT: u32 = 100;
-
 impl Board {
     /// Sets the pace of the fillers on a worker after a report.
     pub(super) fn pace_fillers(&mut self, id: &WorkerId, now_ms: u64) {
--- a/crates/masticfall-core/src/fleet/board/place.rs
+++ b/crates/masticfall-core/src/fleet/board/place.rs
@@ -144,7 +144,7 @@
                 }
                 continue;
             };
-            self.put(key, &worker, attempt, now_ms);
+            self.put(key, &worker, attempt);
             chosen.push(worker);
         }
         chosen
@@ -257,12 +257,12 @@
         runs.filter_map(|worker| worker.facts.rack().cloned()).collect()
     }
 
-    fn put(&mut self, key: &TaskKey, worker: &WorkerId, attempt: Option<u32>, now_ms: u64) {
+    fn put(&mut self, key: &TaskKey, worker: &WorkerId, attempt: Option<u32>) {
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let floor = job.attempt_floor;
         let Some(task) = job.task_mut(key) else { return };
         task.attempt = attempt.unwrap_or(task.attempt + 1).max(floor + 1);
-        task.state = TaskState::Placed(Placement::new(worker, task.attempt, now_ms));
+        task.state = TaskState::Placed(Placement::new(worker, task.attempt));
         self.count_in(key, worker);
     }
 
--- a/crates/masticfall-core/src/fleet/board/reports.rs
+++ b/crates/masticfall-core/src/fleet/board/reports.rs
@@ -7,7 +7,7 @@
 use crate::fleet::report::{ActiveRun, EndedRun, RunEnd, WorkerReport};
 use crate::fleet::spec::TaskKey;
 use crate::fleet::worker::ClockReading;
-use crate::id::{Name, WorkerId};
+use crate::id::{JobId, Name, WorkerId};
 
 /// Pause before a stop is sent again to a worker that still lists the run, in
 /// milliseconds, beyond the time that a stop may take.
@@ -226,10 +226,7 @@
                 }
                 continue;
             };
-            if run.percent != listed.percent {
-                run.percent = listed.percent;
-                run.progress_ms = now_ms;
-            }
+            run.percent = listed.percent;
             run.load = listed.load;
             run.order = OrderState::Settled(now_ms);
             let is_old = run
@@ -242,9 +239,7 @@
             if is_old || (job.phase.is_final() && !has_stop(job.task(&key))) {
                 self.stop(&key, StopReason::Cancelled, now_ms);
             }
-            if job_is_queued(self, &key) {
-                self.show_running(&key);
-            }
+            self.show_running(&key.job);
         }
         if let Some(worker) = self.workers.get_mut(id) {
             worker.strays.retain(|stray, _| running.contains_key(stray));
@@ -254,10 +249,13 @@
         }
     }
 
-    fn show_running(&mut self, key: &TaskKey) {
-        if let Some(job) = self.jobs.get_mut(&key.job) {
+    /// Shows a job as running once one of its tasks is known to run.
+    pub(super) fn show_running(&mut self, id: &JobId) {
+        if let Some(job) = self.jobs.get_mut(id)
+            && job.phase == JobPhase::Queued
+        {
             job.phase = JobPhase::Running;
-            self.dirty.insert(key.job.clone());
+            self.dirty.insert(id.clone());
         }
     }
 
@@ -302,7 +300,7 @@
             return false;
         };
         task.attempt = task.attempt.max(run.attempt);
-        let mut placement = Placement::new(id, run.attempt, now_ms);
+        let mut placement = Placement::new(id, run.attempt);
         placement.order = OrderState::Settled(now_ms);
         placement.percent = run.percent;
         task.state = TaskState::Placed(placement);
@@ -318,7 +316,3 @@
         _ => false,
     })
 }
-
-fn job_is_queued(board: &Board, key: &TaskKey) -> bool {
-    board.jobs.get(&key.job).is_some_and(|job| job.phase == JobPhase::Queued)
-}
--- a/crates/masticfall-core/src/fleet/board/results.rs
+++ b/crates/masticfall-core/src/fleet/board/results.rs
@@ -1,7 +1,6 @@
 //! Results of orders.
 
 use super::{Board, Notice, Order, OrderState, StopOrder, StopReason, TaskState};
-use crate::fleet::progress::JobPhase;
 use crate::fleet::report::{StartOutcome, StopOutcome};
 use crate::fleet::spec::TaskKey;
 use crate::id::{JobId, WorkerId};
@@ -27,15 +26,11 @@
         now_ms: u64,
     ) {
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
-        let may_show = !job.phase.is_final();
         let Some(run) = job.run_mut(key, attempt) else { return };
         match outcome {
             StartOutcome::Started => {
                 run.order = OrderState::Settled(now_ms);
-                if may_show && job.phase == JobPhase::Queued {
-                    job.phase = JobPhase::Running;
-                    self.dirty.insert(key.job.clone());
-                }
+                self.show_running(&key.job);
                 return;
             }
             StartOutcome::Unknown => {
--- a/crates/masticfall-core/tests/suite/fleet_order.rs
+++ b/crates/masticfall-core/tests/suite/fleet_order.rs
@@ -131,3 +131,17 @@
     let lasting = crate::fleet_rig::record(vec![StepSpec { is_long_running: true, ..step(1, 1) }]);
     assert_eq!(verdict(queue, &lasting.spec, 1_000_000), Verdict::Admit);
 }
+
+#[test]
+fn arrivals_count_for_one_second() {
+    let mut rig = Rig::new(&[("w1", 1)]);
+    rig.submit("00000000000000c0", vec![step(2, 3)]);
+    rig.submit("00000000000000c1", vec![step(1, 3)]);
+    let offered = |rig: &Rig, later_ms: u64| {
+        rig.board.pool_demand(rig.now_ms + later_ms)[&PoolName::from("p")].offered_millis
+    };
+    // Three tasks of 3 cores for 800 ms each.
+    assert_eq!(offered(&rig, 0), 7_200);
+    assert_eq!(offered(&rig, 1_000), 7_200);
+    assert_eq!(offered(&rig, 1_001), 0);
+}
--- a/crates/masticfall-entry/src/fleet/context.rs
+++ b/crates/masticfall-entry/src/fleet/context.rs
@@ -161,14 +161,17 @@
     /// Applies a change to the board if this process still owns the cell in
     /// this epoch, and wakes whoever carries out what follows from it.
     pub fn with_board<R>(&self, epoch: u32, change: impl FnOnce(&mut Board) -> R) -> Option<R> {
-        let mut shared = self.shared();
-        let board = shared.board.as_mut().filter(|board| board.epoch == epoch)?;
-        let result = change(board);
-        drop(shared);
+        let result = self.on_board(epoch, change)?;
         self.board_changed.notify_one();
         Some(result)
     }
 
+    /// The same, where nothing follows from it.
+    pub fn on_board<R>(&self, epoch: u32, change: impl FnOnce(&mut Board) -> R) -> Option<R> {
+        let mut shared = self.shared();
+        shared.board.as_mut().filter(|board| board.epoch == epoch).map(change)
+    }
+
     /// Notes how a call to the store's feeds ended; writes a line when the store
     /// was lost or is back.
     pub fn note_store<T>(&self, result: &Result<T, PlatformError>) {
--- a/crates/masticfall-entry/src/fleet/dispatch.rs
+++ b/crates/masticfall-entry/src/fleet/dispatch.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use masticfall_core::fleet::board::{
-    AdviceQuestion, Batch, BatchWrite, Order, PaceOrder, StartOrder, StopOrder,
+    AdviceQuestion, Batch, BatchWrite, Board, Order, PaceOrder, StartOrder, StopOrder,
 };
 use masticfall_core::fleet::report::{StartOutcome, StopOutcome};
 use masticfall_core::id::{Name, WorkerId};
@@ -60,11 +60,7 @@
         drop(timeout(Duration::from_millis(TICK_MS), changed).await);
         let begun = Instant::now();
         let now = fleet.now();
-        let done = {
-            let mut shared = fleet.shared();
-            let Some(board) = shared.board.as_mut().filter(|board| board.epoch == epoch) else {
-                return;
-            };
+        let done = fleet.on_board(epoch, |board| {
             if now.steady_ms >= ticked_ms + TICK_MS {
                 ticked_ms = now.steady_ms;
                 board.advance(now);
@@ -72,9 +68,10 @@
             board.place(now.steady_ms);
             questions.extend(board.take_questions());
             (board.take_orders(), board.take_notices())
-        };
+        });
+        let Some((orders, notices)) = done else { return };
         fleet.store_wanted.notify_one();
-        for order in done.0 {
+        for order in orders {
             send(&fleet, epoch, order);
         }
         if asking.as_ref().is_none_or(JoinHandle::is_finished)
@@ -82,7 +79,7 @@
         {
             asking = Some(tokio::spawn(ask(Arc::clone(&fleet), epoch, question)));
         }
-        for notice in &done.1 {
+        for notice in &notices {
             notices::log(&fleet, epoch, notice);
         }
         let pause = begun.elapsed() * PASS_PAUSE_FACTOR;
@@ -122,9 +119,8 @@
 }
 
 fn address_of(fleet: &Fleet, epoch: u32, worker: &WorkerId) -> Option<std::net::SocketAddr> {
-    let shared = fleet.shared();
-    let board = shared.board.as_ref().filter(|board| board.epoch == epoch)?;
-    board.workers.get(worker).map(|worker| worker.facts.address)
+    let address = |board: &mut Board| Some(board.workers.get(worker)?.facts.address);
+    fleet.on_board(epoch, address).flatten()
 }
 
 async fn start(fleet: Arc<Fleet>, epoch: u32, order: StartOrder) {
@@ -198,13 +194,8 @@
         fleet.store_wanted.notified().await;
         loop {
             let wall_ms = fleet.now().wall_ms;
-            let batch = {
-                let mut shared = fleet.shared();
-                let Some(board) = shared.board.as_mut().filter(|board| board.epoch == epoch) else {
-                    return;
-                };
-                board.take_batch(wall_ms)
-            };
+            let batch = fleet.on_board(epoch, |board| board.take_batch(wall_ms));
+            let Some(batch) = batch else { return };
             let is_empty = batch.writes.is_empty();
             let sent_ms = fleet.now_ms();
             let stored = if is_empty { Ok(true) } else { store(&fleet, ownership, &batch).await };
@@ -219,11 +210,7 @@
                         leadership::confirm(&fleet, epoch, sent_ms);
                     }
                     let now_ms = fleet.now_ms();
-                    let mut shared = fleet.shared();
-                    if let Some(board) = shared.board.as_mut().filter(|b| b.epoch == epoch) {
-                        board.batch_stored(batch, now_ms);
-                    }
-                    drop(shared);
+                    fleet.on_board(epoch, |board| board.batch_stored(batch, now_ms));
                     fleet.batch_stored.notify_waiters();
                 }
                 Ok(false) => return,
@@ -264,15 +251,11 @@
 pub async fn look_after(fleet: Arc<Fleet>, epoch: u32, id: WorkerId) {
     loop {
         let now_ms = fleet.now_ms();
-        let prepared = {
-            let mut shared = fleet.shared();
-            let Some(board) = shared.board.as_mut().filter(|board| board.epoch == epoch) else {
-                return;
-            };
-            let look = board.look(&id, now_ms);
-            look.zip(board.workers.get(&id).map(|worker| worker.facts.address))
-        };
-        let Some((look, address)) = prepared else { return };
+        let prepared = fleet.on_board(epoch, |board| {
+            let look = board.look(&id, now_ms)?;
+            Some((look, board.workers.get(&id)?.facts.address))
+        });
+        let Some((look, address)) = prepared.flatten() else { return };
         let call = LookCall {
             address,
             worker: id.clone(),
--- a/crates/masticfall-entry/src/fleet/machines.rs
+++ b/crates/masticfall-entry/src/fleet/machines.rs
@@ -11,7 +11,7 @@
 use indexmap::{IndexMap, IndexSet};
 use masticfall_core::fleet::machines::{MachineView, TakeDown, TakenDown, Wave, WaveProgress};
 use masticfall_core::fleet::pools::{MoveCall, Moved, PoolPlanner};
-use masticfall_core::id::{InstanceName, Name, WaveName};
+use masticfall_core::id::{InstanceName, Name, PoolName, WaveName};
 use masticfall_platform::Result;
 use masticfall_platform::fleet::{Machine, MachineCall, MachineOutcome, MachineState, RowPlace};
 use tokio::time::sleep;
@@ -175,25 +175,33 @@
 }
 
 async fn move_instance(fleet: &Fleet, ownership: Ownership, call: &MoveCall) -> Moved {
-    let change = MachineCall {
-        instance: call.instance.clone(),
-        pool: Some(call.to.clone()),
-        wave: None,
+    match change(fleet, ownership, &call.instance, Some(&call.to), None).await {
+        MachineOutcome::Done => Moved::Begun,
+        MachineOutcome::Invalid | MachineOutcome::NotInWave => Moved::NotAllowed,
+        MachineOutcome::Busy | MachineOutcome::Limited | MachineOutcome::Fenced => Moved::Refused,
+        MachineOutcome::Unknown => Moved::Unknown,
+    }
+}
+
+/// Calls the provider about one instance.
+async fn change(
+    fleet: &Fleet,
+    ownership: Ownership,
+    instance: &InstanceName,
+    pool: Option<&PoolName>,
+    wave: Option<&WaveName>,
+) -> MachineOutcome {
+    let call = MachineCall {
+        instance: instance.clone(),
+        pool: pool.cloned(),
+        wave: wave.cloned(),
         holder: Name::clone(fleet.who.name()),
         fencing_token: ownership.epoch,
     };
-    match (fleet.platform.change_machine)(change).await {
-        Ok(MachineOutcome::Done) => Moved::Begun,
-        Ok(MachineOutcome::Invalid | MachineOutcome::NotInWave) => Moved::NotAllowed,
-        Ok(MachineOutcome::Busy | MachineOutcome::Limited | MachineOutcome::Fenced) => {
-            Moved::Refused
-        }
-        Ok(MachineOutcome::Unknown) => Moved::Unknown,
-        Err(error) => {
-            tracing::warn!(name: "pool.call_failed", instance = %call.instance, %error, "not sent");
-            Moved::Refused
-        }
-    }
+    (fleet.platform.change_machine)(call).await.unwrap_or_else(|error| {
+        tracing::warn!(name: "instance.call_failed", %instance, %error, "not sent");
+        MachineOutcome::Limited
+    })
 }
 
 /// Takes in waves that were announced, with the progress of earlier owners.
@@ -288,23 +296,12 @@
     wave: &WaveName,
     call: &TakeDown,
 ) -> TakenDown {
-    let change = MachineCall {
-        instance: call.instance.clone(),
-        pool: None,
-        wave: Some(wave.clone()),
-        holder: Name::clone(fleet.who.name()),
-        fencing_token: ownership.epoch,
-    };
-    match (fleet.platform.change_machine)(change).await {
-        Ok(MachineOutcome::Done) => TakenDown::Begun,
-        Ok(MachineOutcome::NotInWave | MachineOutcome::Invalid) => TakenDown::NotDue,
-        Ok(MachineOutcome::Busy | MachineOutcome::Limited | MachineOutcome::Fenced) => {
-            TakenDown::Refused
-        }
-        Ok(MachineOutcome::Unknown) => TakenDown::Unknown,
-        Err(error) => {
-            tracing::warn!(name: "wave.call_failed", instance = %call.instance, %error, "not sent");
+    match change(fleet, ownership, &call.instance, None, Some(wave)).await {
+        MachineOutcome::Done => TakenDown::Begun,
+        MachineOutcome::NotInWave | MachineOutcome::Invalid => TakenDown::NotDue,
+        MachineOutcome::Busy | MachineOutcome::Limited | MachineOutcome::Fenced => {
             TakenDown::Refused
         }
+        MachineOutcome::Unknown => TakenDown::Unknown,
     }
 }
--- a/crates/masticfall-entry/src/fleet/settings.rs
+++ b/crates/masticfall-entry/src/fleet/settings.rs
@@ -5,6 +5,8 @@
 use masticfall_core::config::{Document, Fault};
 use masticfall_core::id::{DataCentre, Name};
 
+use crate::settings::address;
+
 /// Section of the settings; a file that has it is for such a platform.
 pub const SECTION: &str = "fleet";
 
@@ -114,12 +116,12 @@
         let settings = Self {
             name: Name::from(doc.required(SECTION, "name")),
             data_centre: DataCentre::from(doc.required(SECTION, "data_centre")),
-            callers: address(&mut doc, "callers"),
-            readiness: address(&mut doc, "readiness"),
-            peers: address(&mut doc, "peers"),
-            metrics: address(&mut doc, "metrics"),
-            store: address(&mut doc, "store"),
-            machines: address(&mut doc, "machines"),
+            callers: address(&mut doc, SECTION, "callers"),
+            readiness: address(&mut doc, SECTION, "readiness"),
+            peers: address(&mut doc, SECTION, "peers"),
+            metrics: address(&mut doc, SECTION, "metrics"),
+            store: address(&mut doc, SECTION, "store"),
+            machines: address(&mut doc, SECTION, "machines"),
             advice: doc.text(SECTION, "advice").and_then(|text| text.parse().ok()),
             worker_lease_ms: millis(&mut doc, "worker_lease_ms", 6_000).min(MAX_WORKER_LEASE_MS),
             stop_grace_ms: millis(&mut doc, "stop_grace_ms", 1_000),
@@ -136,34 +138,29 @@
     }
 }
 
-const ADDRESS_FORM: &str = "an IP number and a port, such as 10.0.0.7:8080";
-
-fn address(doc: &mut Document<'_>, key: &str) -> SocketAddr {
-    let unset = SocketAddr::from(([0, 0, 0, 0], 0));
-    if doc.required(SECTION, key).is_empty() {
-        return unset;
-    }
-    doc.value(SECTION, key, unset, ADDRESS_FORM)
+/// Tells whether a value is missing or empty, since a template leaves out what
+/// a deployment doesn't give.
+fn is_unset(doc: &mut Document<'_>, key: &str) -> bool {
+    doc.text(SECTION, key).is_none_or(|text| text.is_empty())
 }
 
-/// Reads a time in milliseconds; an empty value stands for the default, since a
-/// template leaves out what a deployment doesn't give.
 fn millis(doc: &mut Document<'_>, key: &str, default_ms: u64) -> u64 {
-    if doc.text(SECTION, key).is_none_or(|text| text.is_empty()) {
+    if is_unset(doc, key) {
         return default_ms;
     }
     doc.number(SECTION, key, default_ms, (1, MAX_MS))
 }
 
 fn amount(doc: &mut Document<'_>, key: &str, default: f64) -> f64 {
-    if doc.text(SECTION, key).is_none_or(|text| text.is_empty()) {
+    if is_unset(doc, key) {
         return default;
     }
     doc.value(SECTION, key, default, "a number")
 }
 
+/// Reads a time in seconds; returns it in milliseconds.
 fn seconds(doc: &mut Document<'_>, key: &str, default_s: f64) -> u64 {
-    if doc.text(SECTION, key).is_none_or(|text| text.is_empty()) {
+    if is_unset(doc, key) {
         return (default_s * 1_000.0) as u64;
     }
     let seconds = doc.value(SECTION, key, default_s, "a number of seconds");
--- a/crates/masticfall-entry/src/settings.rs
+++ b/crates/masticfall-entry/src/settings.rs
@@ -104,9 +104,9 @@
         let mut doc = Document::parse(text).map_err(|fault| vec![fault])?;
         let settings = Self {
             data_centre: DataCentre::from(doc.required("entry", "data_centre")),
-            http: address(&mut doc, "http"),
-            peer: address(&mut doc, "peer"),
-            platform: address(&mut doc, "platform"),
+            http: address(&mut doc, "entry", "http"),
+            peer: address(&mut doc, "entry", "peer"),
+            platform: address(&mut doc, "entry", "platform"),
             peer_secret: Name::from(doc.required("entry", "peer_secret")),
             seed_peers: seeds(&mut doc),
             leave_delay_ms: doc.number(
@@ -137,12 +137,13 @@
 
 const ADDRESS_FORM: &str = "an IP number and a port, such as 10.0.0.7:8080";
 
-fn address(doc: &mut Document<'_>, key: &str) -> SocketAddr {
+/// Reads a required address.
+pub(crate) fn address(doc: &mut Document<'_>, section: &str, key: &str) -> SocketAddr {
     let unset = SocketAddr::from(([0, 0, 0, 0], 0));
-    if doc.required("entry", key).is_empty() {
+    if doc.required(section, key).is_empty() {
         return unset;
     }
-    doc.value("entry", key, unset, ADDRESS_FORM)
+    doc.value(section, key, unset, ADDRESS_FORM)
 }
 
 fn seeds(doc: &mut Document<'_>) -> Vec<SocketAddr> {
