Moves follow the provider's rate, not twelve a round

Change: setting machine_calls_per_s; moves use three quarters of it. New line pool.demand tells once a second what each pool is asked for and holds. Tests: fleet_pools (fails with the old bound).

--- a/crates/masticfall-core/src/fleet/pools.rs
+++ b/crates/masticfall-core/src/fleet/pools.rs
@@ -28,8 +28,13 @@
 /// milliseconds: a call without an answer may be carried out 12 s later.
 const GIVE_UP_MS: u64 = 13_000;
 
-/// Most moves that are begun in one round.
-const MOVES_PER_ROUND: usize = 12;
+/// Part of the provider's rate of calls that moves may take; the rest is for
+/// maintenance, which has to be done in time.
+const RATE_PART: f64 = 0.75;
+
+/// Time over which unused calls are saved up, in milliseconds: one planning
+/// round, with which no second has more calls than the provider's rate.
+const SAVED_MS: f64 = 300.0;
 
 /// What a pool is asked for, in thousandths of a core.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -86,9 +91,28 @@
     worker: Option<WorkerId>,
 }
 
+/// A pool as a planning round saw it, in thousandths of a core.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PoolView {
+    /// What the pool is asked for.
+    pub demand: PoolDemand,
+    /// What it should hold.
+    pub wanted_millis: u64,
+    /// What it holds, with what is on its way there.
+    pub held_millis: u64,
+    /// Of that, instances that nothing runs on.
+    pub empty_instances: usize,
+}
+
 /// Moves in progress, and what was learned from earlier ones.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct PoolPlanner {
+    /// Calls that the provider takes, a second.
+    calls_per_s: f64,
+    /// Calls that may be made now.
+    saved_calls: f64,
+    planned_ms: u64,
+    seen: IndexMap<PoolName, PoolView>,
     moving: IndexMap<InstanceName, Moving>,
     surplus_since_ms: IndexMap<PoolName, u64>,
     not_allowed: IndexSet<(InstanceName, PoolName)>,
@@ -97,6 +121,7 @@
 /// A pool with its members.
 #[derive(Debug, Default)]
 struct PoolState {
+    demand: PoolDemand,
     wanted_millis: u64,
     held_millis: u64,
     /// Members that nothing runs on, with what each offers.
@@ -105,6 +130,15 @@
 }
 
 impl PoolState {
+    fn view(&self) -> PoolView {
+        PoolView {
+            demand: self.demand,
+            wanted_millis: self.wanted_millis,
+            held_millis: self.held_millis,
+            empty_instances: self.empty.len(),
+        }
+    }
+
     fn lack_millis(&self) -> u64 {
         if self.is_standby { 0 } else { self.wanted_millis.saturating_sub(self.held_millis) }
     }
@@ -115,6 +149,28 @@
 }
 
 impl PoolPlanner {
+    /// Makes a planner for a provider that takes so many calls a second.
+    pub fn new(calls_per_s: f64) -> Self {
+        Self {
+            calls_per_s,
+            saved_calls: 0.0,
+            planned_ms: 0,
+            seen: IndexMap::new(),
+            moving: IndexMap::new(),
+            surplus_since_ms: IndexMap::new(),
+            not_allowed: IndexSet::new(),
+        }
+    }
+
+    /// Returns how many calls this round may make.
+    fn allowed_calls(&mut self, now_ms: u64) -> usize {
+        let elapsed_ms = now_ms.saturating_sub(self.planned_ms) as f64;
+        self.planned_ms = now_ms;
+        let per_ms = self.calls_per_s * RATE_PART / 1_000.0;
+        self.saved_calls = (self.saved_calls + elapsed_ms * per_ms).min(SAVED_MS * per_ms).max(1.0);
+        self.saved_calls as usize
+    }
+
     /// Decides the moves of this round; the workers of the instances to be moved
     /// are cordoned. `is_taken` names instances that are due for something else.
     pub fn plan(
@@ -128,12 +184,16 @@
         self.note_arrived(machines, board, now_ms);
         let mut pools = self.pools(machines, is_taken, board, config, now_ms);
         board.set_reach(reach(&pools));
+        self.seen = pools.iter().map(|(name, pool)| (name.clone(), pool.view())).collect();
+        let allowed = self.allowed_calls(now_ms);
         let mut calls = Vec::new();
-        while calls.len() < MOVES_PER_ROUND {
+        while calls.len() < allowed {
             let Some(call) = self.next_move(&mut pools, machines) else { break };
             calls.push(call);
         }
-        calls.extend(self.rest_surplus(&mut pools, machines, now_ms));
+        let left = allowed - calls.len();
+        calls.extend(self.rest_surplus(&mut pools, machines, left, now_ms));
+        self.saved_calls -= calls.len() as f64;
         for call in &calls {
             let (to, worker) = (call.to.clone(), call.worker.clone());
             if let Some(worker) = &worker {
@@ -159,6 +219,11 @@
         }
     }
 
+    /// Returns the pools as the last round saw them, before its moves.
+    pub fn pools_seen(&self) -> &IndexMap<PoolName, PoolView> {
+        &self.seen
+    }
+
     /// Tells whether an instance is being moved.
     pub fn is_moving(&self, instance: &InstanceName) -> bool {
         self.moving.contains_key(instance)
@@ -195,9 +260,9 @@
         let demand = board.pool_demand(now_ms);
         let mut pools: IndexMap<PoolName, PoolState> = IndexMap::new();
         for (name, pool) in &config.pools {
-            let wanted_millis = demand.get(name).map_or(0, PoolDemand::wanted_millis);
-            let is_standby = pool.is_standby;
-            let state = PoolState { wanted_millis, is_standby, ..PoolState::default() };
+            let demand = demand.get(name).copied().unwrap_or_default();
+            let (wanted_millis, is_standby) = (demand.wanted_millis(), pool.is_standby);
+            let state = PoolState { demand, wanted_millis, is_standby, ..PoolState::default() };
             pools.insert(name.clone(), state);
         }
         let mut largest: IndexMap<PoolName, u64> = IndexMap::new();
@@ -282,6 +347,7 @@
         &mut self,
         pools: &mut IndexMap<PoolName, PoolState>,
         machines: &IndexMap<InstanceName, MachineView>,
+        allowed: usize,
         now_ms: u64,
     ) -> Vec<MoveCall> {
         let standby = pools.iter().find(|(_, pool)| pool.is_standby).map(|(name, _)| name.clone());
@@ -299,7 +365,7 @@
             if now_ms < since_ms + SURPLUS_MS {
                 continue;
             }
-            while pools[&from].can_give(millis) && calls.len() < MOVES_PER_ROUND {
+            while pools[&from].can_give(millis) && calls.len() < allowed {
                 let Some((instance, millis)) = pools[&from].empty.last().cloned() else { break };
                 take(pools, &from, &instance, millis);
                 let worker = machines[&instance].worker.clone();
--- /dev/null
+++ b/crates/masticfall-core/tests/suite/fleet_pools.rs
@@ -0,0 +1,121 @@
+//! Instances that follow the demand of pools which peak by turns.
+
+use masticfall_core::fleet::machines::MachineView;
+use masticfall_core::fleet::pools::{MoveCall, Moved, PoolPlanner};
+use masticfall_core::fleet::spec::{Resources, StepSpec};
+use masticfall_core::prelude::*;
+
+use crate::fleet_rig::{Rig, config, step};
+
+const ROUND_MS: u64 = 300;
+const MOVE_MS: u64 = 1_500;
+const CORES: u64 = 16;
+
+/// Instances on standby beside a small pool `p`.
+struct Fleet {
+    rig: Rig,
+    machines: IndexMap<InstanceName, MachineView>,
+    planner: PoolPlanner,
+    arriving: Vec<(u64, InstanceName)>,
+    calls: Vec<u64>,
+    lives: u32,
+}
+
+impl Fleet {
+    fn new(standby: usize, calls_per_s: f64) -> Self {
+        let machines = (0..standby).map(|n| {
+            let instance = InstanceName::from(format!("m{n}"));
+            let view = MachineView {
+                instance: instance.clone(),
+                pool: "spare".into(),
+                is_up: true,
+                capacity_millis: CORES * 1_000,
+                worker: None,
+            };
+            (instance, view)
+        });
+        Self {
+            rig: Rig::new(&[]),
+            machines: machines.collect(),
+            planner: PoolPlanner::new(calls_per_s),
+            arriving: Vec::new(),
+            calls: Vec::new(),
+            lives: 0,
+        }
+    }
+
+    /// Plays one planning round; moves take their time.
+    fn round(&mut self) -> Vec<MoveCall> {
+        self.rig.pass(ROUND_MS);
+        let now_ms = self.rig.now_ms;
+        let due: Vec<InstanceName> =
+            self.arriving.iter().filter(|(at, _)| *at <= now_ms).map(|(_, m)| m.clone()).collect();
+        self.arriving.retain(|(at, _)| *at > now_ms);
+        for instance in due {
+            self.lives += 1;
+            let id = format!("life{}", self.lives);
+            self.rig.list(&[(id.as_str(), CORES)]);
+            let machine = &mut self.machines[&instance];
+            machine.is_up = true;
+            machine.pool = "p".into();
+            machine.worker = Some(WorkerId::from(id));
+        }
+        self.rig.look_all();
+        self.rig.settle();
+        let config = config(1, Resources::default());
+        let board = &mut self.rig.board;
+        let calls = self.planner.plan(&self.machines, |_| false, board, &config, now_ms);
+        for call in &calls {
+            self.planner.moved(call, Moved::Begun, board);
+            self.machines[&call.instance].is_up = false;
+            self.arriving.push((now_ms + MOVE_MS, call.instance.clone()));
+            self.calls.push(now_ms);
+        }
+        calls
+    }
+
+    fn held_cores(&self) -> u64 {
+        let there = self.machines.values().filter(|m| m.is_up && m.pool.as_str() == "p");
+        there.count() as u64 * CORES
+    }
+}
+
+#[test]
+fn large_pool_holds_a_peak_within_a_second_and_a_move() {
+    let mut fleet = Fleet::new(150, 215.0);
+    fleet.round();
+    // 100 jobs of 8 tasks with 2 cores each ask for 1,600 cores at once.
+    for job in 0..100 {
+        // Long enough that none is late before the instances are there.
+        let step = StepSpec { estimate_ms: 3_000, ..step(8, 2) };
+        fleet.rig.submit(&format!("{job:016x}"), vec![step]);
+    }
+    for _ in 0..1_000 / ROUND_MS {
+        fleet.round();
+    }
+    for _ in 0..MOVE_MS.div_ceil(ROUND_MS) {
+        fleet.round();
+    }
+    let held = fleet.held_cores();
+    assert!(held >= 1_600, "{held} cores of the 1,600 that are asked for");
+}
+
+#[test]
+fn moves_leave_the_provider_room_for_maintenance() {
+    let calls_per_s = 64.0;
+    let mut fleet = Fleet::new(150, calls_per_s);
+    for job in 0..100 {
+        let long = StepSpec { estimate_ms: 20_000, ..step(8, 2) };
+        fleet.rig.submit(&format!("{job:016x}"), vec![long]);
+    }
+    for _ in 0..20 {
+        fleet.round();
+    }
+    let most = fleet.calls.iter().map(|from| {
+        let within = |at: &&u64| **at >= *from && **at < from + 1_000;
+        fleet.calls.iter().filter(within).count()
+    });
+    let most = most.max().unwrap_or_default();
+    assert!(most as f64 <= calls_per_s, "{most} moves within a second");
+    assert!(fleet.calls.len() >= 100, "{} moves in six seconds", fleet.calls.len());
+}
--- a/crates/masticfall-core/tests/suite/main.rs
+++ b/crates/masticfall-core/tests/suite/main.rs
@@ -7,6 +7,7 @@
 mod fleet_leases;
 mod fleet_maintenance;
 mod fleet_order;
+mod fleet_pools;
 mod fleet_rig;
 mod fleet_sharing;
 mod fleet_takeover;
--- a/crates/masticfall-entry/src/fleet/machines.rs
+++ b/crates/masticfall-entry/src/fleet/machines.rs
@@ -10,7 +10,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 use masticfall_core::fleet::machines::{MachineView, TakeDown, TakenDown, Wave, WaveProgress};
-use masticfall_core::fleet::pools::{MoveCall, Moved, PoolPlanner};
+use masticfall_core::fleet::pools::{MoveCall, Moved, PoolDemand, PoolPlanner, PoolView};
 use masticfall_core::id::{InstanceName, Name, PoolName, WaveName};
 use masticfall_platform::Result;
 use masticfall_platform::fleet::{Machine, MachineCall, MachineOutcome, MachineState, RowPlace};
@@ -23,6 +23,10 @@
 /// Period of the rounds while there is a wave, in milliseconds.
 const ROUND_MS: u64 = 250;
 
+/// Period of the lines about the pools, in milliseconds: a second is short
+/// beside the turns of demand, and bounds the volume.
+const POOL_LOG_MS: u64 = 1_000;
+
 /// Added to the wait of a new owner before its first call, in milliseconds.
 const LEASE_MARGIN_MS: u64 = 300;
 
@@ -103,17 +107,34 @@
     let Some(mut calls) = Calls::begin(&fleet, ownership).await else { return };
     let mut waves: IndexMap<WaveName, Wave> = IndexMap::new();
     let mut finished: Vec<WaveName> = Vec::new();
-    let mut planner = PoolPlanner::default();
+    let mut planner = PoolPlanner::new(fleet.settings.machine_calls_per_s);
+    let mut logged_ms = 0;
     while fleet.shared().ownership == Some(ownership) {
         let done =
             round(&fleet, ownership, &mut waves, &mut finished, &mut planner, &mut calls).await;
         if let Err(error) = done {
             tracing::warn!(name: "wave.round_failed", %error, "trying again");
         }
+        let now_ms = fleet.now_ms();
+        if now_ms >= logged_ms + POOL_LOG_MS {
+            logged_ms = now_ms;
+            log_pools(ownership.epoch, &planner);
+        }
         sleep(Duration::from_millis(ROUND_MS)).await;
     }
 }
 
+/// Writes what the last round knew of each pool that is asked for something.
+fn log_pools(epoch: u32, planner: &PoolPlanner) {
+    for (pool, seen) in planner.pools_seen() {
+        let PoolView { demand, wanted_millis, held_millis, empty_instances } = *seen;
+        let PoolDemand { placed_millis, lasting_millis, waiting_millis, offered_millis } = demand;
+        if placed_millis + waiting_millis + offered_millis > 0 {
+            tracing::info!(name: "pool.demand", epoch, %pool, wanted_millis, held_millis, empty_instances, placed_millis, lasting_millis, waiting_millis, offered_millis, "pool as planned");
+        }
+    }
+}
+
 async fn round(
     fleet: &Arc<Fleet>,
     ownership: Ownership,
--- a/crates/masticfall-entry/src/fleet/settings.rs
+++ b/crates/masticfall-entry/src/fleet/settings.rs
@@ -24,6 +24,10 @@
 /// Bandwidth at which a take-over reads a large cell's rows within 0.2 s, in Mbit/s.
 const AMPLE_LINK_MBPS: f64 = 150.0;
 
+/// Calls a second that a provider of instances takes where the file says
+/// nothing: the least of the deployments that we know.
+const MACHINE_CALLS_PER_S: f64 = 64.0;
+
 /// Settings.
 #[derive(Debug, Clone)]
 pub struct FleetSettings {
@@ -52,6 +56,8 @@
     /// Time within which two holders of the lease on instances must not take
     /// turns, in milliseconds.
     pub machine_lease_ms: u64,
+    /// Calls about instances that their provider takes from all processes, a second.
+    pub machine_calls_per_s: f64,
     /// Time between a stop signal and the kill, in milliseconds.
     pub stop_signal_grace_ms: u64,
     /// Time for which a task that lasts counts as away after an order of ours, in milliseconds.
@@ -86,6 +92,7 @@
             worker_lease_ms: 6_000,
             stop_grace_ms: 1_000,
             machine_lease_ms: 3_000,
+            machine_calls_per_s: MACHINE_CALLS_PER_S,
             stop_signal_grace_ms: 6_000,
             away_notice_ms: 4_500,
             move_ms: 1_500,
@@ -126,6 +133,7 @@
             worker_lease_ms: millis(&mut doc, "worker_lease_ms", 6_000).min(MAX_WORKER_LEASE_MS),
             stop_grace_ms: millis(&mut doc, "stop_grace_ms", 1_000),
             machine_lease_ms: millis(&mut doc, "machine_lease_ms", 3_000),
+            machine_calls_per_s: amount(&mut doc, "machine_calls_per_s", MACHINE_CALLS_PER_S),
             stop_signal_grace_ms: seconds(&mut doc, "stop_signal_grace_s", 6.0),
             away_notice_ms: millis(&mut doc, "away_notice_ms", 4_500),
             move_ms: seconds(&mut doc, "move_s", 1.5),
