The cell goes to fit instances; a take-over reads live jobs only

Ruled out: loss of jobs, refusals, pool moves (pools stood full and idle). Changes: an owner row tells the owner's fitness, a much fitter process asks for the cell and the owner hands it over; the order of claims counts from the store's return, and a live owner gets time to renew first; a hand-over is tried again while the store is away; signs of life begin before the rows are loaded; ended jobs lie in a table of their own and are removed after keep_ended_s.

--- a/crates/masticfall-core/src/fleet/board.rs
+++ b/crates/masticfall-core/src/fleet/board.rs
@@ -249,8 +249,8 @@
     unclear: IndexSet<TaskKey>,
     dirty: IndexSet<JobId>,
     /// Jobs that ended under this ownership, so that a late announcement of
-    /// their acceptance doesn't run them again.
-    ended: IndexSet<JobId>,
+    /// their acceptance doesn't run them again, with the time of their end.
+    ended: IndexMap<JobId, u64>,
     orders: Vec<Order>,
     notices: Vec<Notice>,
     wants_placing: bool,
@@ -282,7 +282,7 @@
             reach: IndexMap::new(),
             unclear: IndexSet::new(),
             dirty: IndexSet::new(),
-            ended: IndexSet::new(),
+            ended: IndexMap::new(),
             orders: Vec::new(),
             notices: Vec::new(),
             wants_placing: false,
@@ -301,7 +301,7 @@
     /// Adds a job as it was stored, with its progress if any was.
     pub fn load(&mut self, id: &JobId, row: JobRow, progress: Option<ProgressRow>, now: Now) {
         let JobRow::Active(record) = row else { return };
-        if self.jobs.contains_key(id) || self.ended.contains(id) {
+        if self.jobs.contains_key(id) || self.ended.contains_key(id) {
             return;
         }
         let mut job = Job::new(record, self.config.as_deref(), now);
@@ -339,7 +339,7 @@
 
     /// Adds a job that was just accepted.
     pub fn accept(&mut self, id: &JobId, record: JobRecord, now: Now) {
-        if self.jobs.contains_key(id) || self.ended.contains(id) {
+        if self.jobs.contains_key(id) || self.ended.contains_key(id) {
             return;
         }
         self.note_arrival(&record, now.steady_ms);
--- a/crates/masticfall-core/src/fleet/board/store.rs
+++ b/crates/masticfall-core/src/fleet/board/store.rs
@@ -1,13 +1,29 @@
 //! Batches of progress to be stored, and what may happen once they are.
 
-use super::{Board, Order, OrderState, StartOrder, TaskState};
+use super::{Board, Job, Order, OrderState, StartOrder, TaskState};
 use crate::fleet::progress::{JobRow, ProgressRow};
 use crate::fleet::spec::TaskKey;
 use crate::id::{JobId, Name, WorkerId};
 
-/// Most jobs in one batch: up to three rows each, and one condition, within the
-/// store's 100 entries a transaction.
-const BATCH_JOBS: usize = 32;
+/// Most rows in one batch: with the condition, within the store's 100 entries a
+/// transaction.
+const BATCH_ROWS: usize = 96;
+
+/// Rows of a job that goes on.
+const PROGRESS_ROWS: usize = 1;
+
+/// Rows of a job that has ended: the job before and after, its progress, and its
+/// cancellation.
+const ENDED_ROWS: usize = 4;
+
+/// Tells whether a job has ended, and nothing of it runs.
+fn has_ended(job: &Job) -> bool {
+    job.phase.is_final() && !job.has_placements()
+}
+
+fn rows_of(job: &Job) -> usize {
+    if has_ended(job) { ENDED_ROWS } else { PROGRESS_ROWS }
+}
 
 /// One job's rows.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -36,7 +52,12 @@
         let mut batch = Batch::default();
         let workers = &self.workers;
         let address = |id: &WorkerId| workers.get(id).map(|worker| worker.facts.address);
-        let count = self.dirty.len().min(BATCH_JOBS);
+        let mut rows = 0;
+        let fitting = self.dirty.iter().take_while(|id| {
+            rows += self.jobs.get(*id).map_or(0, rows_of);
+            rows <= BATCH_ROWS
+        });
+        let count = fitting.count();
         let ids: Vec<JobId> = self.dirty.drain(..count).collect();
         for id in ids {
             let Some(job) = self.jobs.get(&id) else { continue };
@@ -47,7 +68,7 @@
                     batch.starts.push((key, run.attempt));
                 }
             }
-            if job.phase.is_final() && !job.has_placements() {
+            if has_ended(job) {
                 let row = JobRow::Ended {
                     phase: job.phase,
                     account: job.record.account.clone(),
@@ -79,7 +100,7 @@
             if let BatchWrite::Ended(id, _) = write {
                 self.jobs.swap_remove(&id);
                 self.forget_permits(&id);
-                self.ended.insert(id);
+                self.ended.insert(id, now_ms);
             }
         }
         for (key, attempt) in batch.starts {
@@ -87,6 +108,19 @@
         }
     }
 
+    /// Takes up to [`BATCH_ROWS`] jobs that ended at least `keep_ms` ago, whose
+    /// rows may be removed.
+    pub fn take_expired(&mut self, now_ms: u64, keep_ms: u64) -> Vec<JobId> {
+        let expired = self.ended.values().take_while(|ended_ms| **ended_ms + keep_ms <= now_ms);
+        let count = expired.count().min(BATCH_ROWS);
+        self.ended.drain(..count).map(|(id, _)| id).collect()
+    }
+
+    /// Tells whether a job ended under this owner, and its row is kept.
+    pub fn is_kept(&self, id: &JobId) -> bool {
+        self.ended.contains_key(id)
+    }
+
     /// Notes that a batch may not have been stored: its jobs are stored again.
     pub fn batch_failed(&mut self, batch: Batch) {
         for write in batch.writes {
--- a/crates/masticfall-entry/src/fleet.rs
+++ b/crates/masticfall-entry/src/fleet.rs
@@ -6,6 +6,7 @@
 
 pub mod context;
 mod dispatch;
+mod ended;
 mod follow;
 pub mod jobs;
 mod leadership;
--- a/crates/masticfall-entry/src/fleet/dispatch.rs
+++ b/crates/masticfall-entry/src/fleet/dispatch.rs
@@ -16,7 +16,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::context::{Fleet, Ownership};
-use super::rows::{JOBS, PROGRESS, cancel_key, place, value};
+use super::rows::{ENDED, JOBS, PROGRESS, cancel_key, place, value};
 use super::{leadership, notices};
 
 /// Period at which time is applied to the board, in milliseconds.
@@ -237,7 +237,8 @@
                 writes.push((place(PROGRESS, id.as_str()), Some(value(row)?)));
             }
             BatchWrite::Ended(id, row) => {
-                writes.push((place(JOBS, id.as_str()), Some(value(row)?)));
+                writes.push((place(ENDED, id.as_str()), Some(value(row)?)));
+                writes.push((place(JOBS, id.as_str()), None));
                 writes.push((place(PROGRESS, id.as_str()), None));
                 writes.push((place(JOBS, cancel_key(id)), None));
             }
--- a/crates/masticfall-entry/src/fleet/follow.rs
+++ b/crates/masticfall-entry/src/fleet/follow.rs
@@ -124,19 +124,28 @@
                 version
             }
             Err(error) => {
+                leadership::observe_loss(&fleet);
                 wait_after(&fleet, table, &error).await;
                 continue;
             }
         };
+        // Without a wait after a failure, so that the store's return is noticed
+        // though nothing has changed.
+        let mut wait_ms = FEED_WAIT_MS;
         loop {
-            let follow = Follow { table, after, wait_ms: FEED_WAIT_MS };
+            let follow = Follow { table, after, wait_ms };
+            wait_ms = FEED_WAIT_MS;
             match (fleet.platform.follow)(follow).await {
                 Ok(Followed::Changes(rows, version)) => {
                     after = after.max(version);
                     apply_lead(&fleet, &rows);
                 }
                 Ok(Followed::HistoryGone) => break,
-                Err(error) => wait_after(&fleet, table, &error).await,
+                Err(error) => {
+                    wait_ms = 0;
+                    leadership::observe_loss(&fleet);
+                    wait_after(&fleet, table, &error).await;
+                }
             }
         }
     }
--- a/crates/masticfall-entry/src/fleet/jobs.rs
+++ b/crates/masticfall-entry/src/fleet/jobs.rs
@@ -11,11 +11,10 @@
 use masticfall_core::id::{AccountName, JobId, Name, QueueName};
 use masticfall_platform::PlatformError;
 use masticfall_platform::fleet::{RowCommit, RowRange, RowTransaction};
-use serde::Serialize;
 use tokio::time::{Instant, sleep};
 
 use super::context::Fleet;
-use super::rows::{CELL, JOBS, PROGRESS, cancel_key, place, read, value};
+use super::rows::{CELL, ENDED, JOBS, PROGRESS, cancel_key, place, read, value};
 use crate::context::wall_ms;
 use crate::refusal::{Refusal, Result};
 
@@ -140,7 +139,11 @@
     // An unstored job must not be refused as not run once a write of it may
     // have taken effect, so the outcome is settled by writing again: the row is
     // inserted at most once.
-    let is_new = put_new(fleet, subject, JOBS, id.as_str(), &JobRow::Active(record)).await?;
+    let insert = RowTransaction {
+        checks: vec![(place(JOBS, id.as_str()), 0), (place(ENDED, id.as_str()), 0)],
+        writes: vec![(place(JOBS, id.as_str()), Some(value(&JobRow::Active(record))?))],
+    };
+    let is_new = put_new(fleet, subject, &id, insert).await?;
     let (queue, config_version) = (&subject.queue, subject.config_version);
     tracing::info!(name: "job.accepted", process = %fleet.who, job = %id, %queue, config_version, is_new, "job accepted");
     Ok(())
@@ -163,7 +166,7 @@
     let Verdict::Refuse { retry_after_ms } = verdict(queue, spec, backlog_ms) else {
         return Ok(());
     };
-    if get::<JobRow>(fleet, JOBS, id.as_str()).await?.is_some() {
+    if stored_job(fleet, id).await?.is_some() {
         return Ok(());
     }
     let detail = format!("the pool needs {backlog_ms} ms for what waits, known {age_ms} ms ago");
@@ -171,17 +174,12 @@
 }
 
 /// Inserts a row unless it is there; returns whether it wasn't.
-async fn put_new<T: Serialize>(
+async fn put_new(
     fleet: &Fleet,
     subject: &Subject,
-    table: &'static str,
-    key: &str,
-    row: &T,
+    id: &JobId,
+    insert: RowTransaction,
 ) -> Result<bool> {
-    let insert = RowTransaction {
-        checks: vec![(place(table, key), 0)],
-        writes: vec![(place(table, key), Some(value(row)?))],
-    };
     let mut may_have_run = false;
     loop {
         match (fleet.platform.transact)(insert.clone()).await {
@@ -193,7 +191,7 @@
                 }
             }
             Err(PlatformError::Unknown { reason }) => {
-                tracing::debug!(name: "row.unclear", key, reason, "writing it again");
+                tracing::debug!(name: "row.unclear", job = %id, reason, "writing it again");
                 may_have_run = true;
             }
         }
@@ -218,7 +216,7 @@
     if let Some(progress) = progress {
         return Ok(progress.phase);
     }
-    match get(fleet, JOBS, id.as_str()).await? {
+    match stored_job(fleet, &id).await? {
         Some(JobRow::Active(_)) => Ok(JobPhase::Queued),
         Some(JobRow::Ended { phase, .. }) => Ok(phase),
         None => Err(Refusal::new(ErrorKind::NoSuchJob, format!("no job {id}"))),
@@ -233,6 +231,14 @@
     Some(job.phase).filter(|phase| !phase.is_final())
 }
 
+/// Returns a job's row, read where it lies before it ends, then where it lies after.
+async fn stored_job(fleet: &Fleet, id: &JobId) -> Result<Option<JobRow>> {
+    match get(fleet, JOBS, id.as_str()).await? {
+        Some(row) => Ok(Some(row)),
+        None => get(fleet, ENDED, id.as_str()).await,
+    }
+}
+
 async fn get<T: serde::de::DeserializeOwned>(
     fleet: &Fleet,
     table: &'static str,
@@ -251,12 +257,17 @@
 /// [`ErrorKind::NoSuchJob`] when the store has no such job.
 pub async fn cancel(fleet: &Arc<Fleet>, subject: &Subject) -> Result<()> {
     let id = subject.job()?;
-    match get(fleet, JOBS, id.as_str()).await? {
+    match stored_job(fleet, &id).await? {
         None => return Err(Refusal::new(ErrorKind::NoSuchJob, format!("no job {id}"))),
         Some(JobRow::Ended { .. }) => return Ok(()),
         Some(JobRow::Active(_)) => {}
     }
-    let is_new = put_new(fleet, subject, JOBS, &cancel_key(&id), &wall_ms()).await?;
+    let row = place(JOBS, cancel_key(&id));
+    let insert = RowTransaction {
+        checks: vec![(row.clone(), 0)],
+        writes: vec![(row, Some(value(&wall_ms())?))],
+    };
+    let is_new = put_new(fleet, subject, &id, insert).await?;
     tracing::info!(name: "job.cancel_accepted", process = %fleet.who, job = %id, is_new, "cancellation accepted");
     Ok(())
 }
--- a/crates/masticfall-entry/src/fleet/leadership.rs
+++ b/crates/masticfall-entry/src/fleet/leadership.rs
@@ -5,24 +5,28 @@
 //! of an owner depends on the owner row's version, and workers refuse the
 //! fencing tokens of earlier owners. The time decides only how long nobody
 //! dispatches after a loss.
+//!
+//! An owner on a weak instance gives the cell to a fitter one that asks for it:
+//! which of them is first after a loss is partly chance, and a weak one serves
+//! a large cell badly for as long as it has it.
+
+mod load;
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use masticfall_core::fleet::board::{Board, BoardBounds};
-use masticfall_core::fleet::progress::{JobRow, ProgressRow};
-use masticfall_core::id::{JobId, WorkerId};
+use masticfall_core::id::Incarnation;
 use masticfall_platform::fleet::{FleetRow, RowCommit, RowTransaction};
 use masticfall_platform::{PlatformError, Result};
 use parking_lot::Mutex;
 use rand::Rng;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 use super::context::{Fleet, FleetPhase, Ownership};
+use super::follow;
 use super::rows::{
-    BEAT_KEY, BeatRow, JOBS, LEAD, OWNER_KEY, OwnerRow, PROGRESS, cancelled_job, place, read, value,
+    BEAT_KEY, BID_KEY, BeatRow, BidRow, LEAD, OWNER_KEY, OwnerRow, place, read, value,
 };
-use super::{dispatch, follow, machines};
 
 /// Period of the owner's signs of life, in milliseconds.
 const BEAT_MS: u64 = 400;
@@ -53,6 +57,25 @@
 /// the workers meanwhile.
 pub const UNCONFIRMED_MS: u64 = 6_000;
 
+/// Wait after the store is back before an owner counts as silent, in
+/// milliseconds: the owner's own sign of life is due within [`BEAT_MS`].
+const REBEAT_MS: u64 = 600;
+
+/// Wait of others while the process that the cell was given up for claims it,
+/// in milliseconds.
+const HEIR_WAIT_MS: u64 = 600;
+
+/// Lead in fitness with which a process asks for the cell, in percent: enough
+/// to be worth a hand-over, which takes about 0.1 s.
+const BID_LEAD_PERCENT: u32 = 30;
+
+/// Time for which an owner is known before it is asked to give the cell up, and
+/// between two such requests, in milliseconds.
+const BID_PAUSE_MS: u64 = 1_000;
+
+/// Pause before a failed hand-over is tried again, in milliseconds.
+const AGAIN_MS: u64 = 100;
+
 /// Period at which a process looks whether the cell has an owner, in milliseconds.
 const WATCH_MS: u64 = 50;
 
@@ -63,6 +86,15 @@
     beat_version: u64,
     changed_ms: u64,
     read_ms: u64,
+    /// Since when the present owner is known.
+    owner_since_ms: u64,
+    /// Whether the last reading failed.
+    is_store_lost: bool,
+    /// When the store was back last.
+    store_back_ms: u64,
+    /// A request for the cell.
+    bid: Option<BidRow>,
+    bid_ms: u64,
 }
 
 /// What each process has seen, kept beside the shared tables since only this
@@ -75,11 +107,26 @@
     let now_ms = fleet.now_ms();
     let mut seen = fleet.watch.0.lock();
     seen.read_ms = now_ms;
+    if std::mem::take(&mut seen.is_store_lost) {
+        seen.store_back_ms = now_ms;
+    }
     for row in rows {
         if &*row.key == BEAT_KEY && row.version > seen.beat_version {
             seen.beat_version = row.version;
             seen.changed_ms = now_ms;
         }
+        if &*row.key == BID_KEY {
+            match row.value.as_deref().map(read::<BidRow>) {
+                Some(Ok(bid)) => {
+                    seen.bid = Some(bid);
+                    fleet.lead_changed.notify_one();
+                }
+                Some(Err(error)) => {
+                    tracing::warn!(name: "lead.unreadable", %error, "request for the cell left out");
+                }
+                None => {}
+            }
+        }
         if &*row.key != OWNER_KEY {
             continue;
         }
@@ -88,6 +135,7 @@
         match read::<OwnerRow>(bytes) {
             Ok(owner) => {
                 seen.changed_ms = now_ms;
+                seen.owner_since_ms = now_ms;
                 seen.owner = Some((owner, row.version));
                 fleet.lead_changed.notify_one();
             }
@@ -96,6 +144,11 @@
     }
 }
 
+/// Notes that the ownership could not be read.
+pub fn observe_loss(fleet: &Fleet) {
+    fleet.watch.0.lock().is_store_lost = true;
+}
+
 /// Takes the cell over when it has no owner, and gives it up when it is lost,
 /// for as long as the process runs.
 pub async fn run(fleet: Arc<Fleet>) {
@@ -109,6 +162,14 @@
             () = fleet.lead_changed.notified() => {}
         }
         check_ownership(&fleet);
+        if let Some(heir) = heir_asking(&fleet) {
+            hand_over(&fleet, Some(heir)).await;
+        }
+        if wants_to_ask(&fleet)
+            && let Err(error) = ask_for_cell(&fleet).await
+        {
+            tracing::debug!(name: "cell.not_asked_for", %error, "asking again later");
+        }
         if wants_cell(&fleet, spread_ms)
             && let Err(error) = take_over(&fleet).await
         {
@@ -138,6 +199,56 @@
     tracing::warn!(name: "cell.given_up", process = %fleet.who, epoch = ownership.epoch, reason, "no longer the dispatcher");
 }
 
+/// Returns a fitter process that asks for the cell that this one owns.
+fn heir_asking(fleet: &Fleet) -> Option<Incarnation> {
+    let ownership = fleet.shared().ownership?;
+    let bid = fleet.watch.0.lock().bid.take()?;
+    (bid.epoch == ownership.epoch).then_some(bid.process)
+}
+
+/// Tells whether this process would dispatch much better than the owner.
+fn wants_to_ask(fleet: &Fleet) -> bool {
+    {
+        let shared = fleet.shared();
+        if shared.ownership.is_some() || shared.phase != FleetPhase::Ready {
+            return false;
+        }
+    }
+    let now_ms = fleet.now_ms();
+    let seen = fleet.watch.0.lock();
+    let Some((owner, _)) = seen.owner.as_ref().filter(|(owner, _)| owner.process.is_some()) else {
+        return false;
+    };
+    let is_alive = !seen.is_store_lost && now_ms < seen.changed_ms + 2 * BEAT_MS;
+    let is_settled = now_ms >= seen.owner_since_ms.max(seen.bid_ms) + BID_PAUSE_MS;
+    let is_fitter = fitness_percent(fleet) >= owner.fitness_percent + BID_LEAD_PERCENT;
+    is_alive && is_settled && is_fitter
+}
+
+async fn ask_for_cell(fleet: &Fleet) -> Result<()> {
+    let seen = {
+        let mut seen = fleet.watch.0.lock();
+        seen.bid_ms = fleet.now_ms();
+        seen.owner.clone()
+    };
+    let Some((owner, version)) = seen else { return Ok(()) };
+    let bid = BidRow { process: fleet.who.clone(), epoch: owner.epoch };
+    let ask = RowTransaction {
+        checks: vec![(place(LEAD, OWNER_KEY), version)],
+        writes: vec![(place(LEAD, BID_KEY), Some(value(&bid)?))],
+    };
+    if let RowCommit::Conflict(rows) = (fleet.platform.transact)(ask).await? {
+        observe(fleet, &rows);
+    } else {
+        tracing::info!(name: "cell.asked_for", process = %fleet.who, epoch = owner.epoch, owner_percent = owner.fitness_percent, "asks for the cell, being fitter");
+    }
+    Ok(())
+}
+
+fn fitness_percent(fleet: &Fleet) -> u32 {
+    (fleet.settings.fitness() * 100.0) as u32
+}
+
 fn wants_cell(fleet: &Fleet, spread_ms: u64) -> bool {
     {
         let shared = fleet.shared();
@@ -149,14 +260,23 @@
     let seen = fleet.watch.0.lock();
     match &seen.owner {
         None => seen.read_ms > 0 && now_ms > seen.changed_ms + spread_ms,
+        Some((owner, _)) if owner.heir.as_ref() == Some(&fleet.who) => true,
         Some((owner, _)) if owner.process.is_none() => {
             let age_ms = now_ms.saturating_sub(fleet.started_ms);
             let age_wait_ms = (age_ms / AGE_PART).min(MAX_AGE_WAIT_MS);
-            now_ms >= seen.changed_ms + age_wait_ms + spread_ms.saturating_sub(SPREAD_MS)
+            let heir_wait_ms = if owner.heir.is_some() { HEIR_WAIT_MS } else { 0 };
+            // While the store is away nobody can claim, so the order of the
+            // claims counts from its return.
+            let since_ms = seen.changed_ms.max(seen.store_back_ms);
+            let spread_ms = spread_ms.saturating_sub(SPREAD_MS);
+            !seen.is_store_lost && now_ms >= since_ms + age_wait_ms + heir_wait_ms + spread_ms
         }
         // Our own former life has ended; nobody needs to wait for it.
         Some((owner, _)) if is_former_self(fleet, owner) => true,
-        Some(_) => now_ms > seen.changed_ms + SILENCE_MS + spread_ms,
+        Some(_) => {
+            let silent_ms = (seen.changed_ms + SILENCE_MS).max(seen.store_back_ms + REBEAT_MS);
+            !seen.is_store_lost && now_ms > silent_ms + spread_ms
+        }
     }
 }
 
@@ -171,7 +291,7 @@
 
 async fn take_over(fleet: &Arc<Fleet>) -> Result<()> {
     // The feed may lag: what it hasn't shown may be a sign of life.
-    let (rows, _) = follow::read_table(fleet, LEAD).await?;
+    let (rows, _) = follow::read_table(fleet, LEAD).await.inspect_err(|_| observe_loss(fleet))?;
     observe(fleet, &rows);
     if !wants_cell(fleet, 0) {
         return Ok(());
@@ -180,7 +300,8 @@
         None => (1, 0),
         Some((owner, version)) => (owner.epoch + 1, *version),
     };
-    let owner = OwnerRow { process: Some(fleet.who.clone()), epoch };
+    let process = Some(fleet.who.clone());
+    let owner = OwnerRow { process, epoch, fitness_percent: fitness_percent(fleet), heir: None };
     let claim = RowTransaction {
         checks: vec![(place(LEAD, OWNER_KEY), version)],
         writes: vec![(place(LEAD, OWNER_KEY), Some(value(&owner)?))],
@@ -203,7 +324,8 @@
     // An owner that handed over has stopped; one that fell silent may go on.
     let fell_silent =
         former.is_some_and(|(owner, _)| owner.process.is_some() && !is_former_self(fleet, &owner));
-    lead(fleet, Ownership { epoch, version }, fell_silent).await
+    load::lead(fleet, Ownership { epoch, version }, fell_silent).await;
+    Ok(())
 }
 
 /// Reads back whether a claim of unknown outcome took effect.
@@ -216,99 +338,24 @@
     Ok((read::<OwnerRow>(bytes)? == *claim).then_some(row.version))
 }
 
-/// Loads the cell's rows and starts the systems of its owner.
-async fn lead(fleet: &Arc<Fleet>, ownership: Ownership, fell_silent: bool) -> Result<()> {
-    let begun = Instant::now();
-    let (progress, _) = follow::read_table(fleet, PROGRESS).await?;
-    // Read after the progress: a job that ends in between is then shown as ended.
-    let (jobs, jobs_version) = follow::read_table(fleet, JOBS).await?;
-    let epoch = ownership.epoch;
-    let mut board = load_board(fleet, epoch, fell_silent, &jobs, &progress);
-    let (rows, _) = follow::read_table(fleet, LEAD).await?;
-    let last = rows.iter().find(|row| &*row.key == BEAT_KEY);
-    if let Some(bytes) = last.and_then(|row| row.value.as_deref()) {
-        let beat = read::<BeatRow>(bytes)?;
-        // An owner in between may have reached the workers and said nothing.
-        if beat.epoch + 1 == epoch {
-            board.hear_silent(&beat.silent_ms, fleet.now_ms());
-        }
-    }
-    let count = board.jobs.len();
-    let remembered: Vec<WorkerId> = board.workers.keys().cloned().collect();
-    {
-        let mut shared = fleet.shared();
-        shared.board = Some(board);
-        shared.ownership = Some(ownership);
-    }
-    let took_ms = begun.elapsed().as_millis() as u64;
-    tracing::info!(name: "cell.taken", process = %fleet.who, epoch, jobs = count, rows = jobs.len(), took_ms, "now the dispatcher");
-    fleet.metrics.takeovers.inc();
-    for worker in remembered {
-        tokio::spawn(dispatch::look_after(Arc::clone(fleet), epoch, worker));
-    }
-    tokio::spawn(beat(Arc::clone(fleet), ownership));
-    tokio::spawn(dispatch::store_progress(Arc::clone(fleet), ownership));
-    tokio::spawn(dispatch::carry_out(Arc::clone(fleet), epoch));
-    tokio::spawn(follow::jobs(Arc::clone(fleet), epoch, jobs_version));
-    tokio::spawn(follow::workers(Arc::clone(fleet), epoch));
-    tokio::spawn(machines::run(Arc::clone(fleet), ownership));
-    Ok(())
+fn is_owner(fleet: &Fleet, ownership: Ownership) -> bool {
+    fleet.shared().ownership == Some(ownership)
 }
 
-fn load_board(
-    fleet: &Fleet,
-    epoch: u32,
-    fell_silent: bool,
-    jobs: &[FleetRow],
-    progress: &[FleetRow],
-) -> Board {
-    let bounds = BoardBounds {
-        lease_ms: fleet.settings.worker_lease_ms,
-        stop_grace_ms: fleet.settings.stop_grace_ms,
-        foreign_tail_ms: if fell_silent { UNCONFIRMED_MS - SILENCE_MS } else { 0 },
-    };
-    let now = fleet.now();
-    let mut board = Board::new(epoch, bounds, now.steady_ms);
-    if let Some(config) = fleet.config() {
-        board.set_config(config);
-    }
-    let mut rows = indexmap::IndexMap::new();
-    for row in progress {
-        match row.value.as_deref().map(read::<ProgressRow>) {
-            Some(Ok(progress)) => drop(rows.insert(JobId::from(&*row.key), progress)),
-            Some(Err(error)) => {
-                tracing::warn!(name: "job.unreadable", key = &*row.key, %error, "progress left out");
-            }
-            None => {}
-        }
-    }
-    for row in jobs.iter().filter(|row| cancelled_job(&row.key).is_none()) {
-        let id = JobId::from(&*row.key);
-        match row.value.as_deref().map(read::<JobRow>) {
-            Some(Ok(job)) => board.load(&id, job, rows.swap_remove(&id), now),
-            Some(Err(error)) => {
-                tracing::warn!(name: "job.unreadable", %id, %error, "job left out");
-            }
-            None => {}
-        }
-    }
-    for id in jobs.iter().filter_map(|row| cancelled_job(&row.key)) {
-        board.cancel(&id, now.steady_ms);
-    }
-    board
-}
-
-/// Renews the ownership until it is lost.
-async fn beat(fleet: Arc<Fleet>, ownership: Ownership) {
+/// Renews the ownership until it is lost. Until the cell is loaded, what the
+/// last owner said is repeated.
+async fn beat(fleet: Arc<Fleet>, ownership: Ownership, last: Option<BeatRow>) {
+    let BeatRow { waiting, backlog_ms, silent_ms, .. } = last.unwrap_or_default();
+    let known = (waiting, backlog_ms, silent_ms);
     let mut number = 0;
-    loop {
+    while is_owner(&fleet, ownership) {
         let epoch = ownership.epoch;
         let sent_ms = fleet.now_ms();
         let counts = fleet.with_board(epoch, |board| {
             let backlog_ms = board.backlog_by_queue(sent_ms);
             (board.waiting_by_queue(), backlog_ms, board.announce_silent(sent_ms))
         });
-        let Some((waiting, backlog_ms, silent_ms)) = counts else { return };
+        let (waiting, backlog_ms, silent_ms) = counts.unwrap_or_else(|| known.clone());
         number += 1;
         let row = BeatRow { epoch, number, waiting, backlog_ms, silent_ms };
         let written = match value(&row) {
@@ -360,21 +407,32 @@
     }
 }
 
-/// Hands the cell over to whoever is first, before this process stops.
-pub async fn hand_over(fleet: &Fleet) {
+/// Hands the cell over, to a fitter process or to whoever is first; tries again
+/// while the store is away.
+pub async fn hand_over(fleet: &Fleet, heir: Option<Incarnation>) {
     let Some(ownership) = fleet.shared().ownership else { return };
-    let row = OwnerRow { process: None, epoch: ownership.epoch };
-    give_up(fleet, "the process stops");
-    let written = match value(&row) {
-        Ok(bytes) => write(fleet, ownership, vec![(place(LEAD, OWNER_KEY), Some(bytes))]).await,
-        Err(error) => Err(error),
-    };
-    match written {
-        Ok(is_done) => {
-            tracing::info!(name: "cell.handed_over", epoch = ownership.epoch, is_done, "handed over");
-        }
+    let reason = if heir.is_some() { "a fitter process asks for it" } else { "the process stops" };
+    let epoch = ownership.epoch;
+    let row = OwnerRow { process: None, epoch, fitness_percent: 0, heir };
+    give_up(fleet, reason);
+    let bytes = match value(&row) {
+        Ok(bytes) => bytes,
         Err(error) => {
-            tracing::warn!(name: "cell.not_handed_over", epoch = ownership.epoch, %error, "others take over after a silence");
+            tracing::warn!(name: "cell.not_handed_over", epoch, %error, "others take over after a silence");
+            return;
+        }
+    };
+    loop {
+        let writes = vec![(place(LEAD, OWNER_KEY), Some(bytes.clone()))];
+        match write(fleet, ownership, writes).await {
+            Ok(is_done) => {
+                tracing::info!(name: "cell.handed_over", epoch, is_done, "handed over");
+                return;
+            }
+            Err(error) => {
+                tracing::info!(name: "cell.not_handed_over", epoch, %error, "trying again");
+            }
         }
+        sleep(Duration::from_millis(AGAIN_MS)).await;
     }
 }
--- /dev/null
+++ b/crates/masticfall-entry/src/fleet/leadership/load.rs
@@ -0,0 +1,132 @@
+//! Start of an ownership: loading of the cell's rows, then the owner's systems.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use masticfall_core::fleet::board::{Board, BoardBounds};
+use masticfall_core::fleet::progress::{JobRow, ProgressRow};
+use masticfall_core::id::{JobId, WorkerId};
+use masticfall_platform::fleet::FleetRow;
+use masticfall_platform::{PlatformError, Result};
+use tokio::time::{Instant, sleep};
+
+use super::{SILENCE_MS, UNCONFIRMED_MS, beat, is_owner};
+use crate::fleet::context::{Fleet, Ownership};
+use crate::fleet::rows::{BEAT_KEY, BeatRow, JOBS, LEAD, PROGRESS, cancelled_job, read};
+use crate::fleet::{dispatch, ended, follow, machines};
+
+/// Pause before a failed reading is tried again, in milliseconds.
+const AGAIN_MS: u64 = 100;
+
+/// Loads the cell's rows and starts the systems of its owner.
+pub(super) async fn lead(fleet: &Arc<Fleet>, ownership: Ownership, fell_silent: bool) {
+    let begun = Instant::now();
+    let epoch = ownership.epoch;
+    fleet.shared().ownership = Some(ownership);
+    let last = loop {
+        match read_beat(fleet).await {
+            Ok(last) => break last,
+            Err(error) if is_owner(fleet, ownership) => wait_again(fleet, &error).await,
+            Err(_) => return,
+        }
+    };
+    // A large cell takes longer to load than others wait for a sign of life.
+    tokio::spawn(beat(Arc::clone(fleet), ownership, last.clone()));
+    let (board, jobs_version, rows) = loop {
+        match load(fleet, epoch, fell_silent).await {
+            Ok(loaded) => break loaded,
+            Err(error) if is_owner(fleet, ownership) => wait_again(fleet, &error).await,
+            Err(_) => return,
+        }
+    };
+    let mut board = board;
+    // An owner in between may have reached the workers and said nothing.
+    if let Some(beat) = last.filter(|beat| beat.epoch + 1 == epoch) {
+        board.hear_silent(&beat.silent_ms, fleet.now_ms());
+    }
+    let count = board.jobs.len();
+    let remembered: Vec<WorkerId> = board.workers.keys().cloned().collect();
+    {
+        let mut shared = fleet.shared();
+        if shared.ownership != Some(ownership) {
+            return;
+        }
+        shared.board = Some(board);
+    }
+    let took_ms = begun.elapsed().as_millis() as u64;
+    tracing::info!(name: "cell.taken", process = %fleet.who, epoch, jobs = count, rows, took_ms, fell_silent, "now the dispatcher");
+    fleet.metrics.takeovers.inc();
+    for worker in remembered {
+        tokio::spawn(dispatch::look_after(Arc::clone(fleet), epoch, worker));
+    }
+    tokio::spawn(dispatch::store_progress(Arc::clone(fleet), ownership));
+    tokio::spawn(dispatch::carry_out(Arc::clone(fleet), epoch));
+    tokio::spawn(follow::jobs(Arc::clone(fleet), epoch, jobs_version));
+    tokio::spawn(follow::workers(Arc::clone(fleet), epoch));
+    tokio::spawn(machines::run(Arc::clone(fleet), ownership));
+    tokio::spawn(ended::forget(Arc::clone(fleet), ownership));
+}
+
+async fn wait_again(fleet: &Fleet, error: &PlatformError) {
+    tracing::info!(name: "cell.not_loaded", process = %fleet.who, %error, "trying again");
+    sleep(Duration::from_millis(AGAIN_MS)).await;
+}
+
+/// Reads the last sign of life of the cell's owners.
+async fn read_beat(fleet: &Fleet) -> Result<Option<BeatRow>> {
+    let (rows, _) = follow::read_table(fleet, LEAD).await?;
+    let last = rows.iter().find(|row| &*row.key == BEAT_KEY);
+    last.and_then(|row| row.value.as_deref()).map(read::<BeatRow>).transpose()
+}
+
+/// Returns the board, the version from which to follow the jobs, and the rows read.
+async fn load(fleet: &Fleet, epoch: u32, fell_silent: bool) -> Result<(Board, u64, usize)> {
+    let (progress, _) = follow::read_table(fleet, PROGRESS).await?;
+    // Read after the progress: a job that ends in between is then gone.
+    let (jobs, jobs_version) = follow::read_table(fleet, JOBS).await?;
+    let board = load_board(fleet, epoch, fell_silent, &jobs, &progress);
+    Ok((board, jobs_version, jobs.len() + progress.len()))
+}
+
+fn load_board(
+    fleet: &Fleet,
+    epoch: u32,
+    fell_silent: bool,
+    jobs: &[FleetRow],
+    progress: &[FleetRow],
+) -> Board {
+    let bounds = BoardBounds {
+        lease_ms: fleet.settings.worker_lease_ms,
+        stop_grace_ms: fleet.settings.stop_grace_ms,
+        foreign_tail_ms: if fell_silent { UNCONFIRMED_MS - SILENCE_MS } else { 0 },
+    };
+    let now = fleet.now();
+    let mut board = Board::new(epoch, bounds, now.steady_ms);
+    if let Some(config) = fleet.config() {
+        board.set_config(config);
+    }
+    let mut rows = indexmap::IndexMap::new();
+    for row in progress {
+        match row.value.as_deref().map(read::<ProgressRow>) {
+            Some(Ok(progress)) => drop(rows.insert(JobId::from(&*row.key), progress)),
+            Some(Err(error)) => {
+                tracing::warn!(name: "job.unreadable", key = &*row.key, %error, "progress left out");
+            }
+            None => {}
+        }
+    }
+    for row in jobs.iter().filter(|row| cancelled_job(&row.key).is_none()) {
+        let id = JobId::from(&*row.key);
+        match row.value.as_deref().map(read::<JobRow>) {
+            Some(Ok(job)) => board.load(&id, job, rows.swap_remove(&id), now),
+            Some(Err(error)) => {
+                tracing::warn!(name: "job.unreadable", %id, %error, "job left out");
+            }
+            None => {}
+        }
+    }
+    for id in jobs.iter().filter_map(|row| cancelled_job(&row.key)) {
+        board.cancel(&id, now.steady_ms);
+    }
+    board
+}
--- a/crates/masticfall-entry/src/fleet/rows.rs
+++ b/crates/masticfall-entry/src/fleet/rows.rs
@@ -11,9 +11,13 @@
 /// Table of the ownership of cells.
 pub const LEAD: &str = "lead";
 
-/// Table of accepted jobs.
+/// Table of accepted jobs that haven't ended.
 pub const JOBS: &str = "jobs";
 
+/// Table of ended jobs. A new owner of the cell needn't read them, so that a
+/// take-over takes no longer the more work has been done.
+pub const ENDED: &str = "ended";
+
 /// Table of the progress of jobs.
 pub const PROGRESS: &str = "progress";
 
@@ -27,6 +31,9 @@
 /// Key of the sign of life of a cell's owner.
 pub const BEAT_KEY: &str = "beat";
 
+/// Key of the request of a fitter instance for the cell.
+pub const BID_KEY: &str = "bid";
+
 /// Table of the calls about instances; nobody follows it.
 pub const CALLS: &str = "calls";
 
@@ -37,10 +44,23 @@
     pub process: Option<Incarnation>,
     /// Number of the ownership; also the fencing token towards workers.
     pub epoch: u32,
+    /// How fit the owner's instance is to dispatch, in percent.
+    pub fitness_percent: u32,
+    /// Whom the last owner gave the cell up for.
+    pub heir: Option<Incarnation>,
 }
 
-/// A sign of life of a cell's owner.
+/// A request of a fitter instance for the cell.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BidRow {
+    /// The process.
+    pub process: Incarnation,
+    /// Number of the ownership that it would end.
+    pub epoch: u32,
+}
+
+/// A sign of life of a cell's owner.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BeatRow {
     /// Number of the ownership.
     pub epoch: u32,
--- a/crates/masticfall-entry/src/fleet/run.rs
+++ b/crates/masticfall-entry/src/fleet/run.rs
@@ -69,7 +69,10 @@
         let fleet = &self.fleet;
         fleet.shared().phase = FleetPhase::Leaving;
         tracing::info!(name: "process.leaving", process = %fleet.who, in_flight = fleet.requests_in_flight(), "told to stop");
-        leadership::hand_over(fleet).await;
+        let handing_over = {
+            let fleet = Arc::clone(fleet);
+            tokio::spawn(async move { leadership::hand_over(&fleet, None).await })
+        };
         let budget_ms = fleet.settings.stop_signal_grace_ms.saturating_sub(STOP_MARGIN_MS);
         let leave_ms = LEAVE_MS.min(budget_ms);
         sleep(Duration::from_millis(leave_ms)).await;
@@ -79,6 +82,7 @@
             sleep(Duration::from_millis(DRAIN_CHECK_MS)).await;
             left_ms -= DRAIN_CHECK_MS;
         }
+        handing_over.abort();
         for task in &self.tasks {
             task.abort();
         }
--- a/crates/masticfall-entry/tests/suite/fleet.rs
+++ b/crates/masticfall-entry/tests/suite/fleet.rs
@@ -60,8 +60,22 @@
 }
 
 fn launch(world: &Arc<World>, name: &str) -> RunningFleet {
+    launch_on(world, FleetSettings::local(name, "dc"))
+}
+
+fn launch_on(world: &Arc<World>, settings: FleetSettings) -> RunningFleet {
     let clock = Arc::clone(world);
-    start(FleetSettings::local(name, "dc"), world.platform(name), Arc::new(move || clock.now_ms()))
+    let platform = world.platform(&settings.name);
+    start(settings, platform, Arc::new(move || clock.now_ms()))
+}
+
+/// Launches a process on an instance that is ill fit to dispatch.
+fn launch_weak(world: &Arc<World>, name: &str) -> RunningFleet {
+    launch_on(world, FleetSettings { cpu_share: 0.04, ..FleetSettings::local(name, "dc") })
+}
+
+fn is_owner(process: &RunningFleet) -> bool {
+    process.fleet.shared().ownership.is_some()
 }
 
 fn caller(path: &str) -> Caller {
@@ -252,6 +266,98 @@
     check(&world, &ids, &ids);
 }
 
+#[tokio::test(start_paused = true)]
+async fn weak_owner_gives_the_cell_to_a_fitter_process() {
+    let world = World::new(WORKERS, "p");
+    world.set_config(config(1, &["key"]));
+    let weak = launch_weak(&world, "weak");
+    sleep(Duration::from_secs(3)).await;
+    assert!(is_owner(&weak), "nobody else is there");
+    let ids: Vec<JobId> = (1..20).map(job).collect();
+    for id in &ids {
+        submit(&world, &weak.fleet, id).await.expect("accepted");
+    }
+    let fit = launch(&world, "fit");
+    sleep(Duration::from_millis(2_500)).await;
+    assert!(is_owner(&fit) && !is_owner(&weak));
+    sleep(Duration::from_secs(12)).await;
+    check(&world, &ids, &ids);
+    let mut begun: Vec<u64> = world.record().iter().map(|run| run.began_ms).collect();
+    begun.sort_unstable();
+    let gap_ms = begun.windows(2).map(|pair| pair[1] - pair[0]).max().unwrap_or_default();
+    assert!(gap_ms < 1_000, "no start for {gap_ms} ms");
+}
+
+#[tokio::test(start_paused = true)]
+async fn fit_process_is_first_when_the_store_comes_back() {
+    for _ in 0..8 {
+        let world = World::new(WORKERS, "p");
+        let owner = settled(&world, &["owner"]).await.remove(0);
+        let weak: Vec<RunningFleet> =
+            ["w1", "w2", "w3"].iter().map(|name| launch_weak(&world, name)).collect();
+        let fit = launch(&world, "fit");
+        sleep(Duration::from_secs(1)).await;
+        world.set_store(StoreMode::Refuses);
+        owner.crash();
+        sleep(Duration::from_secs(4)).await;
+        world.set_store(StoreMode::Up);
+        sleep(Duration::from_millis(1_400)).await;
+        assert!(is_owner(&fit), "the fit process dispatches");
+        assert!(!weak.iter().any(is_owner));
+        fit.crash();
+        weak.into_iter().for_each(RunningFleet::crash);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn owner_that_lives_keeps_the_cell_over_an_outage_of_the_store() {
+    let world = World::new(WORKERS, "p");
+    let processes = settled(&world, &["a", "b", "c"]).await;
+    let owner = processes.iter().position(is_owner).expect("an owner");
+    world.set_store(StoreMode::Silent);
+    sleep(Duration::from_secs(4)).await;
+    world.set_store(StoreMode::Up);
+    sleep(Duration::from_secs(3)).await;
+    assert!(is_owner(&processes[owner]), "nobody takes over from a process that lives");
+    assert_eq!(processes.iter().filter(|process| is_owner(process)).count(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn owner_that_stops_while_the_store_is_away_hands_over_when_it_is_back() {
+    let world = World::new(WORKERS, "p");
+    let mut processes = settled(&world, &["a", "b"]).await;
+    let owner = processes.remove(processes.iter().position(is_owner).expect("an owner"));
+    world.set_store(StoreMode::Refuses);
+    let leaving = tokio::spawn(async move { owner.leave(|| {}).await });
+    sleep(Duration::from_millis(1_500)).await;
+    world.set_store(StoreMode::Up);
+    sleep(Duration::from_millis(700)).await;
+    assert!(is_owner(&processes[0]), "sooner than a silent owner is replaced");
+    leaving.await.expect("left");
+}
+
+#[tokio::test(start_paused = true)]
+async fn ended_jobs_are_kept_for_their_time_and_then_removed() {
+    let world = World::new(WORKERS, "p");
+    let mut processes = settled(&world, &["a", "b"]).await;
+    let ids: Vec<JobId> = (1..130).map(job).collect();
+    for id in &ids {
+        submit(&world, &processes[0].fleet, id).await.expect("accepted");
+        sleep(Duration::from_millis(100)).await;
+    }
+    sleep(Duration::from_secs(20)).await;
+    assert_eq!(world.count_rows("jobs"), 0, "a new owner needn't read them");
+    assert_eq!(world.count_rows("ended"), ids.len());
+    assert_eq!(phase(&processes[0].fleet, &ids[0]).await, Ok(JobPhase::Completed));
+    submit(&world, &processes[1].fleet, &ids[0]).await.expect("accepted before");
+    // The rows of an earlier owner are found by the next one.
+    processes.remove(processes.iter().position(is_owner).expect("an owner")).crash();
+    sleep(Duration::from_secs(140)).await;
+    assert_eq!(world.count_rows("ended"), 0);
+    assert_eq!(phase(&processes[0].fleet, &ids[0]).await, Err(ErrorKind::NoSuchJob));
+    assert_eq!(world.record().len(), ids.len() * 5, "each task ran once");
+}
+
 #[rstest]
 #[case::seed_1(1)]
 #[case::seed_2(2)]
--- a/crates/masticfall-standin/src/fleet.rs
+++ b/crates/masticfall-standin/src/fleet.rs
@@ -208,6 +208,11 @@
         self.state.lock().specs.clone()
     }
 
+    /// Returns how many rows a table holds.
+    pub fn count_rows(&self, table: &str) -> usize {
+        self.state.lock().rows.keys().filter(|(name, ..)| *name == table).count()
+    }
+
     /// Returns how many calls the store has served.
     pub fn store_calls(&self) -> u64 {
         self.state.lock().calls
