Jobs lie in parts of their own; a write carried out late undoes nothing

From 13 s to 18 s the owner's writes waited about a second each or were answered 429: no pool round for 4 s, 3 to 20 placements in half a second. Cause 2 (found by reading, then by the model): a batch without an answer may be carried out seconds later, over newer ones; the next owner then runs finished tasks again. Ruled out: load on the owner's processor (15 ms passes), take-over (0.2 s). Changes: jobs, cancellations and ended jobs in eight parts by a hash of the identifier; the end itself is one row beside the owner's others, filed away afterwards; batches, signs of life and calls each follow their own sequence row. The model gained late writes and parts that carry out one transaction after the other.

--- a/crates/masticfall-core/src/fleet/board.rs
+++ b/crates/masticfall-core/src/fleet/board.rs
@@ -28,7 +28,7 @@
 pub use store::{Batch, BatchWrite};
 
 use super::config::FleetConfig;
-use super::progress::{JobPhase, JobRow, ProgressRow};
+use super::progress::{EndedRow, JobPhase, ProgressRow};
 use super::report::RunEnd;
 use super::spec::{JobRecord, Resources, TaskKey};
 use super::worker::{Worker, WorkerFacts};
@@ -251,6 +251,8 @@
     /// Jobs that ended under this ownership, so that a late announcement of
     /// their acceptance doesn't run them again, with the time of their end.
     ended: IndexMap<JobId, u64>,
+    /// Ended jobs whose end is stored, to be filed away.
+    unfiled: Vec<(JobId, EndedRow)>,
     orders: Vec<Order>,
     notices: Vec<Notice>,
     wants_placing: bool,
@@ -283,6 +285,7 @@
             unclear: IndexSet::new(),
             dirty: IndexSet::new(),
             ended: IndexMap::new(),
+            unfiled: Vec::new(),
             orders: Vec::new(),
             notices: Vec::new(),
             wants_placing: false,
@@ -299,8 +302,7 @@
     }
 
     /// Adds a job as it was stored, with its progress if any was.
-    pub fn load(&mut self, id: &JobId, row: JobRow, progress: Option<ProgressRow>, now: Now) {
-        let JobRow::Active(record) = row else { return };
+    pub fn load(&mut self, id: &JobId, record: JobRecord, progress: Option<ProgressRow>, now: Now) {
         if self.jobs.contains_key(id) || self.ended.contains_key(id) {
             return;
         }
@@ -343,7 +345,7 @@
             return;
         }
         self.note_arrival(&record, now.steady_ms);
-        self.load(id, JobRow::Active(record), None, now);
+        self.load(id, record, None, now);
     }
 
     /// Cancels a job.
--- a/crates/masticfall-core/src/fleet/board/store.rs
+++ b/crates/masticfall-core/src/fleet/board/store.rs
@@ -1,37 +1,21 @@
 //! Batches of progress to be stored, and what may happen once they are.
 
-use super::{Board, Job, Order, OrderState, StartOrder, TaskState};
-use crate::fleet::progress::{JobRow, ProgressRow};
+use super::{Board, Order, OrderState, StartOrder, TaskState};
+use crate::fleet::progress::{EndedRow, ProgressRow};
 use crate::fleet::spec::TaskKey;
 use crate::id::{JobId, Name, WorkerId};
 
-/// Most rows in one batch: with the condition, within the store's 100 entries a
-/// transaction.
-const BATCH_ROWS: usize = 96;
+/// Most jobs in one batch, a row each: with the condition, within the store's
+/// 100 entries a transaction.
+const BATCH_JOBS: usize = 96;
 
-/// Rows of a job that goes on.
-const PROGRESS_ROWS: usize = 1;
-
-/// Rows of a job that has ended: the job before and after, its progress, and its
-/// cancellation.
-const ENDED_ROWS: usize = 4;
-
-/// Tells whether a job has ended, and nothing of it runs.
-fn has_ended(job: &Job) -> bool {
-    job.phase.is_final() && !job.has_placements()
-}
-
-fn rows_of(job: &Job) -> usize {
-    if has_ended(job) { ENDED_ROWS } else { PROGRESS_ROWS }
-}
-
-/// One job's rows.
+/// One job's row.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum BatchWrite {
     /// The job goes on.
     Progress(JobId, ProgressRow),
     /// The job has ended, and nothing of it runs.
-    Ended(JobId, JobRow),
+    Ended(JobId, EndedRow),
 }
 
 /// Rows that are written together.
@@ -52,12 +36,7 @@
         let mut batch = Batch::default();
         let workers = &self.workers;
         let address = |id: &WorkerId| workers.get(id).map(|worker| worker.facts.address);
-        let mut rows = 0;
-        let fitting = self.dirty.iter().take_while(|id| {
-            rows += self.jobs.get(*id).map_or(0, rows_of);
-            rows <= BATCH_ROWS
-        });
-        let count = fitting.count();
+        let count = self.dirty.len().min(BATCH_JOBS);
         let ids: Vec<JobId> = self.dirty.drain(..count).collect();
         for id in ids {
             let Some(job) = self.jobs.get(&id) else { continue };
@@ -68,8 +47,8 @@
                     batch.starts.push((key, run.attempt));
                 }
             }
-            if has_ended(job) {
-                let row = JobRow::Ended {
+            if job.phase.is_final() && !job.has_placements() {
+                let row = EndedRow {
                     phase: job.phase,
                     account: job.record.account.clone(),
                     ended_wall_ms: wall_ms,
@@ -97,10 +76,11 @@
             }
         }
         for write in batch.writes {
-            if let BatchWrite::Ended(id, _) = write {
+            if let BatchWrite::Ended(id, row) = write {
                 self.jobs.swap_remove(&id);
                 self.forget_permits(&id);
-                self.ended.insert(id, now_ms);
+                self.ended.insert(id.clone(), now_ms);
+                self.unfiled.push((id, row));
             }
         }
         for (key, attempt) in batch.starts {
@@ -108,11 +88,15 @@
         }
     }
 
-    /// Takes up to [`BATCH_ROWS`] jobs that ended at least `keep_ms` ago, whose
-    /// rows may be removed.
+    /// Takes the jobs whose end was stored since the last time.
+    pub fn take_unfiled(&mut self) -> Vec<(JobId, EndedRow)> {
+        std::mem::take(&mut self.unfiled)
+    }
+
+    /// Takes jobs that ended at least `keep_ms` ago, whose rows may be removed.
     pub fn take_expired(&mut self, now_ms: u64, keep_ms: u64) -> Vec<JobId> {
         let expired = self.ended.values().take_while(|ended_ms| **ended_ms + keep_ms <= now_ms);
-        let count = expired.count().min(BATCH_ROWS);
+        let count = expired.count();
         self.ended.drain(..count).map(|(id, _)| id).collect()
     }
 
--- a/crates/masticfall-core/src/fleet/progress.rs
+++ b/crates/masticfall-core/src/fleet/progress.rs
@@ -9,8 +9,7 @@
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString};
 
-use super::spec::JobRecord;
-use crate::id::{Name, WorkerId};
+use crate::id::{AccountName, Name, WorkerId};
 
 /// Where a job is in its life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, Display, EnumString)]
@@ -36,21 +35,15 @@
     }
 }
 
-/// The row of an accepted job.
+/// The row of a job that ended, kept so that the same job isn't accepted again.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum JobRow {
-    /// It may have tasks to run.
-    Active(JobRecord),
-    /// It ended in this phase; kept so that the same job isn't accepted again.
-    Ended {
-        /// Final phase.
-        phase: JobPhase,
-        /// Client account.
-        account: Option<crate::id::AccountName>,
-        /// Wall clock at the end, in milliseconds since the Unix epoch.
-        ended_wall_ms: u64,
-    },
+pub struct EndedRow {
+    /// Final phase.
+    pub phase: JobPhase,
+    /// Client account.
+    pub account: Option<AccountName>,
+    /// Wall clock at the end, in milliseconds since the Unix epoch.
+    pub ended_wall_ms: u64,
 }
 
 /// Where a stored task is in its life.
@@ -116,3 +109,10 @@
     /// Tasks that aren't as they were at acceptance.
     pub tasks: Vec<TaskRow>,
 }
+
+impl ProgressRow {
+    /// Returns the row of a job that ended and of which nothing runs.
+    pub fn ended(phase: JobPhase) -> Self {
+        Self { phase, occurrences_done: Vec::new(), workers: Vec::new(), tasks: Vec::new() }
+    }
+}
--- a/crates/masticfall-core/tests/suite/fleet_rig.rs
+++ b/crates/masticfall-core/tests/suite/fleet_rig.rs
@@ -8,7 +8,7 @@
 use masticfall_core::fleet::config::{
     AccountConfig, FleetConfig, PoolConfig, QueueConfig, RequestBounds,
 };
-use masticfall_core::fleet::progress::{JobRow, ProgressRow};
+use masticfall_core::fleet::progress::{EndedRow, ProgressRow};
 use masticfall_core::fleet::report::{ActiveRun, EndedRun, RunEnd, StartOutcome, WorkerReport};
 use masticfall_core::fleet::spec::{JobRecord, JobSpec, Resources, StepSpec, TaskKey};
 use masticfall_core::fleet::worker::WorkerFacts;
@@ -100,7 +100,8 @@
 #[derive(Debug)]
 pub struct Rig {
     pub board: Board,
-    pub jobs: IndexMap<JobId, JobRow>,
+    pub jobs: IndexMap<JobId, JobRecord>,
+    pub ended: IndexMap<JobId, EndedRow>,
     pub progress: IndexMap<JobId, ProgressRow>,
     pub listings: IndexMap<WorkerId, Listing>,
     pub now_ms: u64,
@@ -115,6 +116,7 @@
         let mut rig = Self {
             board,
             jobs: IndexMap::new(),
+            ended: IndexMap::new(),
             progress: IndexMap::new(),
             listings: IndexMap::new(),
             now_ms: 1_000,
@@ -131,7 +133,7 @@
 
     pub fn submit(&mut self, id: &str, steps: Vec<StepSpec>) {
         let record = record(steps);
-        self.jobs.insert(id.into(), JobRow::Active(record.clone()));
+        self.jobs.insert(id.into(), record.clone());
         self.board.accept(&id.into(), record, now(self.now_ms));
     }
 
@@ -155,7 +157,8 @@
                     }
                     BatchWrite::Ended(id, row) => {
                         self.progress.swap_remove(id);
-                        self.jobs.insert(id.clone(), row.clone());
+                        self.jobs.swap_remove(id);
+                        self.ended.insert(id.clone(), row.clone());
                     }
                 }
             }
--- a/crates/masticfall-entry/src/fleet/dispatch.rs
+++ b/crates/masticfall-entry/src/fleet/dispatch.rs
@@ -8,6 +8,7 @@
 use masticfall_core::fleet::board::{
     AdviceQuestion, Batch, BatchWrite, Board, Order, PaceOrder, StartOrder, StopOrder,
 };
+use masticfall_core::fleet::progress::ProgressRow;
 use masticfall_core::fleet::report::{StartOutcome, StopOutcome};
 use masticfall_core::id::{Name, WorkerId};
 use masticfall_platform::fleet::{AdviceCall, LookCall, Looked, RowPlace, RunCall, StartCall};
@@ -16,8 +17,9 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::context::{Fleet, Ownership};
-use super::rows::{ENDED, JOBS, PROGRESS, cancel_key, place, value};
-use super::{leadership, notices};
+use super::leadership::{self, Sequence};
+use super::notices;
+use super::rows::{BATCH_KEY, CALLS, PROGRESS, place, value};
 
 /// Period at which time is applied to the board, in milliseconds.
 const TICK_MS: u64 = 100;
@@ -190,6 +192,7 @@
 /// time, and all that changed meanwhile in the next one.
 pub async fn store_progress(fleet: Arc<Fleet>, ownership: Ownership) {
     let epoch = ownership.epoch;
+    let mut sequence = Sequence::new(place(CALLS, BATCH_KEY));
     loop {
         fleet.store_wanted.notified().await;
         loop {
@@ -198,7 +201,11 @@
             let Some(batch) = batch else { return };
             let is_empty = batch.writes.is_empty();
             let sent_ms = fleet.now_ms();
-            let stored = if is_empty { Ok(true) } else { store(&fleet, ownership, &batch).await };
+            let stored = if is_empty {
+                Ok(true)
+            } else {
+                store(&fleet, ownership, &mut sequence, &batch).await
+            };
             if !is_empty {
                 let took_ms = fleet.now_ms().saturating_sub(sent_ms);
                 fleet.metrics.store_latency.observe(took_ms as f64 / 1_000.0);
@@ -229,22 +236,27 @@
     }
 }
 
-async fn store(fleet: &Fleet, ownership: Ownership, batch: &Batch) -> Result<bool> {
+async fn store(
+    fleet: &Fleet,
+    ownership: Ownership,
+    sequence: &mut Sequence,
+    batch: &Batch,
+) -> Result<bool> {
     let mut writes: Vec<(RowPlace, Option<Vec<u8>>)> = Vec::new();
     for write in &batch.writes {
         match write {
             BatchWrite::Progress(id, row) => {
                 writes.push((place(PROGRESS, id.as_str()), Some(value(row)?)));
             }
+            // The job's own rows lie in another part; they follow once this is stored.
             BatchWrite::Ended(id, row) => {
-                writes.push((place(ENDED, id.as_str()), Some(value(row)?)));
-                writes.push((place(JOBS, id.as_str()), None));
-                writes.push((place(PROGRESS, id.as_str()), None));
-                writes.push((place(JOBS, cancel_key(id)), None));
+                let row = ProgressRow::ended(row.phase);
+                writes.push((place(PROGRESS, id.as_str()), Some(value(&row)?)));
             }
         }
     }
-    leadership::write(fleet, ownership, writes).await
+    let row = value(&ownership.epoch)?;
+    leadership::write_next(fleet, ownership, sequence, row, writes).await
 }
 
 /// Reads a worker's reports and extends its leases, until the worker or the
--- a/crates/masticfall-entry/src/fleet/follow.rs
+++ b/crates/masticfall-entry/src/fleet/follow.rs
@@ -3,14 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use masticfall_core::fleet::progress::JobRow;
+use masticfall_core::fleet::spec::JobRecord;
 use masticfall_core::id::{JobId, WorkerId};
 use masticfall_platform::fleet::{FleetRow, Follow, Followed, OperatorNews, WorkerNews, read_all};
 use masticfall_platform::{PlatformError, Result};
 use tokio::time::sleep;
 
 use super::context::{Fleet, FleetPhase};
-use super::rows::{BEAT_KEY, BeatRow, CELL, JOBS, cancelled_job, read};
+use super::rows::{BEAT_KEY, BeatRow, CELL, JOB_PARTS, JOBS, cancelled_job, read};
 use super::{dispatch, leadership};
 
 /// Longest wait for a change, in milliseconds; the store allows 30 s. Shorter
@@ -114,6 +114,18 @@
     read_all(&fleet.platform.range, table, CELL).await
 }
 
+/// Reads the rows of all jobs that haven't ended, with the version to follow from.
+pub async fn read_jobs(fleet: &Fleet) -> Result<(Vec<FleetRow>, u64)> {
+    let parts = JOB_PARTS.iter().map(|part| read_all(&fleet.platform.range, JOBS, part));
+    let mut all = Vec::new();
+    let mut oldest = u64::MAX;
+    for (rows, version) in futures_util::future::try_join_all(parts).await? {
+        all.extend(rows);
+        oldest = oldest.min(version);
+    }
+    Ok((all, oldest))
+}
+
 /// Follows the ownership of the cell for as long as the process runs.
 pub async fn ownership(fleet: Arc<Fleet>) {
     let table = super::rows::LEAD;
@@ -174,7 +186,7 @@
                 }
                 sleep(Duration::from_millis(BATCH_MS)).await;
             }
-            Ok(Followed::HistoryGone) => match read_table(&fleet, JOBS).await {
+            Ok(Followed::HistoryGone) => match read_jobs(&fleet).await {
                 Ok((rows, version)) => {
                     after = version;
                     for row in &rows {
@@ -200,11 +212,8 @@
         return;
     }
     let id = JobId::from(&*row.key);
-    match read::<JobRow>(value) {
-        Ok(JobRow::Active(record)) => {
-            fleet.with_board(epoch, |board| board.accept(&id, record, now));
-        }
-        Ok(JobRow::Ended { .. }) => {}
+    match read::<JobRecord>(value) {
+        Ok(record) => drop(fleet.with_board(epoch, |board| board.accept(&id, record, now))),
         Err(error) => tracing::warn!(name: "job.unreadable", %id, %error, "row is left out"),
     }
 }
--- a/crates/masticfall-entry/src/fleet/jobs.rs
+++ b/crates/masticfall-entry/src/fleet/jobs.rs
@@ -6,15 +6,15 @@
 use masticfall_core::error::ErrorKind;
 use masticfall_core::fleet::admission::{Verdict, verdict};
 use masticfall_core::fleet::config::{FleetConfig, QueueConfig};
-use masticfall_core::fleet::progress::{JobPhase, JobRow, ProgressRow};
+use masticfall_core::fleet::progress::{EndedRow, JobPhase, ProgressRow};
 use masticfall_core::fleet::spec::{JobRecord, JobSpec};
 use masticfall_core::id::{AccountName, JobId, Name, QueueName};
 use masticfall_platform::PlatformError;
-use masticfall_platform::fleet::{RowCommit, RowRange, RowTransaction};
+use masticfall_platform::fleet::{FleetRow, RowCommit, RowPlace, RowRange, RowTransaction};
 use tokio::time::{Instant, sleep};
 
 use super::context::Fleet;
-use super::rows::{CELL, ENDED, JOBS, PROGRESS, cancel_key, place, read, value};
+use super::rows::{ENDED, JOBS, PROGRESS, cancel_place, job_place, place, read, value};
 use crate::context::wall_ms;
 use crate::refusal::{Refusal, Result};
 
@@ -140,8 +140,8 @@
     // have taken effect, so the outcome is settled by writing again: the row is
     // inserted at most once.
     let insert = RowTransaction {
-        checks: vec![(place(JOBS, id.as_str()), 0), (place(ENDED, id.as_str()), 0)],
-        writes: vec![(place(JOBS, id.as_str()), Some(value(&JobRow::Active(record))?))],
+        checks: vec![(job_place(JOBS, &id), 0), (job_place(ENDED, &id), 0)],
+        writes: vec![(job_place(JOBS, &id), Some(value(&record)?))],
     };
     let is_new = put_new(fleet, subject, &id, insert).await?;
     let (queue, config_version) = (&subject.queue, subject.config_version);
@@ -212,13 +212,12 @@
     if let Some(phase) = phase_on_board(fleet, &id) {
         return Ok(phase);
     }
-    let progress: Option<ProgressRow> = get(fleet, PROGRESS, id.as_str()).await?;
-    if let Some(progress) = progress {
-        return Ok(progress.phase);
+    if let Some(row) = get(fleet, place(PROGRESS, id.as_str())).await? {
+        return Ok(decode::<ProgressRow>(&row)?.phase);
     }
     match stored_job(fleet, &id).await? {
-        Some(JobRow::Active(_)) => Ok(JobPhase::Queued),
-        Some(JobRow::Ended { phase, .. }) => Ok(phase),
+        Some(StoredJob::Active(..)) => Ok(JobPhase::Queued),
+        Some(StoredJob::Ended(phase)) => Ok(phase),
         None => Err(Refusal::new(ErrorKind::NoSuchJob, format!("no job {id}"))),
     }
 }
@@ -231,24 +230,33 @@
     Some(job.phase).filter(|phase| !phase.is_final())
 }
 
+/// A job as its own rows tell.
+enum StoredJob {
+    /// Its row, which is there until its end was stored elsewhere.
+    Active(RowPlace, u64),
+    /// Its final phase.
+    Ended(JobPhase),
+}
+
 /// Returns a job's row, read where it lies before it ends, then where it lies after.
-async fn stored_job(fleet: &Fleet, id: &JobId) -> Result<Option<JobRow>> {
-    match get(fleet, JOBS, id.as_str()).await? {
-        Some(row) => Ok(Some(row)),
-        None => get(fleet, ENDED, id.as_str()).await,
+async fn stored_job(fleet: &Fleet, id: &JobId) -> Result<Option<StoredJob>> {
+    let place = job_place(JOBS, id);
+    if let Some(row) = get(fleet, place.clone()).await? {
+        return Ok(Some(StoredJob::Active(place, row.version)));
     }
+    let Some(row) = get(fleet, job_place(ENDED, id)).await? else { return Ok(None) };
+    Ok(Some(StoredJob::Ended(decode::<EndedRow>(&row)?.phase)))
 }
 
-async fn get<T: serde::de::DeserializeOwned>(
-    fleet: &Fleet,
-    table: &'static str,
-    key: &str,
-) -> Result<Option<T>> {
+async fn get(fleet: &Fleet, place: RowPlace) -> Result<Option<FleetRow>> {
+    let RowPlace { table, part, key } = place;
     let to = Name::from(format!("{key}\0"));
-    let range = RowRange { table, part: Name::from(CELL), from: Name::from(key), to };
-    let page = (fleet.platform.range)(range).await?;
-    let bytes = page.rows.into_iter().next().and_then(|row| row.value);
-    Ok(bytes.map(|bytes| read(&bytes)).transpose()?)
+    let page = (fleet.platform.range)(RowRange { table, part, from: key, to }).await?;
+    Ok(page.rows.into_iter().next().filter(|row| row.value.is_some()))
+}
+
+fn decode<T: serde::de::DeserializeOwned>(row: &FleetRow) -> Result<T> {
+    Ok(read(row.value.as_deref().unwrap_or_default())?)
 }
 
 /// Asks for a job's cancellation.
@@ -257,14 +265,15 @@
 /// [`ErrorKind::NoSuchJob`] when the store has no such job.
 pub async fn cancel(fleet: &Arc<Fleet>, subject: &Subject) -> Result<()> {
     let id = subject.job()?;
-    match stored_job(fleet, &id).await? {
+    let (job, version) = match stored_job(fleet, &id).await? {
         None => return Err(Refusal::new(ErrorKind::NoSuchJob, format!("no job {id}"))),
-        Some(JobRow::Ended { .. }) => return Ok(()),
-        Some(JobRow::Active(_)) => {}
-    }
-    let row = place(JOBS, cancel_key(&id));
+        Some(StoredJob::Ended(_)) => return Ok(()),
+        Some(StoredJob::Active(place, version)) => (place, version),
+    };
+    let row = cancel_place(&id);
+    // A job's row never changes: without it the job has ended.
     let insert = RowTransaction {
-        checks: vec![(row.clone(), 0)],
+        checks: vec![(row.clone(), 0), (job, version)],
         writes: vec![(row, Some(value(&wall_ms())?))],
     };
     let is_new = put_new(fleet, subject, &id, insert).await?;
--- a/crates/masticfall-entry/src/fleet/leadership.rs
+++ b/crates/masticfall-entry/src/fleet/leadership.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 use masticfall_core::id::Incarnation;
-use masticfall_platform::fleet::{FleetRow, RowCommit, RowTransaction};
+use masticfall_platform::fleet::{FleetRow, RowCommit, RowPlace, RowTransaction};
 use masticfall_platform::{PlatformError, Result};
 use parking_lot::Mutex;
 use rand::Rng;
@@ -347,6 +347,7 @@
 async fn beat(fleet: Arc<Fleet>, ownership: Ownership, last: Option<BeatRow>) {
     let BeatRow { waiting, backlog_ms, silent_ms, .. } = last.unwrap_or_default();
     let known = (waiting, backlog_ms, silent_ms);
+    let mut sequence = Sequence::new(place(LEAD, BEAT_KEY));
     let mut number = 0;
     while is_owner(&fleet, ownership) {
         let epoch = ownership.epoch;
@@ -359,7 +360,7 @@
         number += 1;
         let row = BeatRow { epoch, number, waiting, backlog_ms, silent_ms };
         let written = match value(&row) {
-            Ok(bytes) => write(&fleet, ownership, vec![(place(LEAD, BEAT_KEY), Some(bytes))]).await,
+            Ok(bytes) => write_next(&fleet, ownership, &mut sequence, bytes, Vec::new()).await,
             Err(error) => Err(error),
         };
         match written {
@@ -384,6 +385,59 @@
     }
 }
 
+/// A row by which the writes of one kind follow each other. A write without an
+/// answer may still be carried out seconds later, and must not undo a newer one.
+#[derive(Debug, Clone)]
+pub struct Sequence {
+    place: RowPlace,
+    version: u64,
+}
+
+impl Sequence {
+    /// Starts a sequence whose row may exist already.
+    pub fn new(place: RowPlace) -> Self {
+        Self { place, version: 0 }
+    }
+}
+
+/// Writes rows as [`write`] does, after all earlier writes of the sequence or not
+/// at all; `row` is the new value of the sequence's own row.
+///
+/// # Errors
+/// The platform's failure.
+pub async fn write_next(
+    fleet: &Fleet,
+    ownership: Ownership,
+    sequence: &mut Sequence,
+    row: Vec<u8>,
+    mut writes: Vec<(RowPlace, Option<Vec<u8>>)>,
+) -> Result<bool> {
+    writes.push((sequence.place.clone(), Some(row)));
+    loop {
+        let checks = vec![
+            (place(LEAD, OWNER_KEY), ownership.version),
+            (sequence.place.clone(), sequence.version),
+        ];
+        let transaction = RowTransaction { checks, writes: writes.clone() };
+        let rows = match (fleet.platform.transact)(transaction).await? {
+            RowCommit::Done(version) => {
+                sequence.version = version;
+                return Ok(true);
+            }
+            RowCommit::Conflict(rows) => rows,
+        };
+        let version_of =
+            |key: &str| rows.iter().find(|row| &*row.key == key).map_or(0, |row| row.version);
+        if version_of(OWNER_KEY) != ownership.version {
+            lose(fleet, ownership, &rows);
+            return Ok(false);
+        }
+        let version = version_of(&sequence.place.key);
+        tracing::debug!(name: "row.behind", row = %sequence.place.key, known = sequence.version, version, "an earlier write took effect late");
+        sequence.version = version;
+    }
+}
+
 /// Writes rows on the condition that this process owns the cell; `false` when
 /// it doesn't any more, in which case the cell was given up.
 ///
@@ -392,21 +446,25 @@
 pub async fn write(
     fleet: &Fleet,
     ownership: Ownership,
-    writes: Vec<(masticfall_platform::fleet::RowPlace, Option<Vec<u8>>)>,
+    writes: Vec<(RowPlace, Option<Vec<u8>>)>,
 ) -> Result<bool> {
     let checks = vec![(place(LEAD, OWNER_KEY), ownership.version)];
     match (fleet.platform.transact)(RowTransaction { checks, writes }).await? {
         RowCommit::Done(_) => Ok(true),
         RowCommit::Conflict(rows) => {
-            observe(fleet, &rows);
-            if fleet.shared().ownership == Some(ownership) {
-                give_up(fleet, "the owner row has changed");
-            }
+            lose(fleet, ownership, &rows);
             Ok(false)
         }
     }
 }
 
+fn lose(fleet: &Fleet, ownership: Ownership, rows: &[FleetRow]) {
+    observe(fleet, rows);
+    if fleet.shared().ownership == Some(ownership) {
+        give_up(fleet, "the owner row has changed");
+    }
+}
+
 /// Hands the cell over, to a fitter process or to whoever is first; tries again
 /// while the store is away.
 pub async fn hand_over(fleet: &Fleet, heir: Option<Incarnation>) {
--- a/crates/masticfall-entry/src/fleet/leadership/load.rs
+++ b/crates/masticfall-entry/src/fleet/leadership/load.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use masticfall_core::fleet::board::{Board, BoardBounds};
-use masticfall_core::fleet::progress::{JobRow, ProgressRow};
+use masticfall_core::fleet::progress::ProgressRow;
+use masticfall_core::fleet::spec::JobRecord;
 use masticfall_core::id::{JobId, WorkerId};
 use masticfall_platform::fleet::FleetRow;
 use masticfall_platform::{PlatformError, Result};
@@ -12,7 +13,7 @@
 
 use super::{SILENCE_MS, UNCONFIRMED_MS, beat, is_owner};
 use crate::fleet::context::{Fleet, Ownership};
-use crate::fleet::rows::{BEAT_KEY, BeatRow, JOBS, LEAD, PROGRESS, cancelled_job, read};
+use crate::fleet::rows::{BEAT_KEY, BeatRow, LEAD, PROGRESS, cancelled_job, read};
 use crate::fleet::{dispatch, ended, follow, machines};
 
 /// Pause before a failed reading is tried again, in milliseconds.
@@ -32,14 +33,14 @@
     };
     // A large cell takes longer to load than others wait for a sign of life.
     tokio::spawn(beat(Arc::clone(fleet), ownership, last.clone()));
-    let (board, jobs_version, rows) = loop {
+    let loaded = loop {
         match load(fleet, epoch, fell_silent).await {
             Ok(loaded) => break loaded,
             Err(error) if is_owner(fleet, ownership) => wait_again(fleet, &error).await,
             Err(_) => return,
         }
     };
-    let mut board = board;
+    let Loaded { mut board, jobs_version, rows, filed } = loaded;
     // An owner in between may have reached the workers and said nothing.
     if let Some(beat) = last.filter(|beat| beat.epoch + 1 == epoch) {
         board.hear_silent(&beat.silent_ms, fleet.now_ms());
@@ -64,7 +65,7 @@
     tokio::spawn(follow::jobs(Arc::clone(fleet), epoch, jobs_version));
     tokio::spawn(follow::workers(Arc::clone(fleet), epoch));
     tokio::spawn(machines::run(Arc::clone(fleet), ownership));
-    tokio::spawn(ended::forget(Arc::clone(fleet), ownership));
+    tokio::spawn(ended::run(Arc::clone(fleet), ownership, filed));
 }
 
 async fn wait_again(fleet: &Fleet, error: &PlatformError) {
@@ -79,13 +80,23 @@
     last.and_then(|row| row.value.as_deref()).map(read::<BeatRow>).transpose()
 }
 
-/// Returns the board, the version from which to follow the jobs, and the rows read.
-async fn load(fleet: &Fleet, epoch: u32, fell_silent: bool) -> Result<(Board, u64, usize)> {
+/// What was read of a cell.
+struct Loaded {
+    board: Board,
+    /// Version from which to follow the jobs.
+    jobs_version: u64,
+    rows: usize,
+    /// Ended jobs of which only the progress is left to be removed.
+    filed: Vec<JobId>,
+}
+
+async fn load(fleet: &Fleet, epoch: u32, fell_silent: bool) -> Result<Loaded> {
     let (progress, _) = follow::read_table(fleet, PROGRESS).await?;
     // Read after the progress: a job that ends in between is then gone.
-    let (jobs, jobs_version) = follow::read_table(fleet, JOBS).await?;
-    let board = load_board(fleet, epoch, fell_silent, &jobs, &progress);
-    Ok((board, jobs_version, jobs.len() + progress.len()))
+    let (jobs, jobs_version) = follow::read_jobs(fleet).await?;
+    let (board, filed) = load_board(fleet, epoch, fell_silent, &jobs, &progress);
+    let rows = jobs.len() + progress.len();
+    Ok(Loaded { board, jobs_version, rows, filed })
 }
 
 fn load_board(
@@ -94,7 +105,7 @@
     fell_silent: bool,
     jobs: &[FleetRow],
     progress: &[FleetRow],
-) -> Board {
+) -> (Board, Vec<JobId>) {
     let bounds = BoardBounds {
         lease_ms: fleet.settings.worker_lease_ms,
         stop_grace_ms: fleet.settings.stop_grace_ms,
@@ -117,7 +128,7 @@
     }
     for row in jobs.iter().filter(|row| cancelled_job(&row.key).is_none()) {
         let id = JobId::from(&*row.key);
-        match row.value.as_deref().map(read::<JobRow>) {
+        match row.value.as_deref().map(read::<JobRecord>) {
             Some(Ok(job)) => board.load(&id, job, rows.swap_remove(&id), now),
             Some(Err(error)) => {
                 tracing::warn!(name: "job.unreadable", %id, %error, "job left out");
@@ -128,5 +139,6 @@
     for id in jobs.iter().filter_map(|row| cancelled_job(&row.key)) {
         board.cancel(&id, now.steady_ms);
     }
-    board
+    let filed = rows.into_iter().filter(|(_, row)| row.phase.is_final()).map(|(id, _)| id);
+    (board, filed.collect())
 }
--- a/crates/masticfall-entry/src/fleet/machines.rs
+++ b/crates/masticfall-entry/src/fleet/machines.rs
@@ -17,7 +17,8 @@
 use tokio::time::sleep;
 
 use super::context::{Fleet, Ownership};
-use super::rows::{CALLS, CallsRow, LEAD, OWNER_KEY, place, read, value};
+use super::leadership::Sequence;
+use super::rows::{CALLED_KEY, CALLS, CallsRow, LEAD, place, read, value};
 use super::{follow, leadership};
 
 /// Period of the rounds while there is a wave, in milliseconds.
@@ -42,6 +43,7 @@
     free_ms: u64,
     /// Our own calls of late, with their times.
     row: CallsRow,
+    sequence: Sequence,
     lease_ms: u64,
 }
 
@@ -52,14 +54,17 @@
         while fleet.shared().ownership == Some(ownership) {
             match follow::read_table(fleet, CALLS).await {
                 Ok((rows, _)) => {
-                    let bytes = rows.first().and_then(|row| row.value.as_deref());
+                    let row = rows.iter().find(|row| &*row.key == CALLED_KEY);
+                    let bytes = row.and_then(|row| row.value.as_deref());
                     let row = bytes.map(read::<CallsRow>).transpose().unwrap_or_else(|error| {
                         tracing::warn!(name: "calls.unreadable", %error, "taken as none");
                         None
                     });
                     let former = row.unwrap_or_default().called.into_keys().collect();
                     let free_ms = fleet.now_ms() + lease_ms;
-                    return Some(Self { former, free_ms, row: CallsRow::default(), lease_ms });
+                    let row = CallsRow::default();
+                    let sequence = Sequence::new(place(CALLS, CALLED_KEY));
+                    return Some(Self { former, free_ms, row, sequence, lease_ms });
                 }
                 Err(error) => {
                     tracing::debug!(name: "calls.not_read", %error, "trying again");
@@ -82,7 +87,7 @@
         fleet: &Fleet,
         ownership: Ownership,
         instances: impl Iterator<Item = &InstanceName>,
-        mut writes: Vec<(RowPlace, Option<Vec<u8>>)>,
+        writes: Vec<(RowPlace, Option<Vec<u8>>)>,
     ) -> Result<bool> {
         let now_ms = fleet.now_ms();
         let lease_ms = self.lease_ms;
@@ -92,8 +97,8 @@
         if now_ms < self.free_ms {
             row.called.extend(self.former.iter().map(|name| (name.clone(), now_ms)));
         }
-        writes.push((place(CALLS, OWNER_KEY), Some(value(&row)?)));
-        leadership::write(fleet, ownership, writes).await
+        let row = value(&row)?;
+        leadership::write_next(fleet, ownership, &mut self.sequence, row, writes).await
     }
 }
 
--- a/crates/masticfall-entry/src/fleet/rows.rs
+++ b/crates/masticfall-entry/src/fleet/rows.rs
@@ -14,17 +14,23 @@
 /// Table of accepted jobs that haven't ended.
 pub const JOBS: &str = "jobs";
 
-/// Table of ended jobs. A new owner of the cell needn't read them, so that a
+/// Table of ended jobs, in the same part as before. A new owner of the cell needn't read them, so that a
 /// take-over takes no longer the more work has been done.
 pub const ENDED: &str = "ended";
 
 /// Table of the progress of jobs.
 pub const PROGRESS: &str = "progress";
 
-/// The cell: the jobs and workers of one dispatcher, and the part that all its
-/// rows lie in. One cell covers all pools today.
+/// The cell: the jobs and workers of one dispatcher, and the part that the rows
+/// of its owner lie in. One cell covers all pools today.
 pub const CELL: &str = "c0";
 
+/// Parts that the rows of jobs are spread over, other than the cell's. The store
+/// carries out the transactions of a part one after the other, 250 a second by
+/// the deployments that we know; callers hand in up to some 600 jobs a second
+/// there, and the owner's own writes must not wait behind them.
+pub const JOB_PARTS: [&str; 8] = ["j0", "j1", "j2", "j3", "j4", "j5", "j6", "j7"];
+
 /// Key of a cell's ownership.
 pub const OWNER_KEY: &str = "owner";
 
@@ -37,6 +43,12 @@
 /// Table of the calls about instances; nobody follows it.
 pub const CALLS: &str = "calls";
 
+/// Key of the owner's row in [`CALLS`].
+pub const CALLED_KEY: &str = "called";
+
+/// Key of the row by which batches of progress follow each other, in [`CALLS`].
+pub const BATCH_KEY: &str = "batch";
+
 /// Who owns a cell.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OwnerRow {
@@ -88,8 +100,27 @@
     RowPlace { table, part: Name::from(CELL), key: key.into() }
 }
 
+/// Returns the place of a row of a job.
+pub fn job_place(table: &'static str, id: &JobId) -> RowPlace {
+    RowPlace { table, part: Name::from(job_part(id)), key: Name::from(id.as_str()) }
+}
+
+/// Returns the place of the row that asks for a job's cancellation.
+pub fn cancel_place(id: &JobId) -> RowPlace {
+    RowPlace { key: Name::from(cancel_key(id)), ..job_place(JOBS, id) }
+}
+
+/// Returns the part that a job's rows lie in.
+pub fn job_part(id: &JobId) -> &'static str {
+    // FNV-1a, so that identifiers that are counted up are spread, too.
+    let hash = id.as_str().bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    });
+    JOB_PARTS[(hash % JOB_PARTS.len() as u64) as usize]
+}
+
 /// Returns the key of the row that asks for a job's cancellation.
-pub fn cancel_key(id: &JobId) -> String {
+fn cancel_key(id: &JobId) -> String {
     format!("{id}.cancel")
 }
 
--- a/crates/masticfall-entry/tests/suite/fleet.rs
+++ b/crates/masticfall-entry/tests/suite/fleet.rs
@@ -105,7 +105,15 @@
 }
 
 async fn submit(world: &World, fleet: &Arc<Fleet>, id: &JobId) -> Result<(), ErrorKind> {
-    let spec = two_steps();
+    submit_spec(world, fleet, id, two_steps()).await
+}
+
+async fn submit_spec(
+    world: &World,
+    fleet: &Arc<Fleet>,
+    id: &JobId,
+    spec: JobSpec,
+) -> Result<(), ErrorKind> {
     world.know(id, &spec);
     let subject = jobs::admit(fleet, &caller(id.as_str())).map_err(|refusal| refusal.kind)?;
     jobs::submit(fleet, &subject, spec).await.map_err(|refusal| refusal.kind)
@@ -347,6 +355,7 @@
     }
     sleep(Duration::from_secs(20)).await;
     assert_eq!(world.count_rows("jobs"), 0, "a new owner needn't read them");
+    assert_eq!(world.count_rows("progress"), 0, "nor their ends");
     assert_eq!(world.count_rows("ended"), ids.len());
     assert_eq!(phase(&processes[0].fleet, &ids[0]).await, Ok(JobPhase::Completed));
     submit(&world, &processes[1].fleet, &ids[0]).await.expect("accepted before");
@@ -358,6 +367,61 @@
     assert_eq!(world.record().len(), ids.len() * 5, "each task ran once");
 }
 
+#[tokio::test(start_paused = true)]
+async fn jobs_handed_in_at_a_peak_do_not_wait_behind_each_other() {
+    let world = World::new(WORKERS, "p");
+    let processes = settled(&world, &["a", "b", "c"]).await;
+    // Small, so that none is refused.
+    let mut spec = two_steps();
+    spec.steps.truncate(1);
+    let step = &mut spec.steps[0];
+    (step.tasks, step.estimate_ms, step.needs.cpu_millis) = (1, 20, 100);
+    // 250 transactions a second in each part; 400 jobs a second come for 3 s.
+    world.set_part_write_ms(4);
+    let mut submissions = Vec::new();
+    for number in 1..=1_200 {
+        let (world, fleet) = (Arc::clone(&world), Arc::clone(&processes[number % 3].fleet));
+        let spec = spec.clone();
+        submissions.push(tokio::spawn(async move {
+            let begun_ms = world.now_ms();
+            let accepted = submit_spec(&world, &fleet, &job(number as u64), spec).await;
+            (accepted, world.now_ms() - begun_ms)
+        }));
+        if number % 2 == 0 {
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+    let mut longest_ms = 0;
+    for submission in submissions {
+        let (accepted, took_ms) = submission.await.expect("submitted");
+        assert_eq!(accepted, Ok(()));
+        longest_ms = longest_ms.max(took_ms);
+    }
+    assert!(longest_ms < 300, "a caller waited for {longest_ms} ms");
+}
+
+#[tokio::test(start_paused = true)]
+async fn writes_carried_out_late_undo_nothing() {
+    let world = World::new(WORKERS, "p");
+    let mut processes = settled(&world, &["a", "b"]).await;
+    let ids: Vec<JobId> = (1..4).map(job).collect();
+    let mut spec = two_steps();
+    spec.steps[1].estimate_ms = 12_000;
+    world.set_store(StoreMode::WritesLate);
+    for id in &ids {
+        submit_spec(&world, &processes[0].fleet, id, spec.clone()).await.expect("accepted");
+    }
+    sleep(Duration::from_millis(2_500)).await;
+    world.set_store(StoreMode::Up);
+    // Late writes have come by now, and the next owner knows only what is stored.
+    sleep(Duration::from_millis(3_200)).await;
+    let owner = processes.iter().position(is_owner).expect("an owner");
+    processes.remove(owner).crash();
+    sleep(Duration::from_secs(25)).await;
+    check(&world, &ids, &ids);
+    assert_eq!(world.record().iter().filter(|run| run.attempt > 64).count(), 0, "none ran again");
+}
+
 #[rstest]
 #[case::seed_1(1)]
 #[case::seed_2(2)]
@@ -412,6 +476,7 @@
                 }
             }
             1 => world.set_store(StoreMode::Silent),
+            2 if seed.is_multiple_of(2) => world.set_store(StoreMode::WritesLate),
             2 => world.set_store(StoreMode::LosesAnswers),
             3 => world.set_store_for(at, StoreMode::Refuses),
             4 => world.set_silent(random.random_range(0..WORKERS), true),
--- a/crates/masticfall-standin/src/fleet.rs
+++ b/crates/masticfall-standin/src/fleet.rs
@@ -37,6 +37,8 @@
     Silent,
     /// It carries out every other write and loses the answer.
     LosesAnswers,
+    /// It carries out every other write seconds later, and without an answer.
+    WritesLate,
 }
 
 /// What really happened to one run.
@@ -100,6 +102,9 @@
     late_orders: u64,
     orders: u64,
     calls: u64,
+    /// When each part has carried out what it was asked for.
+    part_free_ms: IndexMap<Name, u64>,
+    part_write_ms: u64,
 }
 
 /// The model.
@@ -116,6 +121,9 @@
 /// Time of a call, in milliseconds.
 const CALL_MS: u64 = 2;
 
+/// Time after which a late write is carried out, in milliseconds.
+const LATE_MS: u64 = 3_000;
+
 /// Time after which a call without an answer is given up, in milliseconds.
 const GIVE_UP_MS: u64 = 700;
 
@@ -170,6 +178,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Lets each part of the store carry out its transactions one after the
+    /// other, in so many milliseconds each; 0 for all at once.
+    pub fn set_part_write_ms(&self, ms: u64) {
+        self.state.lock().part_write_ms = ms;
+    }
+
     /// Makes a worker silent, or lets it answer again; what it runs goes on.
     pub fn set_silent(&self, worker: usize, is_silent: bool) {
         let mut state = self.state.lock();
--- a/crates/masticfall-standin/src/fleet/store.rs
+++ b/crates/masticfall-standin/src/fleet/store.rs
@@ -12,14 +12,14 @@
 use masticfall_platform::{Operation, operation};
 use tokio::time::{Instant, timeout_at};
 
-use super::{CALL_MS, GIVE_UP_MS, StoreMode, World, WorldState, pause};
+use super::{CALL_MS, GIVE_UP_MS, LATE_MS, StoreMode, World, WorldState, pause};
 
 /// Waits for a call's way to the store, and fails as the store does.
 async fn reach(world: &World, process: &Name) -> Result<()> {
     pause(CALL_MS).await;
     let mode = world.state.lock().mode_of(process);
     match mode {
-        StoreMode::Up | StoreMode::LosesAnswers => {
+        StoreMode::Up | StoreMode::LosesAnswers | StoreMode::WritesLate => {
             world.state.lock().calls += 1;
             Ok(())
         }
@@ -41,13 +41,25 @@
                 return UnknownSnafu { reason: "the store is silent" }.fail();
             }
             reach(&world, &process).await?;
-            let (commit, is_lost) = {
+            wait_for_part(&world, &transaction).await;
+            let (mode, is_lost) = {
                 let mut state = world.state.lock();
-                let is_losing = state.mode_of(&process) == StoreMode::LosesAnswers;
+                let mode = state.mode_of(&process);
+                let is_losing = matches!(mode, StoreMode::LosesAnswers | StoreMode::WritesLate);
                 state.lost += u64::from(is_losing);
-                let is_lost = is_losing && state.lost.is_multiple_of(2);
-                (state.apply(transaction), is_lost)
+                (mode, is_losing && state.lost.is_multiple_of(2))
             };
+            if is_lost && mode == StoreMode::WritesLate {
+                let world = Arc::clone(&world);
+                drop(tokio::spawn(async move {
+                    pause(LATE_MS).await;
+                    world.state.lock().apply(transaction);
+                    world.changed.notify_waiters();
+                }));
+                pause(GIVE_UP_MS).await;
+                return UnknownSnafu { reason: "the answer is lost" }.fail();
+            }
+            let commit = world.state.lock().apply(transaction);
             world.changed.notify_waiters();
             if is_lost {
                 pause(GIVE_UP_MS).await;
@@ -59,6 +71,20 @@
     })
 }
 
+/// Waits until a transaction's part has carried out the ones before.
+async fn wait_for_part(world: &World, transaction: &RowTransaction) {
+    let now_ms = world.now_ms();
+    let until_ms = {
+        let mut state = world.state.lock();
+        let write_ms = state.part_write_ms;
+        let Some((place, _)) = transaction.writes.first().filter(|_| write_ms > 0) else { return };
+        let free_ms = state.part_free_ms.entry(Name::clone(&place.part)).or_default();
+        *free_ms = (*free_ms).max(now_ms) + write_ms;
+        *free_ms
+    };
+    pause(until_ms - now_ms).await;
+}
+
 impl WorldState {
     fn apply(&mut self, transaction: RowTransaction) -> RowCommit {
         let mut conflicts = Vec::new();
