--- a/crates/masticfall-entry/src/fleet/follow.rs
+++ b/crates/masticfall-entry/src/fleet/follow.rs
@@ -24,6 +24,10 @@
 /// meanwhile is read in one call.
 const BATCH_MS: u64 = 8;
 
+/// Pause between two readings of the workers' feed, in milliseconds: each worker
+/// writes every second or two, and a new one is waited for.
+const WORKER_BATCH_MS: u64 = 60;
+
 /// Follows the operators' announcements for as long as the process runs.
 pub async fn operators(fleet: Arc<Fleet>) {
     loop {
@@ -248,10 +252,6 @@
     }
 }
 
-/// Pause between two readings of the workers' feed, in milliseconds: each
-/// worker writes every second or two, and a leaving one may be given work for
-/// seconds more.
-const WORKER_BATCH_MS: u64 = 250;
 
 fn relist(fleet: &Arc<Fleet>, epoch: u32, news: Vec<WorkerNews>) {
     let missing = fleet.with_board(epoch, |board| {
--- a/crates/masticfall-entry/src/fleet/machines.rs
+++ b/crates/masticfall-entry/src/fleet/machines.rs
@@ -21,8 +21,9 @@
 use super::rows::{CALLED_KEY, CALLS, CallsRow, LEAD, place, read, value};
 use super::{follow, leadership};
 
-/// Period of the rounds while there is a wave, in milliseconds.
-const ROUND_MS: u64 = 250;
+/// Pause between two rounds, in milliseconds: short beside the 1.5 s that a move
+/// takes, and beside the time in which a queue reaches its peak.
+const ROUND_MS: u64 = 100;
 
 /// Period of the lines about the pools, in milliseconds: a second is short
 /// beside the turns of demand, and bounds the volume.
