--- a/crates/masticfall-core/src/fleet/machines.rs
+++ b/crates/masticfall-core/src/fleet/machines.rs
@@ -64,15 +64,32 @@
     pub down_ms: u64,
     /// Progress that is stored.
     pub progress: WaveProgress,
-    /// Instances that are down by a call of ours, with the time of the call and
-    /// their worker at that time.
-    down: IndexMap<InstanceName, (u64, Option<WorkerId>)>,
+    /// Instances that are down by a call of ours.
+    down: IndexMap<InstanceName, Down>,
     /// Instances being emptied.
     emptying: IndexSet<InstanceName>,
     /// Time before which an instance isn't called again.
     not_before_ms: IndexMap<InstanceName, u64>,
 }
 
+/// An instance that is down by a call of ours.
+#[derive(Debug, Clone)]
+struct Down {
+    /// Time of the call.
+    since_ms: u64,
+    /// Its worker at that time.
+    worker: Option<WorkerId>,
+    /// Whether it was listed as not up since. On standby it has no worker by
+    /// which its return could be told.
+    was_seen: bool,
+}
+
+impl Down {
+    fn new(worker: Option<WorkerId>, since_ms: u64) -> Self {
+        Self { since_ms, worker, was_seen: false }
+    }
+}
+
 /// A call to take an instance down.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TakeDown {
@@ -156,7 +173,7 @@
             let is_paused = self.not_before_ms.get(&name).is_some_and(|at| now_ms < *at);
             if is_empty && machine.is_up && !is_paused && !barred.contains(&name) {
                 self.emptying.swap_remove(&name);
-                self.down.insert(name.clone(), (now_ms, machine.worker.clone()));
+                self.down.insert(name.clone(), Down::new(machine.worker.clone(), now_ms));
                 calls.push(TakeDown { instance: name, worker: machine.worker.clone() });
             }
         }
@@ -175,7 +192,7 @@
         match outcome {
             TakenDown::Begun => {
                 self.progress.begun.insert(name.clone());
-                self.down.insert(name.clone(), (now_ms, call.worker.clone()));
+                self.down.insert(name.clone(), Down::new(call.worker.clone(), now_ms));
             }
             TakenDown::NotDue => {
                 self.progress.begun.insert(name.clone());
@@ -199,11 +216,12 @@
 
     fn note_back(&mut self, machines: &IndexMap<InstanceName, MachineView>, now_ms: u64) {
         let down_ms = self.down_ms;
-        self.down.retain(|name, (since_ms, worker)| {
+        self.down.retain(|name, down| {
             let Some(machine) = machines.get(name) else { return false };
-            let has_new_worker = machine.worker.is_some() && machine.worker != *worker;
-            let is_late = now_ms > *since_ms + down_ms + BACK_AFTER_MS;
-            !(machine.is_up && (has_new_worker || is_late))
+            let has_new_worker = machine.worker.is_some() && machine.worker != down.worker;
+            let is_late = now_ms > down.since_ms + down_ms + BACK_AFTER_MS;
+            down.was_seen |= !machine.is_up;
+            !(machine.is_up && (down.was_seen || has_new_worker || is_late))
         });
     }
 
--- a/crates/masticfall-core/tests/suite/fleet_maintenance.rs
+++ b/crates/masticfall-core/tests/suite/fleet_maintenance.rs
@@ -241,3 +241,36 @@
     fleet.rig.board.relocate(&busy, now_ms);
     assert_eq!(fleet.rig.board.take_orders().len(), 1);
 }
+
+#[test]
+fn instances_on_standby_are_maintained_one_batch_after_the_other() {
+    let mut rig = Rig::new(&[]);
+    let names: Vec<InstanceName> = (0..60).map(|n| InstanceName::from(format!("m{n}"))).collect();
+    let view = |instance: &InstanceName| MachineView {
+        instance: instance.clone(),
+        pool: "spare".into(),
+        is_up: true,
+        capacity_millis: 16_000,
+        worker: None,
+    };
+    let mut machines: IndexMap<InstanceName, MachineView> =
+        names.iter().map(|name| (name.clone(), view(name))).collect();
+    let due_ms = rig.now_ms + 12_000;
+    let mut wave = Wave::new("1".into(), names, due_ms, 20, DOWN_MS);
+    let mut back_ms: IndexMap<InstanceName, u64> = IndexMap::new();
+    while !wave.is_done(&machines) {
+        assert!(rig.now_ms < due_ms, "three batches of 2 s each take longer than 12 s");
+        for (name, _) in back_ms.iter().filter(|(_, at)| **at <= rig.now_ms) {
+            machines[name].is_up = true;
+        }
+        back_ms.retain(|_, at| *at > rig.now_ms);
+        let calls = wave.plan(&machines, &IndexSet::new(), &mut rig.board, rig.now_ms);
+        for call in calls {
+            wave.taken_down(&call, TakenDown::Begun, &mut rig.board, rig.now_ms);
+            machines[&call.instance].is_up = false;
+            back_ms.insert(call.instance, rig.now_ms + DOWN_MS);
+        }
+        assert!(back_ms.len() <= 20);
+        rig.pass(ROUND_MS);
+    }
+}
--- a/crates/masticfall-entry/src/fleet/follow.rs
+++ b/crates/masticfall-entry/src/fleet/follow.rs
@@ -252,7 +252,6 @@
     }
 }
 
-
 fn relist(fleet: &Arc<Fleet>, epoch: u32, news: Vec<WorkerNews>) {
     let missing = fleet.with_board(epoch, |board| {
         let listed = |id: &WorkerId| {
