--- a/crates/masticfall-core/src/fleet/machines.rs
+++ b/crates/masticfall-core/src/fleet/machines.rs
@@ -25,6 +25,20 @@
 /// Pause before a call that had no effect is made again, in milliseconds.
 const AGAIN_MS: u64 = 600;
 
+/// Where an instance is in its life, as its provider sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum MachineState {
+    /// It runs.
+    Up,
+    /// It moves to another pool.
+    Moving,
+    /// It is down for maintenance.
+    Maintenance,
+    /// It is down.
+    Down,
+}
+
 /// An instance as its provider last listed it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct MachineView {
@@ -32,14 +46,21 @@
     pub instance: InstanceName,
     /// Its pool.
     pub pool: PoolName,
-    /// Whether it is up, neither moving nor in maintenance nor down.
-    pub is_up: bool,
+    /// Where it is in its life.
+    pub state: MachineState,
     /// What it offers, in thousandths of a core.
     pub capacity_millis: u64,
     /// Its worker, if it has one.
     pub worker: Option<WorkerId>,
 }
 
+impl MachineView {
+    /// Tells whether it runs.
+    pub fn is_up(&self) -> bool {
+        self.state == MachineState::Up
+    }
+}
+
 /// A wave as far as it was stored.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct WaveProgress {
@@ -134,6 +155,11 @@
         }
     }
 
+    /// Returns how far the wave is: instances begun, being emptied, and down.
+    pub fn counts(&self) -> (usize, usize, usize) {
+        (self.progress.begun.len(), self.emptying.len(), self.down.len())
+    }
+
     /// Tells whether an instance is being emptied or is down for this wave.
     pub fn is_out(&self, instance: &InstanceName) -> bool {
         self.emptying.contains(instance) || self.down.contains_key(instance)
@@ -171,7 +197,7 @@
             }
             let is_empty = machine.worker.as_ref().is_none_or(|worker| board.is_empty(worker));
             let is_paused = self.not_before_ms.get(&name).is_some_and(|at| now_ms < *at);
-            if is_empty && machine.is_up && !is_paused && !barred.contains(&name) {
+            if is_empty && machine.is_up() && !is_paused && !barred.contains(&name) {
                 self.emptying.swap_remove(&name);
                 self.down.insert(name.clone(), Down::new(machine.worker.clone(), now_ms));
                 calls.push(TakeDown { instance: name, worker: machine.worker.clone() });
@@ -220,8 +246,8 @@
             let Some(machine) = machines.get(name) else { return false };
             let has_new_worker = machine.worker.is_some() && machine.worker != down.worker;
             let is_late = now_ms > down.since_ms + down_ms + BACK_AFTER_MS;
-            down.was_seen |= !machine.is_up;
-            !(machine.is_up && (down.was_seen || has_new_worker || is_late))
+            down.was_seen |= !machine.is_up();
+            !(machine.is_up() && (down.was_seen || has_new_worker || is_late))
         });
     }
 
@@ -248,7 +274,7 @@
             let is_taken = self.progress.begun.contains(name)
                 || self.emptying.contains(name)
                 || self.down.contains_key(name);
-            let Some(machine) = machines.get(name).filter(|machine| !is_taken && machine.is_up)
+            let Some(machine) = machines.get(name).filter(|machine| !is_taken && machine.is_up())
             else {
                 continue;
             };
@@ -272,10 +298,11 @@
         let wanted = (waiting.len() as f64 * each_ms / left_ms).ceil() as usize;
         let wanted = wanted.clamp(1, self.max_at_once.max(1) as usize);
         let is_away = |name: &&InstanceName| {
-            let is_up = machines.get(*name).is_none_or(|machine| machine.is_up);
-            !is_up && !self.emptying.contains(*name) && !self.down.contains_key(*name)
+            let state = machines.get(*name).map(|machine| machine.state);
+            state == Some(MachineState::Maintenance) && !self.is_out(name)
         };
-        // An earlier owner may have taken instances down.
+        // An earlier owner may have taken instances down. Those that move or have
+        // failed take nothing from what the wave may have down.
         let away = self.instances.iter().filter(is_away).count();
         let out = self.emptying.len() + self.down.len() + away;
         let chosen = waiting.iter().take(wanted.saturating_sub(out));
--- a/crates/masticfall-core/src/fleet/pools.rs
+++ b/crates/masticfall-core/src/fleet/pools.rs
@@ -237,7 +237,7 @@
     ) {
         self.moving.retain(|name, moving| {
             let Some(machine) = machines.get(name) else { return false };
-            let is_there = machine.is_up && machine.pool == moving.to;
+            let is_there = machine.is_up() && machine.pool == moving.to;
             let is_given_up = now_ms > moving.since_ms + GIVE_UP_MS;
             if is_given_up
                 && !is_there
@@ -275,7 +275,7 @@
                 continue;
             }
             let Some(pool) = pools.get_mut(&machine.pool) else { continue };
-            if !machine.is_up || is_taken(name) {
+            if !machine.is_up() || is_taken(name) {
                 continue;
             }
             let worker = machine.worker.as_ref().and_then(|id| board.workers.get(id));
--- a/crates/masticfall-core/tests/suite/fleet_maintenance.rs
+++ b/crates/masticfall-core/tests/suite/fleet_maintenance.rs
@@ -1,7 +1,7 @@
 //! Maintenance waves over a board with tasks that last and plain ones.
 
 use masticfall_core::fleet::board::Order;
-use masticfall_core::fleet::machines::{MachineView, TakeDown, TakenDown, Wave};
+use masticfall_core::fleet::machines::{MachineState, MachineView, TakeDown, TakenDown, Wave};
 use masticfall_core::fleet::report::RunEnd;
 use masticfall_core::fleet::spec::{StepSpec, TaskKey};
 use masticfall_core::prelude::*;
@@ -29,7 +29,7 @@
             let view = MachineView {
                 instance: instance.clone(),
                 pool: "p".into(),
-                is_up: true,
+                state: MachineState::Up,
                 capacity_millis: 16_000,
                 worker,
             };
@@ -47,7 +47,7 @@
     fn take_down(&mut self, instance: &InstanceName) {
         assert!(!self.is_busy(instance), "{instance} is taken down while it runs something");
         let worker = self.machines[instance].worker.take().expect("a worker");
-        self.machines[instance].is_up = false;
+        self.machines[instance].state = MachineState::Maintenance;
         self.rig.listings.swap_remove(&worker);
         self.rig.board.unlist_worker(&worker);
         self.back_ms.insert(instance.clone(), self.rig.now_ms + DOWN_MS);
@@ -64,7 +64,7 @@
             self.rig.list(&[(id.as_str(), 16)]);
             self.rig.listings.insert(WorkerId::from(id.as_str()), Listing::default());
             self.machines[&instance].worker = Some(WorkerId::from(id));
-            self.machines[&instance].is_up = true;
+            self.machines[&instance].state = MachineState::Up;
         }
     }
 
@@ -249,7 +249,7 @@
     let view = |instance: &InstanceName| MachineView {
         instance: instance.clone(),
         pool: "spare".into(),
-        is_up: true,
+        state: MachineState::Up,
         capacity_millis: 16_000,
         worker: None,
     };
@@ -261,16 +261,41 @@
     while !wave.is_done(&machines) {
         assert!(rig.now_ms < due_ms, "three batches of 2 s each take longer than 12 s");
         for (name, _) in back_ms.iter().filter(|(_, at)| **at <= rig.now_ms) {
-            machines[name].is_up = true;
+            machines[name].state = MachineState::Up;
         }
         back_ms.retain(|_, at| *at > rig.now_ms);
         let calls = wave.plan(&machines, &IndexSet::new(), &mut rig.board, rig.now_ms);
         for call in calls {
             wave.taken_down(&call, TakenDown::Begun, &mut rig.board, rig.now_ms);
-            machines[&call.instance].is_up = false;
+            machines[&call.instance].state = MachineState::Maintenance;
             back_ms.insert(call.instance, rig.now_ms + DOWN_MS);
         }
         assert!(back_ms.len() <= 20);
         rig.pass(ROUND_MS);
     }
 }
+
+#[test]
+fn instances_that_move_or_have_failed_hold_nothing_up() {
+    let mut fleet = Fleet::new(12);
+    let names: Vec<InstanceName> = fleet.machines.keys().cloned().collect();
+    for name in &names[..4] {
+        fleet.machines[name].state = MachineState::Moving;
+    }
+    for name in &names[4..8] {
+        fleet.machines[name].state = MachineState::Down;
+    }
+    let due_ms = fleet.rig.now_ms + 60_000;
+    let mut wave = Wave::new("1".into(), names.clone(), due_ms, 4, DOWN_MS);
+    let barred = IndexSet::new();
+    let now_ms = fleet.rig.now_ms;
+    let calls = wave.plan(&fleet.machines, &barred, &mut fleet.rig.board, now_ms);
+    assert!(!calls.is_empty(), "four instances are up and empty, and none is in maintenance");
+    // An earlier owner's count.
+    for name in &names[..4] {
+        fleet.machines[name].state = MachineState::Maintenance;
+    }
+    let mut wave = Wave::new("1".into(), names, due_ms, 4, DOWN_MS);
+    let calls = wave.plan(&fleet.machines, &barred, &mut fleet.rig.board, now_ms);
+    assert!(calls.is_empty(), "four are in maintenance, as many as may be");
+}
--- a/crates/masticfall-core/tests/suite/fleet_pools.rs
+++ b/crates/masticfall-core/tests/suite/fleet_pools.rs
@@ -1,6 +1,6 @@
 //! Instances that follow the demand of pools which peak by turns.
 
-use masticfall_core::fleet::machines::MachineView;
+use masticfall_core::fleet::machines::{MachineState, MachineView};
 use masticfall_core::fleet::pools::{MoveCall, Moved, PoolPlanner};
 use masticfall_core::fleet::spec::{Resources, StepSpec};
 use masticfall_core::prelude::*;
@@ -28,7 +28,7 @@
             let view = MachineView {
                 instance: instance.clone(),
                 pool: "spare".into(),
-                is_up: true,
+                state: MachineState::Up,
                 capacity_millis: CORES * 1_000,
                 worker: None,
             };
@@ -56,7 +56,7 @@
             let id = format!("life{}", self.lives);
             self.rig.list(&[(id.as_str(), CORES)]);
             let machine = &mut self.machines[&instance];
-            machine.is_up = true;
+            machine.state = MachineState::Up;
             machine.pool = "p".into();
             machine.worker = Some(WorkerId::from(id));
         }
@@ -67,7 +67,7 @@
         let calls = self.planner.plan(&self.machines, |_| false, board, &config, now_ms);
         for call in &calls {
             self.planner.moved(call, Moved::Begun, board);
-            self.machines[&call.instance].is_up = false;
+            self.machines[&call.instance].state = MachineState::Moving;
             self.arriving.push((now_ms + MOVE_MS, call.instance.clone()));
             self.calls.push(now_ms);
         }
@@ -75,7 +75,7 @@
     }
 
     fn held_cores(&self) -> u64 {
-        let there = self.machines.values().filter(|m| m.is_up && m.pool.as_str() == "p");
+        let there = self.machines.values().filter(|m| m.is_up() && m.pool.as_str() == "p");
         there.count() as u64 * CORES
     }
 }
--- a/crates/masticfall-entry/src/fleet/machines.rs
+++ b/crates/masticfall-entry/src/fleet/machines.rs
@@ -13,7 +13,7 @@
 use masticfall_core::fleet::pools::{MoveCall, Moved, PoolDemand, PoolPlanner, PoolView};
 use masticfall_core::id::{InstanceName, Name, PoolName, WaveName};
 use masticfall_platform::Result;
-use masticfall_platform::fleet::{Machine, MachineCall, MachineOutcome, MachineState, RowPlace};
+use masticfall_platform::fleet::{Machine, MachineCall, MachineOutcome, RowPlace};
 use tokio::time::sleep;
 
 use super::context::{Fleet, Ownership};
@@ -125,6 +125,7 @@
         if now_ms >= logged_ms + POOL_LOG_MS {
             logged_ms = now_ms;
             log_pools(ownership.epoch, &planner);
+            log_waves(ownership.epoch, &waves);
         }
         sleep(Duration::from_millis(ROUND_MS)).await;
     }
@@ -141,6 +142,15 @@
     }
 }
 
+/// Writes how far each wave is.
+fn log_waves(epoch: u32, waves: &IndexMap<WaveName, Wave>) {
+    for (name, wave) in waves {
+        let (begun, emptying, down) = wave.counts();
+        let (instances, most) = (wave.instances.len(), wave.max_at_once);
+        tracing::info!(name: "wave.progress", epoch, wave = %name, instances, begun, emptying, down, most, "wave as planned");
+    }
+}
+
 async fn round(
     fleet: &Arc<Fleet>,
     ownership: Ownership,
@@ -263,10 +273,9 @@
 
 fn views(machines: Vec<Machine>) -> IndexMap<InstanceName, MachineView> {
     let views = machines.into_iter().map(|machine| {
-        let is_up = machine.state == MachineState::Up;
-        let Machine { instance, pool, worker, capacity, .. } = machine;
+        let Machine { instance, pool, worker, capacity, state, .. } = machine;
         let capacity_millis = capacity.cpu_millis;
-        (instance.clone(), MachineView { instance, pool, is_up, capacity_millis, worker })
+        (instance.clone(), MachineView { instance, pool, state, capacity_millis, worker })
     });
     views.collect()
 }
--- a/crates/masticfall-platform/src/fleet.rs
+++ b/crates/masticfall-platform/src/fleet.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 
 use masticfall_core::fleet::config::FleetConfig;
+pub use masticfall_core::fleet::machines::MachineState;
 use masticfall_core::fleet::report::{StartOutcome, StopOutcome, WorkerReport};
 use masticfall_core::fleet::spec::{Resources, TaskKey};
 use masticfall_core::fleet::worker::WorkerFacts;
@@ -231,20 +232,6 @@
     WrongWorker,
 }
 
-/// Where an instance is in its life, as its provider sees it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
-#[strum(serialize_all = "snake_case")]
-pub enum MachineState {
-    /// It runs.
-    Up,
-    /// It moves to another pool.
-    Moving,
-    /// It is down for maintenance.
-    Maintenance,
-    /// It is down.
-    Down,
-}
-
 /// An instance that workers run on, one life after the other.
 #[derive(Debug, Clone)]
 pub struct Machine {
