Pools are sized by memory, accelerators and spread, not by cores alone

Others waited for memory, 21 GB beside 1.5 cores on workers of 64 GB and 16 cores. Ruled out: availability budgets set too strict (two may be away), labels (none asked). Change: demand is counted in all resources, and taken by the one needed most; a step with a bound on its tasks a worker asks for so many workers; the same for the backlog by which jobs are refused. Tests: fleet_pools::pools_grow_with_the_memory..., ..._workers_that_a_spread_step_needs.

--- a/crates/masticfall-core/src/fleet/board/job.rs
+++ b/crates/masticfall-core/src/fleet/board/job.rs
@@ -255,17 +255,17 @@
         ends.into_iter().max().unwrap_or(0)
     }
 
-    /// Returns the estimated work of the tasks that wait, in core-milliseconds.
-    pub fn waiting_core_ms(&self) -> u64 {
-        let mut core_ms = 0;
+    /// Returns the estimated work of the tasks that wait: what they need, times
+    /// milliseconds.
+    pub fn waiting_work(&self) -> Resources {
+        let mut work = Resources::default();
         for occurrence in self.occurrences.values() {
             for (spec, step) in self.record.spec.steps.iter().zip(&occurrence.steps) {
                 let waiting = step.tasks.iter().filter(|task| task.state == TaskState::Waiting);
-                core_ms +=
-                    waiting.count() as u64 * spec.needs.cpu_millis * spec.estimate_ms / 1_000;
+                work = work.plus(&spec.needs.times(waiting.count() as u64 * spec.estimate_ms));
             }
         }
-        core_ms
+        work
     }
 
     /// Returns the tasks that are placed, with their workers.
--- a/crates/masticfall-core/src/fleet/pools.rs
+++ b/crates/masticfall-core/src/fleet/pools.rs
@@ -10,6 +10,7 @@
 use super::board::Board;
 use super::config::FleetConfig;
 use super::machines::MachineView;
+use super::spec::Resources;
 use crate::id::{InstanceName, PoolName, WorkerId};
 
 /// Share of a pool's processors that is filled when it counts as full; the rest
@@ -36,25 +37,33 @@
 /// round, with which no second has more calls than the provider's rate.
 const SAVED_MS: f64 = 300.0;
 
-/// What a pool is asked for, in thousandths of a core.
+/// What a pool is asked for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct PoolDemand {
     /// Placed on its workers.
-    pub placed_millis: u64,
+    pub placed: Resources,
     /// Of that, by tasks that last.
-    pub lasting_millis: u64,
+    pub lasting: Resources,
     /// Waiting, of jobs that can still meet their objective.
-    pub waiting_millis: u64,
+    pub waiting: Resources,
     /// What recent arrivals need when they go on.
-    pub offered_millis: u64,
+    pub offered: Resources,
+    /// Workers that the widest step needs, where only so many of its tasks may
+    /// be on one.
+    pub workers: u64,
+    /// Size of the pool's largest worker.
+    pub worker_size: Resources,
 }
 
 impl PoolDemand {
-    /// Returns what the pool should hold.
+    /// Returns what the pool should hold, in thousandths of a core of workers
+    /// that have their memory and accelerators in the same proportion.
     fn wanted_millis(&self) -> u64 {
-        let now = self.placed_millis + self.waiting_millis;
-        let soon = self.offered_millis + self.lasting_millis;
-        (now.max(soon) as f64 / FILL) as u64
+        let size = &self.worker_size;
+        let now = self.placed.plus(&self.waiting).dominant_millis(size);
+        let soon = self.offered.plus(&self.lasting).dominant_millis(size);
+        let filled = (now.max(soon) as f64 / FILL) as u64;
+        filled.max(self.workers * size.cpu_millis)
     }
 }
 
--- a/crates/masticfall-core/src/fleet/spec.rs
+++ b/crates/masticfall-core/src/fleet/spec.rs
@@ -42,6 +42,30 @@
         }
     }
 
+    /// Returns a multiple.
+    pub fn times(&self, factor: u64) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis * factor,
+            memory_mib: self.memory_mib * factor,
+            accelerators: self.accelerators * factor,
+        }
+    }
+
+    /// Returns the processor share of workers of size `worker` that this takes
+    /// out of use, by the resource that it needs most of, in thousandths of a core.
+    pub fn dominant_millis(&self, worker: &Self) -> u64 {
+        let share = |needs: u64, offers: u64| {
+            if offers == 0 {
+                0
+            } else {
+                (u128::from(needs) * u128::from(worker.cpu_millis) / u128::from(offers)) as u64
+            }
+        };
+        let memory = share(self.memory_mib, worker.memory_mib);
+        let accelerators = share(self.accelerators, worker.accelerators);
+        self.cpu_millis.max(memory).max(accelerators)
+    }
+
     /// Returns what is left, at least zero.
     pub fn minus(&self, other: &Self) -> Self {
         Self {
@@ -186,12 +210,13 @@
         ends.into_iter().max().unwrap_or(0)
     }
 
-    /// Returns the estimated work of one occurrence, in core-milliseconds.
-    pub fn work_core_ms(&self) -> u64 {
+    /// Returns the estimated work of one occurrence: what it needs, times
+    /// milliseconds.
+    pub fn work(&self) -> Resources {
         let steps = self.steps.iter().filter(|step| !step.is_long_running);
-        steps
-            .map(|step| u64::from(step.tasks) * step.needs.cpu_millis * step.estimate_ms / 1_000)
-            .sum()
+        steps.fold(Resources::default(), |sum, step| {
+            sum.plus(&step.needs.times(u64::from(step.tasks) * step.estimate_ms))
+        })
     }
 }
 
--- a/crates/masticfall-core/tests/suite/fleet_order.rs
+++ b/crates/masticfall-core/tests/suite/fleet_order.rs
@@ -138,7 +138,7 @@
     rig.submit("00000000000000c0", vec![step(2, 3)]);
     rig.submit("00000000000000c1", vec![step(1, 3)]);
     let offered = |rig: &Rig, later_ms: u64| {
-        rig.board.pool_demand(rig.now_ms + later_ms)[&PoolName::from("p")].offered_millis
+        rig.board.pool_demand(rig.now_ms + later_ms)[&PoolName::from("p")].offered.cpu_millis
     };
     // Three tasks of 3 cores for 800 ms each.
     assert_eq!(offered(&rig, 0), 7_200);
--- a/crates/masticfall-core/tests/suite/fleet_pools.rs
+++ b/crates/masticfall-core/tests/suite/fleet_pools.rs
@@ -5,7 +5,7 @@
 use masticfall_core::fleet::spec::{Resources, StepSpec};
 use masticfall_core::prelude::*;
 
-use crate::fleet_rig::{Rig, config, step};
+use crate::fleet_rig::{Listing, Rig, config, step};
 
 const ROUND_MS: u64 = 300;
 const MOVE_MS: u64 = 1_500;
@@ -55,6 +55,7 @@
             self.lives += 1;
             let id = format!("life{}", self.lives);
             self.rig.list(&[(id.as_str(), CORES)]);
+            self.rig.listings.insert(WorkerId::from(id.as_str()), Listing::default());
             let machine = &mut self.machines[&instance];
             machine.state = MachineState::Up;
             machine.pool = "p".into();
@@ -119,3 +120,35 @@
     assert!(most as f64 <= calls_per_s, "{most} moves within a second");
     assert!(fleet.calls.len() >= 100, "{} moves in six seconds", fleet.calls.len());
 }
+
+/// Plays until the pool has had time to grow; returns its workers.
+fn workers_for(step: &StepSpec, jobs: usize) -> u64 {
+    let mut fleet = Fleet::new(60, 215.0);
+    // One worker tells how large they are.
+    fleet.rig.list(&[("w", CORES)]);
+    fleet.rig.listings.insert(WorkerId::from("w"), Listing::default());
+    for job in 0..jobs {
+        fleet.rig.submit(&format!("{job:016x}"), vec![step.clone()]);
+    }
+    for _ in 0..12 {
+        fleet.round();
+    }
+    fleet.held_cores() / CORES
+}
+
+#[test]
+fn pools_grow_with_the_memory_that_is_asked_for() {
+    // 64 tasks of 16,000 MiB, four of which fill a worker, with a core each.
+    let needs = Resources { cpu_millis: 1_000, memory_mib: 16_000, accelerators: 0 };
+    let wide = StepSpec { needs, estimate_ms: 20_000, ..step(8, 1) };
+    let workers = workers_for(&wide, 8);
+    assert!((15..=25).contains(&workers), "{workers} workers for the memory of 16");
+}
+
+#[test]
+fn pools_grow_with_the_workers_that_a_spread_step_needs() {
+    // 13 tasks that last, one a worker, with 2 of the 16 cores each.
+    let spread = StepSpec { is_long_running: true, max_per_worker: 1, ..step(13, 2) };
+    let workers = workers_for(&spread, 1);
+    assert!((12..=17).contains(&workers), "{workers} workers beside the first for 13 tasks");
+}
--- a/crates/masticfall-entry/src/fleet/machines.rs
+++ b/crates/masticfall-entry/src/fleet/machines.rs
@@ -10,7 +10,8 @@
 
 use indexmap::{IndexMap, IndexSet};
 use masticfall_core::fleet::machines::{MachineView, TakeDown, TakenDown, Wave, WaveProgress};
-use masticfall_core::fleet::pools::{MoveCall, Moved, PoolDemand, PoolPlanner, PoolView};
+use masticfall_core::fleet::pools::{MoveCall, Moved, PoolPlanner, PoolView};
+use masticfall_core::fleet::spec::Resources;
 use masticfall_core::id::{InstanceName, Name, PoolName, WaveName};
 use masticfall_platform::Result;
 use masticfall_platform::fleet::{Machine, MachineCall, MachineOutcome, RowPlace};
@@ -135,9 +136,12 @@
 fn log_pools(epoch: u32, planner: &PoolPlanner) {
     for (pool, seen) in planner.pools_seen() {
         let PoolView { demand, wanted_millis, held_millis, empty_instances } = *seen;
-        let PoolDemand { placed_millis, lasting_millis, waiting_millis, offered_millis } = demand;
+        let millis = |needs: Resources| needs.dominant_millis(&demand.worker_size);
+        let (placed_millis, lasting_millis) = (millis(demand.placed), millis(demand.lasting));
+        let (waiting_millis, offered_millis) = (millis(demand.waiting), millis(demand.offered));
+        let workers = demand.workers;
         if placed_millis + waiting_millis + offered_millis > 0 {
-            tracing::info!(name: "pool.demand", epoch, %pool, wanted_millis, held_millis, empty_instances, placed_millis, lasting_millis, waiting_millis, offered_millis, "pool as planned");
+            tracing::info!(name: "pool.demand", epoch, %pool, wanted_millis, held_millis, empty_instances, placed_millis, lasting_millis, waiting_millis, offered_millis, workers, "pool as planned");
         }
     }
 }
