A rise of arrivals is carried on to the time at which instances come

Change: where the second half of a second brought significantly more than the first (2 standard deviations), the rise is carried on for 1.8 s, at most to 2.5 times the rate. Tests: fleet_order::pools_are_asked_for_what_a_rise_leads_to.

--- a/crates/masticfall-core/src/fleet/board/demand.rs
+++ b/crates/masticfall-core/src/fleet/board/demand.rs
@@ -13,6 +13,17 @@
 /// burst before its first jobs are late.
 const ARRIVALS_MS: u64 = 1_000;
 
+/// Time ahead for which a rise is carried on, in milliseconds: an instance is
+/// there 1.5 s after it was asked for, and works some 0.3 s later.
+const LEAD_MS: f64 = 1_800.0;
+
+/// Standard deviations that the two halves of the time have to differ by to
+/// count as a rise: jobs that happen to come together are none.
+const RISE_DOUBT: f64 = 2.0;
+
+/// Most that a rise may multiply the present rate by.
+const MAX_RISE: f64 = 2.5;
+
 /// Work that arrived lately: what it needs, times milliseconds.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Arrivals(IndexMap<PoolName, VecDeque<(u64, Resources)>>);
@@ -27,20 +38,41 @@
         arrivals.push_back((now_ms, work));
     }
 
-    /// Returns what the work that arrived needs all the time when it goes on.
+    /// Returns what the work that arrives will need all the time, by the time
+    /// that instances which are asked for now are there.
     fn offered(&self, pool: &PoolName, now_ms: u64) -> Resources {
         let Some(arrivals) = self.0.get(pool) else { return Resources::default() };
-        let recent = arrivals.iter().filter(|(at, _)| is_recent(*at, now_ms));
-        let Resources { cpu_millis, memory_mib, accelerators } =
-            recent.fold(Resources::default(), |sum, (_, work)| sum.plus(work));
+        let recent = || arrivals.iter().filter(|(at, _)| is_recent(*at, now_ms));
+        let sum = recent().fold(Resources::default(), |sum, (_, work)| sum.plus(work));
+        let rise = rise(recent().map(|(at, work)| (now_ms - at, work.cpu_millis as f64)));
+        let mean = |amount: u64| (amount as f64 * rise / ARRIVALS_MS as f64) as u64;
         Resources {
-            cpu_millis: cpu_millis / ARRIVALS_MS,
-            memory_mib: memory_mib / ARRIVALS_MS,
-            accelerators: accelerators / ARRIVALS_MS,
+            cpu_millis: mean(sum.cpu_millis),
+            memory_mib: mean(sum.memory_mib),
+            accelerators: mean(sum.accelerators),
         }
     }
 }
 
+/// Returns the factor by which a rate will have risen over its mean, given the
+/// ages in milliseconds and the sizes of what arrived; 1 where it doesn't rise.
+fn rise(arrivals: impl Iterator<Item = (u64, f64)>) -> f64 {
+    let half_ms = ARRIVALS_MS as f64 / 2.0;
+    let (mut late, mut early, mut squares) = (0.0, 0.0, 0.0);
+    for (age_ms, size) in arrivals {
+        let half = if (age_ms as f64) < half_ms { &mut late } else { &mut early };
+        *half += size;
+        squares += size * size;
+    }
+    let sum = late + early;
+    if sum == 0.0 || late - early <= RISE_DOUBT * f64::sqrt(squares) {
+        return 1.0;
+    }
+    let slope = (late - early) / half_ms;
+    let ahead = (late + slope * LEAD_MS).min(late * MAX_RISE);
+    2.0 * ahead / sum
+}
+
 fn is_recent(at_ms: u64, now_ms: u64) -> bool {
     at_ms + ARRIVALS_MS >= now_ms
 }
--- a/crates/masticfall-core/tests/suite/fleet_order.rs
+++ b/crates/masticfall-core/tests/suite/fleet_order.rs
@@ -146,6 +146,41 @@
     assert_eq!(offered(&rig, 1_001), 0);
 }
 
+/// Hands jobs of 6.4 core-seconds in, at a rate that goes from one figure to
+/// the next in a second; returns what is offered at the end, as a multiple of
+/// the last rate.
+fn offered_after(rates: &[f64]) -> f64 {
+    let mut rig = Rig::new(&[("w1", 1)]);
+    let mut number = 0;
+    for pair in rates.windows(2) {
+        let mut due = 0.0;
+        for tick in 0..1_000 {
+            rig.now_ms += 1;
+            due += (pair[0] + (pair[1] - pair[0]) * f64::from(tick) / 1_000.0) / 1_000.0;
+            while due >= 1.0 {
+                due -= 1.0;
+                rig.submit(&format!("{number:016x}"), vec![step(4, 2)]);
+                number += 1;
+            }
+        }
+    }
+    let offered = rig.board.pool_demand(rig.now_ms)[&PoolName::from("p")].offered.cpu_millis;
+    offered as f64 / (6_400.0 * rates.last().expect("a rate"))
+}
+
+#[test]
+fn pools_are_asked_for_what_a_rise_leads_to() {
+    // Instances that are asked for now come when the rate has gone on rising.
+    let rising = offered_after(&[5.0, 20.0, 100.0]);
+    assert!((1.2..=2.5).contains(&rising), "{rising} times the last rate");
+    let steady = offered_after(&[50.0, 50.0, 50.0]);
+    assert!((0.95..=1.05).contains(&steady), "{steady} times the last rate");
+    let falling = offered_after(&[100.0, 60.0, 50.0]);
+    assert!((0.95..=1.2).contains(&falling), "{falling} times the last rate");
+    let few = offered_after(&[1.0, 2.0, 4.0]);
+    assert!((0.5..=1.2).contains(&few), "{few} times the last rate");
+}
+
 #[test]
 fn crowded_pool_costs_little_to_place_on() {
     let names: Vec<String> = (0..300).map(|n| format!("w{n}")).collect();
