--- a/crates/masticfall-core/src/fleet/pools.rs
+++ b/crates/masticfall-core/src/fleet/pools.rs
@@ -67,6 +67,16 @@
     }
 }
 
+/// Why an instance can't be moved.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fixed {
+    /// It is being emptied, and serves its pool no longer.
+    Leaving,
+    /// It must not be called yet, since the last owner may have called it; it
+    /// serves its pool all the same.
+    Barred,
+}
+
 /// A call to move an instance.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct MoveCall {
@@ -181,17 +191,17 @@
     }
 
     /// Decides the moves of this round; the workers of the instances to be moved
-    /// are cordoned. `is_taken` names instances that are due for something else.
+    /// are cordoned. `fixed` tells which instances can't be moved now, and why.
     pub fn plan(
         &mut self,
         machines: &IndexMap<InstanceName, MachineView>,
-        is_taken: impl Fn(&InstanceName) -> bool,
+        fixed: impl Fn(&InstanceName) -> Option<Fixed>,
         board: &mut Board,
         config: &FleetConfig,
         now_ms: u64,
     ) -> Vec<MoveCall> {
         self.note_arrived(machines, board, now_ms);
-        let mut pools = self.pools(machines, is_taken, board, config, now_ms);
+        let mut pools = self.pools(machines, fixed, board, config, now_ms);
         board.set_reach(reach(&pools));
         self.seen = pools.iter().map(|(name, pool)| (name.clone(), pool.view())).collect();
         let allowed = self.allowed_calls(now_ms);
@@ -261,7 +271,7 @@
     fn pools(
         &self,
         machines: &IndexMap<InstanceName, MachineView>,
-        is_taken: impl Fn(&InstanceName) -> bool,
+        fixed: impl Fn(&InstanceName) -> Option<Fixed>,
         board: &Board,
         config: &FleetConfig,
         now_ms: u64,
@@ -284,7 +294,8 @@
                 continue;
             }
             let Some(pool) = pools.get_mut(&machine.pool) else { continue };
-            if !machine.is_up() || is_taken(name) {
+            let fixed = fixed(name);
+            if !machine.is_up() || fixed == Some(Fixed::Leaving) {
                 continue;
             }
             let worker = machine.worker.as_ref().and_then(|id| board.workers.get(id));
@@ -292,7 +303,7 @@
             if is_sound || pool.is_standby {
                 pool.held_millis += millis;
                 let is_empty = worker.is_none_or(|worker| worker.placements.is_empty());
-                if is_empty {
+                if is_empty && fixed.is_none() {
                     pool.empty.push((name.clone(), millis));
                 }
             }
--- a/crates/masticfall-core/tests/suite/fleet_pools.rs
+++ b/crates/masticfall-core/tests/suite/fleet_pools.rs
@@ -1,7 +1,7 @@
 //! Instances that follow the demand of pools which peak by turns.
 
 use masticfall_core::fleet::machines::{MachineState, MachineView};
-use masticfall_core::fleet::pools::{MoveCall, Moved, PoolPlanner};
+use masticfall_core::fleet::pools::{Fixed, MoveCall, Moved, PoolPlanner};
 use masticfall_core::fleet::spec::{Resources, StepSpec};
 use masticfall_core::prelude::*;
 
@@ -16,6 +16,7 @@
     rig: Rig,
     machines: IndexMap<InstanceName, MachineView>,
     planner: PoolPlanner,
+    fixed: IndexMap<InstanceName, Fixed>,
     arriving: Vec<(u64, InstanceName)>,
     calls: Vec<u64>,
     lives: u32,
@@ -38,6 +39,7 @@
             rig: Rig::new(&[]),
             machines: machines.collect(),
             planner: PoolPlanner::new(calls_per_s),
+            fixed: IndexMap::new(),
             arriving: Vec::new(),
             calls: Vec::new(),
             lives: 0,
@@ -65,7 +67,13 @@
         self.rig.settle();
         let config = config(1, Resources::default());
         let board = &mut self.rig.board;
-        let calls = self.planner.plan(&self.machines, |_| false, board, &config, now_ms);
+        let calls = self.planner.plan(
+            &self.machines,
+            |name| self.fixed.get(name).copied(),
+            board,
+            &config,
+            now_ms,
+        );
         for call in &calls {
             self.planner.moved(call, Moved::Begun, board);
             self.machines[&call.instance].state = MachineState::Moving;
@@ -152,3 +160,22 @@
     let workers = workers_for(&spread, 1);
     assert!((12..=17).contains(&workers), "{workers} workers beside the first for 13 tasks");
 }
+
+#[test]
+fn new_owner_counts_instances_that_it_must_not_call_yet() {
+    let mut fleet = Fleet::new(60, 215.0);
+    let long = StepSpec { estimate_ms: 60_000, ..step(8, 2) };
+    for job in 0..10 {
+        fleet.rig.submit(&format!("{job:016x}"), vec![long.clone()]);
+    }
+    for _ in 0..12 {
+        fleet.round();
+    }
+    assert!(fleet.held_cores() >= 160);
+    // The next owner plans anew; the last one has called all that is there.
+    fleet.planner = PoolPlanner::new(215.0);
+    fleet.fixed = fleet.machines.keys().map(|name| (name.clone(), Fixed::Barred)).collect();
+    let free: Vec<InstanceName> = fleet.fixed.keys().rev().take(20).cloned().collect();
+    fleet.fixed.retain(|name, _| !free.contains(name));
+    assert_eq!(fleet.round().len(), 0, "the pool has what it needs");
+}
--- a/crates/masticfall-entry/src/fleet/machines.rs
+++ b/crates/masticfall-entry/src/fleet/machines.rs
@@ -10,7 +10,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 use masticfall_core::fleet::machines::{MachineView, TakeDown, TakenDown, Wave, WaveProgress};
-use masticfall_core::fleet::pools::{MoveCall, Moved, PoolPlanner, PoolView};
+use masticfall_core::fleet::pools::{Fixed, MoveCall, Moved, PoolPlanner, PoolView};
 use masticfall_core::fleet::spec::Resources;
 use masticfall_core::id::{InstanceName, Name, PoolName, WaveName};
 use masticfall_platform::Result;
@@ -189,10 +189,13 @@
     let epoch = ownership.epoch;
     let now_ms = fleet.now_ms();
     let barred = known.barred(now_ms);
-    let is_taken =
-        |name: &InstanceName| barred.contains(name) || waves.values().any(|wave| wave.is_out(name));
+    let fixed = |name: &InstanceName| {
+        let is_out = waves.values().any(|wave| wave.is_out(name));
+        let is_barred = || barred.contains(name).then_some(Fixed::Barred);
+        is_out.then_some(Fixed::Leaving).or_else(is_barred)
+    };
     let calls =
-        fleet.with_board(epoch, |board| planner.plan(machines, is_taken, board, &config, now_ms));
+        fleet.with_board(epoch, |board| planner.plan(machines, fixed, board, &config, now_ms));
     let calls = calls.unwrap_or_default();
     if calls.is_empty() {
         return Ok(());
