A new owner waits only for calls about instances that may not be over

Change: calls are made in numbered rounds, and signs of life tell which rounds are over; whoever saw that counts the lease from there. Calls of unknown outcome are never over.

--- a/crates/masticfall-entry/src/fleet/context.rs
+++ b/crates/masticfall-entry/src/fleet/context.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 
 use indexmap::IndexMap;
 use masticfall_core::fleet::board::{Board, Now};
@@ -83,6 +83,8 @@
     pub(super) watch: super::leadership::Watch,
     /// Wakes whoever follows the ownership.
     pub lead_changed: Notify,
+    /// Rounds of this owner's calls about instances that are over.
+    pub(super) calls_done: AtomicU64,
     store_lost: AtomicBool,
     clock: Clock,
     in_flight: AtomicUsize,
@@ -120,6 +122,7 @@
             batch_stored: Notify::new(),
             watch: super::leadership::Watch::default(),
             lead_changed: Notify::new(),
+            calls_done: AtomicU64::new(0),
             store_lost: AtomicBool::new(false),
             clock,
             in_flight: AtomicUsize::new(0),
--- a/crates/masticfall-entry/src/fleet/follow.rs
+++ b/crates/masticfall-entry/src/fleet/follow.rs
@@ -171,7 +171,10 @@
     for row in rows.iter().filter(|row| &*row.key == BEAT_KEY) {
         let Some(value) = &row.value else { continue };
         match read::<BeatRow>(value) {
-            Ok(beat) => fleet.shared().load = Some((beat, fleet.now_ms())),
+            Ok(beat) => {
+                leadership::observe_calls(fleet, &beat);
+                fleet.shared().load = Some((beat, fleet.now_ms()));
+            }
             Err(error) => tracing::warn!(name: "lead.unreadable", %error, "sign of life left out"),
         }
     }
--- a/crates/masticfall-entry/src/fleet/leadership.rs
+++ b/crates/masticfall-entry/src/fleet/leadership.rs
@@ -10,9 +10,12 @@
 //! which of them is first after a loss is partly chance, and a weak one serves
 //! a large cell badly for as long as it has it.
 
+mod bid;
 mod load;
 
+use std::collections::VecDeque;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use masticfall_core::id::Incarnation;
@@ -65,13 +68,9 @@
 /// in milliseconds.
 const HEIR_WAIT_MS: u64 = 600;
 
-/// Lead in fitness with which a process asks for the cell, in percent: enough
-/// to be worth a hand-over, which takes about 0.1 s.
-const BID_LEAD_PERCENT: u32 = 30;
-
-/// Time for which an owner is known before it is asked to give the cell up, and
-/// between two such requests, in milliseconds.
-const BID_PAUSE_MS: u64 = 1_000;
+/// Rounds of calls about instances whose end is remembered: those of some ten
+/// seconds, longer than any lease on instances that we know.
+const REMEMBERED_ROUNDS: usize = 64;
 
 /// Pause before a failed hand-over is tried again, in milliseconds.
 const AGAIN_MS: u64 = 100;
@@ -95,6 +94,9 @@
     /// A request for the cell.
     bid: Option<BidRow>,
     bid_ms: u64,
+    /// Ownerships and their rounds of calls that were over, with the time at
+    /// which that was seen.
+    calls_done: VecDeque<(u32, u64, u64)>,
 }
 
 /// What each process has seen, kept beside the shared tables since only this
@@ -144,6 +146,29 @@
     }
 }
 
+/// Notes what a sign of life says of the owner's calls about instances.
+pub fn observe_calls(fleet: &Fleet, beat: &BeatRow) {
+    let now_ms = fleet.now_ms();
+    let calls_done = &mut fleet.watch.0.lock().calls_done;
+    if calls_done
+        .back()
+        .is_none_or(|(epoch, done, _)| (*epoch, *done) < (beat.epoch, beat.calls_done))
+    {
+        calls_done.push_back((beat.epoch, beat.calls_done, now_ms));
+    }
+    while calls_done.len() > REMEMBERED_ROUNDS {
+        calls_done.pop_front();
+    }
+}
+
+/// Returns the time by which a round of calls of an ownership was over, as far
+/// as this process has seen.
+pub fn calls_over_ms(fleet: &Fleet, epoch: u32, round: u64) -> Option<u64> {
+    let seen = fleet.watch.0.lock();
+    let over = seen.calls_done.iter().find(|(at, done, _)| (*at, *done) >= (epoch, round));
+    over.map(|(.., seen_ms)| *seen_ms)
+}
+
 /// Notes that the ownership could not be read.
 pub fn observe_loss(fleet: &Fleet) {
     fleet.watch.0.lock().is_store_lost = true;
@@ -162,11 +187,11 @@
             () = fleet.lead_changed.notified() => {}
         }
         check_ownership(&fleet);
-        if let Some(heir) = heir_asking(&fleet) {
+        if let Some(heir) = bid::heir_asking(&fleet) {
             hand_over(&fleet, Some(heir)).await;
         }
-        if wants_to_ask(&fleet)
-            && let Err(error) = ask_for_cell(&fleet).await
+        if bid::wants_to_ask(&fleet)
+            && let Err(error) = bid::ask_for_cell(&fleet).await
         {
             tracing::debug!(name: "cell.not_asked_for", %error, "asking again later");
         }
@@ -199,56 +224,6 @@
     tracing::warn!(name: "cell.given_up", process = %fleet.who, epoch = ownership.epoch, reason, "no longer the dispatcher");
 }
 
-/// Returns a fitter process that asks for the cell that this one owns.
-fn heir_asking(fleet: &Fleet) -> Option<Incarnation> {
-    let ownership = fleet.shared().ownership?;
-    let bid = fleet.watch.0.lock().bid.take()?;
-    (bid.epoch == ownership.epoch).then_some(bid.process)
-}
-
-/// Tells whether this process would dispatch much better than the owner.
-fn wants_to_ask(fleet: &Fleet) -> bool {
-    {
-        let shared = fleet.shared();
-        if shared.ownership.is_some() || shared.phase != FleetPhase::Ready {
-            return false;
-        }
-    }
-    let now_ms = fleet.now_ms();
-    let seen = fleet.watch.0.lock();
-    let Some((owner, _)) = seen.owner.as_ref().filter(|(owner, _)| owner.process.is_some()) else {
-        return false;
-    };
-    let is_alive = !seen.is_store_lost && now_ms < seen.changed_ms + 2 * BEAT_MS;
-    let is_settled = now_ms >= seen.owner_since_ms.max(seen.bid_ms) + BID_PAUSE_MS;
-    let is_fitter = fitness_percent(fleet) >= owner.fitness_percent + BID_LEAD_PERCENT;
-    is_alive && is_settled && is_fitter
-}
-
-async fn ask_for_cell(fleet: &Fleet) -> Result<()> {
-    let seen = {
-        let mut seen = fleet.watch.0.lock();
-        seen.bid_ms = fleet.now_ms();
-        seen.owner.clone()
-    };
-    let Some((owner, version)) = seen else { return Ok(()) };
-    let bid = BidRow { process: fleet.who.clone(), epoch: owner.epoch };
-    let ask = RowTransaction {
-        checks: vec![(place(LEAD, OWNER_KEY), version)],
-        writes: vec![(place(LEAD, BID_KEY), Some(value(&bid)?))],
-    };
-    if let RowCommit::Conflict(rows) = (fleet.platform.transact)(ask).await? {
-        observe(fleet, &rows);
-    } else {
-        tracing::info!(name: "cell.asked_for", process = %fleet.who, epoch = owner.epoch, owner_percent = owner.fitness_percent, "asks for the cell, being fitter");
-    }
-    Ok(())
-}
-
-fn fitness_percent(fleet: &Fleet) -> u32 {
-    (fleet.settings.fitness() * 100.0) as u32
-}
-
 fn wants_cell(fleet: &Fleet, spread_ms: u64) -> bool {
     {
         let shared = fleet.shared();
@@ -301,7 +276,8 @@
         Some((owner, version)) => (owner.epoch + 1, *version),
     };
     let process = Some(fleet.who.clone());
-    let owner = OwnerRow { process, epoch, fitness_percent: fitness_percent(fleet), heir: None };
+    let owner =
+        OwnerRow { process, epoch, fitness_percent: bid::fitness_percent(fleet), heir: None };
     let claim = RowTransaction {
         checks: vec![(place(LEAD, OWNER_KEY), version)],
         writes: vec![(place(LEAD, OWNER_KEY), Some(value(&owner)?))],
@@ -358,7 +334,8 @@
         });
         let (waiting, backlog_ms, silent_ms) = counts.unwrap_or_else(|| known.clone());
         number += 1;
-        let row = BeatRow { epoch, number, waiting, backlog_ms, silent_ms };
+        let calls_done = fleet.calls_done.load(Ordering::Acquire);
+        let row = BeatRow { epoch, number, waiting, backlog_ms, silent_ms, calls_done };
         let written = match value(&row) {
             Ok(bytes) => write_next(&fleet, ownership, &mut sequence, bytes, Vec::new()).await,
             Err(error) => Err(error),
--- a/crates/masticfall-entry/src/fleet/leadership/load.rs
+++ b/crates/masticfall-entry/src/fleet/leadership/load.rs
@@ -1,6 +1,7 @@
 //! Start of an ownership: loading of the cell's rows, then the owner's systems.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use masticfall_core::fleet::board::{Board, BoardBounds};
@@ -23,6 +24,7 @@
 pub(super) async fn lead(fleet: &Arc<Fleet>, ownership: Ownership, fell_silent: bool) {
     let begun = Instant::now();
     let epoch = ownership.epoch;
+    fleet.calls_done.store(0, Ordering::Release);
     fleet.shared().ownership = Some(ownership);
     let last = loop {
         match read_beat(fleet).await {
--- a/crates/masticfall-entry/src/fleet/machines.rs
+++ b/crates/masticfall-entry/src/fleet/machines.rs
@@ -6,6 +6,7 @@
 //! last one may have called alone for a lease's length.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
@@ -37,14 +38,19 @@
 /// The platform says two seconds; the listing tells when it is back.
 const DOWN_MS: u64 = 2_000;
 
+/// Round of a call that may be carried out at any time.
+const NEVER_DONE: u64 = u64::MAX;
+
 /// Calls about instances, of this owner and of the last one.
 #[derive(Debug)]
 struct Calls {
-    /// Instances of the last owner, not to be called before `free_ms`.
-    former: IndexSet<InstanceName>,
-    free_ms: u64,
-    /// Our own calls of late, with their times.
-    row: CallsRow,
+    /// Instances of the last owner, with the time before which they must not be
+    /// called.
+    former_until_ms: IndexMap<InstanceName, u64>,
+    /// Our own calls of late, with their times and rounds.
+    called: IndexMap<InstanceName, (u64, u64)>,
+    /// Number of the current round of calls.
+    round: u64,
     sequence: Sequence,
     lease_ms: u64,
 }
@@ -62,11 +68,22 @@
                         tracing::warn!(name: "calls.unreadable", %error, "taken as none");
                         None
                     });
-                    let former = row.unwrap_or_default().called.into_keys().collect();
-                    let free_ms = fleet.now_ms() + lease_ms;
-                    let row = CallsRow::default();
-                    let sequence = Sequence::new(place(CALLS, CALLED_KEY));
-                    return Some(Self { former, free_ms, row, sequence, lease_ms });
+                    let CallsRow { epoch, called } = row.unwrap_or_default();
+                    let now_ms = fleet.now_ms();
+                    let until_ms = |round| {
+                        let over_ms = leadership::calls_over_ms(fleet, epoch, round);
+                        over_ms.unwrap_or(now_ms) + lease_ms
+                    };
+                    let former = called.into_iter().map(|(name, round)| (name, until_ms(round)));
+                    return Some(Self {
+                        former_until_ms: former
+                            .filter(|(_, until_ms)| *until_ms > now_ms)
+                            .collect(),
+                        called: IndexMap::new(),
+                        round: 0,
+                        sequence: Sequence::new(place(CALLS, CALLED_KEY)),
+                        lease_ms,
+                    });
                 }
                 Err(error) => {
                     tracing::debug!(name: "calls.not_read", %error, "trying again");
@@ -79,7 +96,8 @@
 
     /// Returns the instances that must not be called yet.
     fn barred(&self, now_ms: u64) -> IndexSet<InstanceName> {
-        if now_ms < self.free_ms { self.former.clone() } else { IndexSet::new() }
+        let barred = self.former_until_ms.iter().filter(|(_, until_ms)| now_ms < **until_ms);
+        barred.map(|(name, _)| name.clone()).collect()
     }
 
     /// Proves the ownership by a write that names the instances about to be
@@ -93,15 +111,34 @@
     ) -> Result<bool> {
         let now_ms = fleet.now_ms();
         let lease_ms = self.lease_ms;
-        self.row.called.retain(|_, at_ms| now_ms < *at_ms + lease_ms);
-        self.row.called.extend(instances.map(|name| (name.clone(), now_ms)));
-        let mut row = self.row.clone();
-        if now_ms < self.free_ms {
-            row.called.extend(self.former.iter().map(|name| (name.clone(), now_ms)));
+        self.round += 1;
+        let round = self.round;
+        self.called.retain(|_, (at_ms, _)| now_ms < *at_ms + lease_ms);
+        self.called.extend(instances.map(|name| (name.clone(), (now_ms, round))));
+        let ours = self.called.iter().map(|(name, (_, round))| (name.clone(), *round));
+        let mut called: IndexMap<InstanceName, u64> = ours.collect();
+        for name in self.barred(now_ms) {
+            called.entry(name).or_insert(round);
         }
-        let row = value(&row)?;
+        let row = value(&CallsRow { epoch: ownership.epoch, called })?;
         leadership::write_next(fleet, ownership, &mut self.sequence, row, writes).await
     }
+
+    /// Notes that the calls of the current round are over, but for those of
+    /// unknown outcome. These may be carried out later; until the row says so,
+    /// the round isn't counted as done.
+    fn done<'a>(&mut self, fleet: &Fleet, unclear: impl Iterator<Item = &'a InstanceName>) {
+        let mut is_clear = true;
+        for name in unclear {
+            is_clear = false;
+            if let Some((_, round)) = self.called.get_mut(name) {
+                *round = NEVER_DONE;
+            }
+        }
+        if is_clear {
+            fleet.calls_done.store(self.round, Ordering::Release);
+        }
+    }
 }
 
 /// Returns the key of a wave's row.
@@ -210,6 +247,8 @@
     }
     let asked = calls.iter().map(|call| move_instance(fleet, ownership, call));
     let outcomes = futures_util::future::join_all(asked).await;
+    let unclear = calls.iter().zip(&outcomes).filter(|(_, outcome)| **outcome == Moved::Unknown);
+    known.done(fleet, unclear.map(|(call, _)| &call.instance));
     for (call, outcome) in calls.iter().zip(outcomes) {
         let MoveCall { instance, from, to, .. } = call;
         tracing::info!(name: "pool.move", epoch, %instance, %from, %to, ?outcome, "asked to move an instance");
@@ -314,6 +353,9 @@
     }
     let asked = calls.iter().map(|call| take_down(fleet, ownership, &wave.name, call));
     let outcomes = futures_util::future::join_all(asked).await;
+    let unclear =
+        calls.iter().zip(&outcomes).filter(|(_, outcome)| **outcome == TakenDown::Unknown);
+    known.done(fleet, unclear.map(|(call, _)| &call.instance));
     let now_ms = fleet.now_ms();
     for (call, outcome) in calls.iter().zip(outcomes) {
         tracing::info!(name: "wave.instance", wave = %wave.name, instance = %call.instance, ?outcome, epoch = ownership.epoch, "asked to take an instance down");
--- a/crates/masticfall-entry/src/fleet/rows.rs
+++ b/crates/masticfall-entry/src/fleet/rows.rs
@@ -86,12 +86,17 @@
     /// milliseconds. The owner gives them no lease before it has said that they
     /// answer again.
     pub silent_ms: IndexMap<WorkerId, u64>,
+    /// Rounds of calls about instances that are over.
+    pub calls_done: u64,
 }
 
 /// Instances that an owner may have called lately.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct CallsRow {
-    /// The instances, with the clock of the process that called.
+    /// Number of the ownership.
+    pub epoch: u32,
+    /// The instances, with the round in which each was called last. A sign of
+    /// life that counts the round as done proves that the call is over.
     pub called: IndexMap<InstanceName, u64>,
 }
 
--- a/crates/masticfall-entry/tests/suite/fleet.rs
+++ b/crates/masticfall-entry/tests/suite/fleet.rs
@@ -16,8 +16,8 @@
 use masticfall_entry::fleet::jobs::{self, Caller};
 use masticfall_entry::fleet::{Fleet, FleetSettings, RunningFleet, start};
 use masticfall_standin::fleet::check::{
-    overfull_workers, overlapping_runs, starts_after_done, starts_out_of_order, unasked_runs,
-    unfinished_tasks,
+    holders_in_turns, overfull_workers, overlapping_runs, starts_after_done, starts_out_of_order,
+    unasked_runs, unfinished_tasks,
 };
 use masticfall_standin::fleet::{StoreMode, World};
 use rand::rngs::StdRng;
@@ -422,6 +422,31 @@
     assert_eq!(world.record().iter().filter(|run| run.attempt > 64).count(), 0, "none ran again");
 }
 
+#[tokio::test(start_paused = true)]
+async fn owners_do_not_take_turns_about_an_instance_within_its_lease() {
+    let world = World::new(12, "p");
+    let mut config = FleetConfig::clone(&config(1, &["key"]));
+    config.pools.insert("spare".into(), PoolConfig { checks_capacity: true, is_standby: true });
+    world.set_config(Arc::new(config));
+    let mut processes: Vec<RunningFleet> =
+        ["a", "b", "c", "d"].iter().map(|name| launch(&world, name)).collect();
+    sleep(Duration::from_secs(6)).await;
+    for is_crash in [true, false, true] {
+        let owner = processes.iter().position(is_owner).expect("an owner");
+        let owner = processes.remove(owner);
+        if is_crash {
+            owner.crash();
+        } else {
+            owner.leave(|| {}).await;
+        }
+        sleep(Duration::from_secs(7)).await;
+    }
+    let calls = world.machine_calls();
+    let holders: IndexMap<&Name, usize> = calls.iter().map(|call| (&call.holder, 0)).collect();
+    assert_eq!(holders.len(), 4, "every owner has called about surplus instances");
+    assert_eq!(holders_in_turns(&calls, 3_000), Vec::<String>::new());
+}
+
 #[rstest]
 #[case::seed_1(1)]
 #[case::seed_2(2)]
--- a/crates/masticfall-standin/src/fleet.rs
+++ b/crates/masticfall-standin/src/fleet.rs
@@ -19,7 +19,9 @@
 use masticfall_core::fleet::worker::WorkerFacts;
 use masticfall_core::id::{InstanceName, JobId, Name, PoolName, WorkerId};
 use masticfall_platform::error::UnavailableSnafu;
-use masticfall_platform::fleet::{FleetPlatform, FleetRow, Machine, MachineOutcome, MachineState};
+use masticfall_platform::fleet::{
+    FleetPlatform, FleetRow, Machine, MachineCall, MachineOutcome, MachineState,
+};
 use masticfall_platform::operation;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
@@ -63,6 +65,17 @@
     pub needs: Resources,
 }
 
+/// A call about an instance.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MachineCallRecord {
+    /// The instance.
+    pub instance: InstanceName,
+    /// Who called.
+    pub holder: Name,
+    /// When, in milliseconds of the model.
+    pub at_ms: u64,
+}
+
 #[derive(Debug)]
 struct ModelRun {
     record: usize,
@@ -102,6 +115,7 @@
     late_orders: u64,
     orders: u64,
     calls: u64,
+    machine_calls: Vec<MachineCallRecord>,
     /// When each part has carried out what it was asked for.
     part_free_ms: IndexMap<Name, u64>,
     part_write_ms: u64,
@@ -249,13 +263,36 @@
             pace: workers::pace(self),
             look: workers::look(self),
             machines: self.machines(),
-            change_machine: operation(|_| async { Ok(MachineOutcome::Busy) }),
+            change_machine: self.change_machine(),
             advise: operation(|_| async {
                 UnavailableSnafu { reason: "the model has no placement policy" }.fail()
             }),
         }
     }
 
+    /// Returns the calls about instances up to now.
+    pub fn machine_calls(&self) -> Vec<MachineCallRecord> {
+        self.state.lock().machine_calls.clone()
+    }
+
+    /// Records each call; the instances are always busy.
+    fn change_machine(
+        self: &Arc<Self>,
+    ) -> masticfall_platform::Operation<MachineCall, MachineOutcome> {
+        let world = Arc::clone(self);
+        operation(move |call: MachineCall| {
+            let world = Arc::clone(&world);
+            async move {
+                pause(CALL_MS).await;
+                let MachineCall { instance, holder, .. } = call;
+                let at_ms = world.now_ms();
+                let record = MachineCallRecord { instance, holder, at_ms };
+                world.state.lock().machine_calls.push(record);
+                Ok(MachineOutcome::Busy)
+            }
+        })
+    }
+
     fn machines(self: &Arc<Self>) -> masticfall_platform::Operation<(), Vec<Machine>> {
         let world = Arc::clone(self);
         operation(move |()| {
--- a/crates/masticfall-standin/src/fleet/check.rs
+++ b/crates/masticfall-standin/src/fleet/check.rs
@@ -3,9 +3,9 @@
 use indexmap::IndexMap;
 use masticfall_core::fleet::report::RunEnd;
 use masticfall_core::fleet::spec::{JobSpec, Resources, TaskKey};
-use masticfall_core::id::{JobId, WorkerId};
+use masticfall_core::id::{InstanceName, JobId, WorkerId};
 
-use super::RunRecord;
+use super::{MachineCallRecord, RunRecord};
 
 /// A broken promise, in words.
 pub type Breach = String;
@@ -107,3 +107,21 @@
     }
     breaches
 }
+
+/// Returns instances that two holders called within `lease_ms`.
+pub fn holders_in_turns(calls: &[MachineCallRecord], lease_ms: u64) -> Vec<Breach> {
+    let mut last: IndexMap<&InstanceName, &MachineCallRecord> = IndexMap::new();
+    let mut found = Vec::new();
+    for call in calls {
+        let before = last.insert(&call.instance, call);
+        let Some(before) = before.filter(|before| before.holder != call.holder) else { continue };
+        let apart_ms = call.at_ms - before.at_ms;
+        if apart_ms < lease_ms {
+            found.push(format!(
+                "{}: {} after {} in {apart_ms} ms",
+                call.instance, call.holder, before.holder
+            ));
+        }
+    }
+    found
+}
