A fault soak: real processes, a loopback proxy, signals

Entry processes run apart against the model of the platform on the wire (platform/serve); a proxy delays, cuts one way, silences or resets their links to the store and the workers, also on open connections; signals kill, stop, suspend and continue them; store and orders misbehave; configurations take a key away. Clients, workers and store keep records, and the promises are checked against these.

--- /dev/null
+++ b/crates/masticfall-soak/src/process.rs
@@ -0,0 +1,102 @@
+//! The processes under test.
+
+use std::fs::{self, File};
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+
+use rustix::process::{Pid, Signal, kill_process};
+use tokio::process::{Child, Command};
+
+/// An entry process that the soak started; it is killed when this is dropped.
+#[derive(Debug)]
+pub struct Process {
+    /// Its name.
+    pub name: String,
+    /// Where it takes callers.
+    pub callers: SocketAddr,
+    program: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl Process {
+    /// Prepares a process whose store lies behind `store`; settings and logs go
+    /// to `folder`.
+    ///
+    /// # Errors
+    /// The system's error.
+    pub fn new(
+        program: &Path,
+        folder: &Path,
+        name: &str,
+        store: SocketAddr,
+        machines: SocketAddr,
+    ) -> io::Result<Self> {
+        let callers = free_address()?;
+        let (readiness, peers, metrics) = (free_address()?, free_address()?, free_address()?);
+        let settings = folder.join(format!("{name}.ini"));
+        let text = format!(
+            "[fleet]\nname = {name}\ndata_centre = dc\ncallers = {callers}\n\
+             readiness = {readiness}\npeers = {peers}\nmetrics = {metrics}\n\
+             store = {store}\nmachines = {machines}\nworker_lease_ms = 6000\n"
+        );
+        fs::write(&settings, text)?;
+        let log = folder.join(format!("{name}.log"));
+        let program = program.to_path_buf();
+        Ok(Self { name: name.to_string(), callers, program, settings, log, child: None })
+    }
+
+    /// Starts the process, unless it runs.
+    ///
+    /// # Errors
+    /// The system's error.
+    pub fn start(&mut self) -> io::Result<()> {
+        if self.is_running() {
+            return Ok(());
+        }
+        let log = File::options().create(true).append(true).open(&self.log)?;
+        let child = Command::new(&self.program)
+            .arg("--settings")
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stderr(log.try_clone()?)
+            .stdout(log)
+            .kill_on_drop(true)
+            .spawn()?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Tells whether the process runs, suspended or not.
+    pub fn is_running(&mut self) -> bool {
+        let is_running = matches!(self.child.as_mut().map(Child::try_wait), Some(Ok(None)));
+        if !is_running {
+            self.child = None;
+        }
+        is_running
+    }
+
+    /// Sends a signal to the process, if it runs.
+    pub fn signal(&mut self, signal: Signal) {
+        if !self.is_running() {
+            return;
+        }
+        let id = self.child.as_ref().and_then(Child::id);
+        if let Some(pid) = id.and_then(|id| Pid::from_raw(id as i32)) {
+            // An error means that it has ended just now.
+            let _ended = kill_process(pid, signal);
+        }
+    }
+
+    /// Tells whether its log holds a line of a panic.
+    pub fn has_panicked(&self) -> bool {
+        fs::read_to_string(&self.log).is_ok_and(|log| log.contains("panicked at"))
+    }
+}
+
+fn free_address() -> io::Result<SocketAddr> {
+    TcpListener::bind(("127.0.0.1", 0))?.local_addr()
+}
--- /dev/null
+++ b/crates/masticfall-soak/tests/suite/main.rs
@@ -0,0 +1,3 @@
+//! The soak's own parts.
+
+mod proxy;
--- a/crates/masticfall-standin/src/fleet.rs
+++ b/crates/masticfall-standin/src/fleet.rs
@@ -186,6 +186,16 @@
         self.changed.notify_waiters();
     }
 
+    /// Returns how the store treats everybody.
+    pub fn store_mode(&self) -> StoreMode {
+        self.state.lock().mode
+    }
+
+    /// Returns what the workers are.
+    pub fn worker_facts(&self) -> Vec<WorkerFacts> {
+        self.state.lock().workers.values().map(|worker| worker.facts.clone()).collect()
+    }
+
     /// Sets how the store treats one process.
     pub fn set_store_for(&self, process: &str, mode: StoreMode) {
         self.state.lock().modes.insert(process.into(), mode);
