Processes that the store refuses learn configurations from others

The store may refuse or not answer some processes while it serves the others and the operators; keys taken away meanwhile worked there until it came back. Processes list themselves in the store, and one that can't read the operators' rows asks the others (CBOR over WebSocket on the peers address, with a token that only readers of our rows know) for a newer configuration. Nothing is asked while the store serves everybody. Tests: fleet::withdrawn_key_is_dead_at_processes_that_the_store_refuses, processes_ask_each_other_only_with_a_token; the soak checks the key at cut-off processes.

--- a/crates/masticfall-core/src/fleet/config.rs
+++ b/crates/masticfall-core/src/fleet/config.rs
@@ -1,13 +1,14 @@
 //! The fleet's configuration as its operators last accepted it.
 
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
 use super::spec::Resources;
 use crate::id::{AccountName, Name, PoolName, QueueName};
 use crate::key::KeyHash;
 
 /// A queue: where jobs are handed in and which pool runs them.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct QueueConfig {
     /// Its name.
     pub name: QueueName,
@@ -32,7 +33,7 @@
 }
 
 /// How fast the placement policy service decides, and for how long.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AdviceConfig {
     /// Time for each call, in milliseconds.
     pub decide_ms: u64,
@@ -43,7 +44,7 @@
 }
 
 /// A pool of workers.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PoolConfig {
     /// Whether its workers refuse what doesn't fit.
     pub checks_capacity: bool,
@@ -52,7 +53,7 @@
 }
 
 /// A client account.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct AccountConfig {
     /// Its share when the fleet is full.
     pub weight: f64,
@@ -61,7 +62,7 @@
 }
 
 /// Bounds on requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RequestBounds {
     /// Largest sum of header bytes.
     pub max_header_bytes: u64,
@@ -70,7 +71,7 @@
 }
 
 /// An accepted configuration; immutable, replaced as a whole.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct FleetConfig {
     /// Its number; a later one is greater.
     pub version: u64,
--- a/crates/masticfall-core/src/key.rs
+++ b/crates/masticfall-core/src/key.rs
@@ -4,6 +4,7 @@
 //! that they may arrive in any order and by any way and never undo.
 
 use indexmap::{IndexMap, IndexSet};
+use serde::{Deserialize, Serialize};
 use subtle::ConstantTimeEq;
 
 use crate::id::{KeyId, TeamName};
@@ -12,7 +13,7 @@
 pub const KEY_PREFIX: &str = "mf_";
 
 /// The BLAKE3 hash of a key.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct KeyHash([u8; 32]);
 
 impl KeyHash {
--- a/crates/masticfall-entry/src/fleet.rs
+++ b/crates/masticfall-entry/src/fleet.rs
@@ -13,6 +13,7 @@
 mod machines;
 pub mod metrics;
 mod notices;
+pub mod peers;
 mod rows;
 mod run;
 pub mod settings;
--- a/crates/masticfall-entry/src/fleet/context.rs
+++ b/crates/masticfall-entry/src/fleet/context.rs
@@ -7,7 +7,7 @@
 use indexmap::IndexMap;
 use masticfall_core::fleet::board::{Board, Now};
 use masticfall_core::fleet::config::FleetConfig;
-use masticfall_core::id::{Incarnation, WaveName};
+use masticfall_core::id::{Incarnation, Name, WaveName};
 use masticfall_platform::PlatformError;
 use masticfall_platform::fleet::{FleetPlatform, WavePlan};
 use parking_lot::{Mutex, MutexGuard};
@@ -15,6 +15,7 @@
 use tokio::sync::Notify;
 
 use super::metrics::FleetMetrics;
+use super::peers::{Ask, PeerRow};
 use super::rows::BeatRow;
 use super::settings::FleetSettings;
 use crate::context::wall_ms;
@@ -83,6 +84,13 @@
     pub(super) watch: super::leadership::Watch,
     /// Wakes whoever follows the ownership.
     pub lead_changed: Notify,
+    /// Other processes, by name.
+    pub peers: Mutex<IndexMap<Name, PeerRow>>,
+    /// Asks another process.
+    pub(super) ask: Ask,
+    /// What a question from another process has to carry.
+    pub token: Name,
+    operators_read_ms: AtomicU64,
     /// Rounds of this owner's calls about instances that are over.
     pub(super) calls_done: AtomicU64,
     store_lost: AtomicBool,
@@ -99,7 +107,12 @@
 
 impl Fleet {
     /// Makes the context of a new incarnation.
-    pub fn new(settings: FleetSettings, platform: FleetPlatform, clock: Clock) -> Arc<Self> {
+    pub fn new(
+        settings: FleetSettings,
+        platform: FleetPlatform,
+        clock: Clock,
+        ask: Ask,
+    ) -> Arc<Self> {
         let number: u32 = rand::rng().random();
         let who = Incarnation::from(format!("{}.{number:08x}", settings.name));
         let shared = Shared {
@@ -122,6 +135,10 @@
             batch_stored: Notify::new(),
             watch: super::leadership::Watch::default(),
             lead_changed: Notify::new(),
+            peers: Mutex::new(IndexMap::new()),
+            ask,
+            token: Name::from(format!("{:032x}", rand::rng().random::<u128>())),
+            operators_read_ms: AtomicU64::new(clock()),
             calls_done: AtomicU64::new(0),
             store_lost: AtomicBool::new(false),
             clock,
@@ -175,10 +192,23 @@
         shared.board.as_mut().filter(|board| board.epoch == epoch).map(change)
     }
 
-    /// Notes how a call to the store's feeds ended; writes a line when the store
+    /// Returns when the operators' rows were read last, by our clock.
+    pub fn operators_read_ms(&self) -> u64 {
+        self.operators_read_ms.load(Ordering::Relaxed)
+    }
+
+    /// Tells whether the last call to the store's feeds failed.
+    pub fn is_store_lost(&self) -> bool {
+        self.store_lost.load(Ordering::Relaxed)
+    }
+
+    /// Notes how a call to the operators' feed ended; writes a line when the store
     /// was lost or is back.
     pub fn note_store<T>(&self, result: &Result<T, PlatformError>) {
         let is_lost = result.is_err();
+        if !is_lost {
+            self.operators_read_ms.store(self.now_ms(), Ordering::Relaxed);
+        }
         if self.store_lost.swap(is_lost, Ordering::Relaxed) == is_lost {
             return;
         }
--- a/crates/masticfall-entry/src/fleet/follow.rs
+++ b/crates/masticfall-entry/src/fleet/follow.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use masticfall_core::fleet::config::FleetConfig;
 use masticfall_core::fleet::spec::JobRecord;
 use masticfall_core::id::{JobId, WorkerId};
 use masticfall_platform::fleet::{FleetRow, Follow, Followed, OperatorNews, WorkerNews, read_all};
@@ -17,6 +18,9 @@
 /// waits find a connection that has gone silent sooner.
 const FEED_WAIT_MS: u64 = 4_000;
 
+/// The same for the operators' rows, which decide whose keys are in force.
+pub const OPERATORS_WAIT_MS: u64 = 1_500;
+
 /// Pause after a failed call, in milliseconds.
 const RETRY_MS: u64 = 150;
 
@@ -46,7 +50,7 @@
             }
         };
         loop {
-            let follow = Follow { table: "", after, wait_ms: FEED_WAIT_MS };
+            let follow = Follow { table: "", after, wait_ms: OPERATORS_WAIT_MS };
             let followed = (fleet.platform.operator_follow)(follow).await;
             fleet.note_store(&followed);
             match followed {
@@ -74,31 +78,7 @@
 fn apply_operator(fleet: &Fleet, news: OperatorNews) {
     let now_ms = fleet.now_ms();
     match news {
-        OperatorNews::Config(config) => {
-            let mut shared = fleet.shared();
-            let current = shared.config.as_ref().map(|config| config.version);
-            if current.is_some_and(|version| version >= config.version) {
-                return;
-            }
-            tracing::info!(
-                name: "config.in_force",
-                version = config.version,
-                previous = current,
-                queues = config.queues.len(),
-                keys = config.keys.len(),
-                "configuration in force"
-            );
-            if shared.phase == FleetPhase::Starting {
-                shared.phase = FleetPhase::Ready;
-            }
-            if let Some(board) = &mut shared.board {
-                board.set_config(Arc::clone(&config));
-            }
-            shared.config = Some(config);
-            drop(shared);
-            fleet.board_changed.notify_one();
-            fleet.lead_changed.notify_one();
-        }
+        OperatorNews::Config(config) => apply_config(fleet, config),
         OperatorNews::Wave(plan) => {
             let mut shared = fleet.shared();
             if !shared.waves.contains_key(&plan.wave) {
@@ -113,6 +93,33 @@
     }
 }
 
+/// Puts a configuration in force unless a newer one is.
+pub fn apply_config(fleet: &Fleet, config: Arc<FleetConfig>) {
+    let mut shared = fleet.shared();
+    let current = shared.config.as_ref().map(|config| config.version);
+    if current.is_some_and(|version| version >= config.version) {
+        return;
+    }
+    tracing::info!(
+        name: "config.in_force",
+        version = config.version,
+        previous = current,
+        queues = config.queues.len(),
+        keys = config.keys.len(),
+        "configuration in force"
+    );
+    if shared.phase == FleetPhase::Starting {
+        shared.phase = FleetPhase::Ready;
+    }
+    if let Some(board) = &mut shared.board {
+        board.set_config(Arc::clone(&config));
+    }
+    shared.config = Some(config);
+    drop(shared);
+    fleet.board_changed.notify_one();
+    fleet.lead_changed.notify_one();
+}
+
 /// Reads all rows of one of our tables, with the version to follow from.
 pub async fn read_table(fleet: &Fleet, table: &'static str) -> Result<(Vec<FleetRow>, u64)> {
     read_all(&fleet.platform.range, table, CELL).await
--- a/crates/masticfall-entry/src/fleet/rows.rs
+++ b/crates/masticfall-entry/src/fleet/rows.rs
@@ -14,6 +14,9 @@
 /// Table of accepted jobs that haven't ended.
 pub const JOBS: &str = "jobs";
 
+/// Table of the processes that can be asked for configurations.
+pub const PEERS: &str = "peers";
+
 /// Table of ended jobs, in the same part as before. A new owner of the cell needn't read them, so that a
 /// take-over takes no longer the more work has been done.
 pub const ENDED: &str = "ended";
--- a/crates/masticfall-entry/src/fleet/run.rs
+++ b/crates/masticfall-entry/src/fleet/run.rs
@@ -9,8 +9,9 @@
 use tokio::time::sleep;
 
 use super::context::{Clock, Fleet, FleetPhase};
+use super::peers::Ask;
 use super::settings::FleetSettings;
-use super::{follow, leadership};
+use super::{follow, leadership, peers};
 
 /// Time for which a leaving process still takes new connections, in
 /// milliseconds: the balancer looks once a second and stops after two misses.
@@ -31,13 +32,21 @@
 }
 
 /// Starts the systems of a process; `clock` is [`boot_ms`](super::context::boot_ms)
-/// but in tests.
-pub fn start(settings: FleetSettings, platform: FleetPlatform, clock: Clock) -> RunningFleet {
-    let fleet = Fleet::new(settings, platform, clock);
+/// but in tests,
+/// and `ask` is [`peers::ask`].
+pub fn start(
+    settings: FleetSettings,
+    platform: FleetPlatform,
+    clock: Clock,
+    ask: Ask,
+) -> RunningFleet {
+    let fleet = Fleet::new(settings, platform, clock, ask);
     let systems: Vec<BoxFuture<'static, ()>> = vec![
         Box::pin(follow::operators(Arc::clone(&fleet))),
         Box::pin(follow::ownership(Arc::clone(&fleet))),
         Box::pin(leadership::run(Arc::clone(&fleet))),
+        Box::pin(peers::list(Arc::clone(&fleet))),
+        Box::pin(peers::follow_others(Arc::clone(&fleet))),
     ];
     let tasks = systems.into_iter().map(tokio::spawn).collect();
     tracing::info!(
@@ -71,7 +80,12 @@
         tracing::info!(name: "process.leaving", process = %fleet.who, in_flight = fleet.requests_in_flight(), "told to stop");
         let handing_over = {
             let fleet = Arc::clone(fleet);
-            tokio::spawn(async move { leadership::hand_over(&fleet, None).await })
+            tokio::spawn(async move {
+                leadership::hand_over(&fleet, None).await;
+                if let Err(error) = peers::write(&fleet, false).await {
+                    tracing::debug!(name: "peer.still_listed", %error, "others ask in vain");
+                }
+            })
         };
         let budget_ms = fleet.settings.stop_signal_grace_ms.saturating_sub(STOP_MARGIN_MS);
         let leave_ms = LEAVE_MS.min(budget_ms);
--- a/crates/masticfall-entry/tests/suite/fleet.rs
+++ b/crates/masticfall-entry/tests/suite/fleet.rs
@@ -1,9 +1,11 @@
 //! Entry processes on the model of a platform that runs fleets of workers:
 //! real systems, paused clock, seeded faults.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::BoxFuture;
 use indexmap::IndexMap;
 use masticfall_core::error::ErrorKind;
 use masticfall_core::fleet::config::{
@@ -14,15 +16,20 @@
 use masticfall_core::id::{AccountName, JobId, Name, PoolName, QueueName};
 use masticfall_core::key::KeyHash;
 use masticfall_entry::fleet::jobs::{self, Caller};
+use masticfall_entry::fleet::peers::{self, PeerRow};
 use masticfall_entry::fleet::{Fleet, FleetSettings, RunningFleet, start};
+use masticfall_platform::Result as PlatformResult;
+use masticfall_platform::error::UnavailableSnafu;
 use masticfall_standin::fleet::check::{
     holders_in_turns, overfull_workers, overlapping_runs, starts_after_done, starts_out_of_order,
     unasked_runs, unfinished_tasks,
 };
 use masticfall_standin::fleet::{StoreMode, World};
+use parking_lot::Mutex;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
+use tokio::net::TcpListener;
 use tokio::time::sleep;
 
 const WORKERS: usize = 6;
@@ -66,7 +73,12 @@
 fn launch_on(world: &Arc<World>, settings: FleetSettings) -> RunningFleet {
     let clock = Arc::clone(world);
     let platform = world.platform(&settings.name);
-    start(settings, platform, Arc::new(move || clock.now_ms()))
+    start(settings, platform, Arc::new(move || clock.now_ms()), Arc::new(no_answer))
+}
+
+/// A process that no other one reaches.
+fn no_answer(_: PeerRow, _: u64) -> BoxFuture<'static, PlatformResult<Option<FleetConfig>>> {
+    Box::pin(async { UnavailableSnafu { reason: "not reached" }.fail() })
 }
 
 /// Launches a process on an instance that is ill fit to dispatch.
@@ -197,6 +209,59 @@
     assert_eq!(refused, Err(ErrorKind::Unauthorized), "an older configuration never comes back");
 }
 
+#[tokio::test(start_paused = true)]
+async fn withdrawn_key_is_dead_at_processes_that_the_store_refuses() {
+    let world = World::new(WORKERS, "p");
+    world.set_config(config(1, &["key"]));
+    let known: Arc<Mutex<IndexMap<SocketAddr, Arc<Fleet>>>> = Arc::default();
+    let mut processes = Vec::new();
+    for number in 1..=4 {
+        let name = format!("p{number}");
+        let peers = SocketAddr::from(([127, 0, 0, 1], number));
+        let settings = FleetSettings { peers, ..FleetSettings::local(&name, "dc") };
+        let (clock, asked) = (Arc::clone(&world), Arc::clone(&known));
+        let ask = move |peer: PeerRow, version| -> BoxFuture<'static, PlatformResult<_>> {
+            let fleet = asked.lock().get(&peer.address).cloned();
+            let newer = fleet.and_then(|fleet| fleet.config()).filter(|c| c.version > version);
+            Box::pin(async move { Ok(newer.map(|config| FleetConfig::clone(&config))) })
+        };
+        let platform = world.platform(&name);
+        let process = start(settings, platform, Arc::new(move || clock.now_ms()), Arc::new(ask));
+        known.lock().insert(peers, Arc::clone(&process.fleet));
+        processes.push(process);
+    }
+    sleep(Duration::from_secs(20)).await;
+    for (name, mode) in [("p1", StoreMode::Refuses), ("p2", StoreMode::Silent)] {
+        world.set_store_for(name, mode);
+    }
+    world.set_config(config(2, &[]));
+    sleep(Duration::from_secs(5)).await;
+    for process in &processes {
+        let refused = submit(&world, &process.fleet, &job(1)).await;
+        assert_eq!(refused, Err(ErrorKind::Unauthorized), "{}", process.fleet.who);
+    }
+}
+
+#[tokio::test]
+async fn processes_ask_each_other_only_with_a_token() {
+    let world = World::new(1, "p");
+    world.set_config(config(3, &["key"]));
+    let process = launch(&world, "a");
+    while process.fleet.config().is_none() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    drop(tokio::spawn(peers::serve(Arc::clone(&process.fleet), listener)));
+    let token = Name::clone(&process.fleet.token);
+    let row = PeerRow { address, token };
+    let newer = peers::ask(row.clone(), 2).await.expect("an answer").expect("a newer one");
+    assert_eq!(newer, *config(3, &["key"]), "the whole configuration");
+    assert_eq!(peers::ask(row, 3).await.expect("an answer"), None);
+    let stranger = PeerRow { address, token: "guessed".into() };
+    assert!(peers::ask(stranger, 0).await.is_err());
+}
+
 #[tokio::test(start_paused = true)]
 async fn refusal_while_the_store_is_down_is_true_and_lost_answers_are_settled() {
     let world = World::new(WORKERS, "p");
--- a/crates/masticfall-soak/src/main.rs
+++ b/crates/masticfall-soak/src/main.rs
@@ -6,6 +6,7 @@
 
 use clap::{Arg, Command, value_parser};
 use masticfall_soak::play::{Plan, Report, play, seed_folder};
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Semaphore;
 
 /// Seeds that failed once, played on every run, a line each with the cause.
@@ -61,12 +62,21 @@
         };
         plays.push(tokio::spawn(one(plan, Arc::clone(&room))));
     }
-    let mut failed = 0;
-    for one in plays {
-        failed += u32::from(!one.await.unwrap_or(false));
+    let all = async {
+        let mut failed = 0;
+        for one in plays {
+            failed += u32::from(!one.await.unwrap_or(false));
+        }
+        println!("{failed} seeds failed");
+        if failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+    };
+    let stop = signal(SignalKind::terminate());
+    // The plays end with the runtime, and their processes with them.
+    tokio::select! {
+        code = all => code,
+        _ = tokio::signal::ctrl_c() => ExitCode::FAILURE,
+        () = async { match stop { Ok(mut stop) => drop(stop.recv().await), Err(_) => std::future::pending().await } } => ExitCode::FAILURE,
     }
-    println!("{failed} seeds failed");
-    if failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
 /// Plays a seed and prints its line; returns whether no promise was broken.
--- a/crates/masticfall-soak/src/play.rs
+++ b/crates/masticfall-soak/src/play.rs
@@ -307,31 +307,41 @@
         written.map_err(io::Error::other)
     }
 
-    /// A process that reaches the store must have forgotten a withdrawn key.
+    /// A withdrawn key must be dead, also at processes that the store doesn't
+    /// serve while it serves another one.
     async fn check_withdrawn(&self) {
         let Some(withdrawn_ms) = *self.withdrawn_ms.lock() else { return };
-        if self.world.now_ms() < withdrawn_ms + CONFIG_MS || !self.is_calm() {
+        let is_served = |link: &Proxy| link.mode() == LinkMode::Open;
+        let is_due = self.world.now_ms() >= withdrawn_ms + CONFIG_MS;
+        if !is_due
+            || self.world.store_mode() != StoreMode::Up
+            || !self.store_links.iter().any(is_served)
+        {
             return;
         }
+        *self.withdrawn_ms.lock() = None;
+        // Nothing else is injected meanwhile.
         sleep(Duration::from_millis(CONFIG_MS)).await;
-        for process in &self.processes {
-            let (address, name) = {
-                let process = process.lock();
-                (process.callers, process.name.clone())
-            };
-            let probe = JobId::from("ffffffffffffffff");
-            let answer = self.client(OTHER_KEY).phase(address, &probe).await;
-            if self.is_calm() && answer == Some(None) {
-                let breach = format!("{name} takes a key withdrawn {CONFIG_MS} ms ago");
-                self.known.lock().breaches.push(breach);
+        for is_served_now in [true, false] {
+            for (process, link) in self.processes.iter().zip(&self.store_links) {
+                if is_served(link) == is_served_now {
+                    self.check_key(process).await;
+                }
             }
+            sleep(Duration::from_millis(CONFIG_MS)).await;
         }
     }
 
-    /// Tells whether the store serves everybody and every link to it is open.
-    fn is_calm(&self) -> bool {
-        self.world.store_mode() == StoreMode::Up
-            && self.store_links.iter().all(|link| link.mode() == LinkMode::Open)
+    async fn check_key(&self, process: &Mutex<Process>) {
+        let (address, name) = {
+            let process = process.lock();
+            (process.callers, process.name.clone())
+        };
+        let probe = JobId::from("ffffffffffffffff");
+        let answer = self.client(OTHER_KEY).phase(address, &probe).await;
+        if answer == Some(None) {
+            self.known.lock().breaches.push(format!("{name} takes a withdrawn key"));
+        }
     }
 
     async fn heal(&self) -> io::Result<()> {
--- a/crates/masticfalld/src/fleet.rs
+++ b/crates/masticfalld/src/fleet.rs
@@ -8,7 +8,8 @@
 use masticfall_adapter::edge::Edge;
 use masticfall_adapter::{Services, connect};
 use masticfall_entry::fleet::context::boot_ms;
-use masticfall_entry::fleet::{FleetSettings, start};
+use masticfall_entry::fleet::{FleetSettings, peers, start};
+use masticfall_platform::serve::bind;
 use tokio::signal::unix::{SignalKind, signal};
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
@@ -72,11 +73,16 @@
         Ok(signals) => signals,
         Err(error) => return fail(&format!("cannot listen for signals: {error}")),
     };
-    let running = start(settings, connect(services), Arc::new(boot_ms));
+    let running = start(settings, connect(services), Arc::new(boot_ms), Arc::new(peers::ask));
     let edge = match Edge::open(&running.fleet).await {
         Ok(edge) => edge,
         Err(error) => return fail(&format!("cannot listen: {error}")),
     };
+    let listener = match bind(running.fleet.settings.peers).await {
+        Ok(listener) => listener,
+        Err(error) => return fail(&format!("cannot listen for other processes: {error}")),
+    };
+    drop(tokio::spawn(peers::serve(Arc::clone(&running.fleet), listener)));
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
