Client accounts above their share come after the others

Shares are found by filling up to a common level per weight; jobs of accounts above theirs wait behind the others' and are refused by the whole backlog, the others only by their own. What has begun goes on, and what some leave is the others'.

--- a/crates/masticfall-core/src/fleet.rs
+++ b/crates/masticfall-core/src/fleet.rs
@@ -13,5 +13,6 @@
 pub mod pools;
 pub mod progress;
 pub mod report;
+pub mod shares;
 pub mod spec;
 pub mod worker;
--- a/crates/masticfall-core/src/fleet/admission.rs
+++ b/crates/masticfall-core/src/fleet/admission.rs
@@ -4,8 +4,12 @@
 //! some seconds, by turns. A job that is late earns its caller little, so jobs
 //! that can still meet their objective go first.
 
+use indexmap::IndexSet;
+use serde::{Deserialize, Serialize};
+
 use super::config::QueueConfig;
 use super::spec::JobSpec;
+use crate::id::AccountName;
 
 /// Part of a job's remaining time that has to be left over when it first starts,
 /// since estimates are rough: one that starts too late takes workers from jobs
@@ -35,6 +39,8 @@
     pub group: Group,
     /// The queue's priority.
     pub priority: u32,
+    /// Whether its client account asks for more than its share of the pool.
+    pub is_above_share: bool,
     /// When the objective ends, by our clock.
     pub due_ms: u64,
 }
@@ -50,6 +56,8 @@
     pub due_ms: u64,
     /// What it needs on free workers, in milliseconds.
     pub remaining_ms: u64,
+    /// Whether its client account asks for more than its share of the pool.
+    pub is_above_share: bool,
 }
 
 /// Returns a job's objective, in milliseconds from its acceptance.
@@ -62,6 +70,26 @@
 /// platform's contract; the rest is kept for younger jobs that overtake it.
 const ADMIT_FACTOR: f64 = 2.0;
 
+/// What is known of a queue's pool when a job is handed in.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QueueLoad {
+    /// Time that the pool needs for all that waits, in milliseconds.
+    pub backlog_ms: u64,
+    /// The same for jobs of accounts within their shares, which go first.
+    pub within_shares_ms: u64,
+    /// Client accounts that ask for more than their share.
+    pub above_share: IndexSet<AccountName>,
+}
+
+impl QueueLoad {
+    /// Returns the time that the pool needs for what goes before a new job of an
+    /// account, in milliseconds.
+    pub fn backlog_of(&self, account: Option<&AccountName>) -> u64 {
+        let is_above = account.is_some_and(|account| self.above_share.contains(account));
+        if is_above { self.backlog_ms } else { self.within_shares_ms }
+    }
+}
+
 /// Whether a job is taken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -94,7 +122,7 @@
 
 /// Ranks a job.
 pub fn rank(queue: &QueueConfig, standing: Standing, now_ms: u64) -> Rank {
-    let Standing { lasts, has_begun, due_ms, remaining_ms } = standing;
+    let Standing { lasts, has_begun, due_ms, remaining_ms, is_above_share } = standing;
     let margin_ms = (remaining_ms as f64 * START_MARGIN) as u64 + START_MARGIN_MS;
     let group = if lasts {
         Group::Lasting
@@ -105,5 +133,7 @@
     } else {
         Group::Late
     };
-    Rank { group, priority: queue.priority, due_ms }
+    // What has begun goes on: stopping it would lose what it ran.
+    let is_above_share = is_above_share && matches!(group, Group::Fresh | Group::Late);
+    Rank { group, priority: queue.priority, is_above_share, due_ms }
 }
--- a/crates/masticfall-core/src/fleet/board.rs
+++ b/crates/masticfall-core/src/fleet/board.rs
@@ -245,6 +245,8 @@
     questions: Vec<AdviceQuestion>,
     /// What each pool has or can get soon, in thousandths of a core.
     reach: IndexMap<PoolName, u64>,
+    /// Client accounts that ask for more than their share, by pool.
+    above_share: IndexMap<PoolName, IndexSet<AccountName>>,
     /// Tasks whose last order may or may not have been carried out.
     unclear: IndexSet<TaskKey>,
     dirty: IndexSet<JobId>,
@@ -282,6 +284,7 @@
             permits: IndexMap::new(),
             questions: Vec::new(),
             reach: IndexMap::new(),
+            above_share: IndexMap::new(),
             unclear: IndexSet::new(),
             dirty: IndexSet::new(),
             ended: IndexMap::new(),
--- a/crates/masticfall-core/src/fleet/board/demand.rs
+++ b/crates/masticfall-core/src/fleet/board/demand.rs
@@ -4,10 +4,12 @@
 
 use indexmap::IndexMap;
 
-use super::{Board, TaskState};
+use super::{Board, Job, TaskState};
+use crate::fleet::admission::QueueLoad;
 use crate::fleet::pools::PoolDemand;
+use crate::fleet::shares::above_share;
 use crate::fleet::spec::{JobRecord, Resources};
-use crate::id::{PoolName, QueueName};
+use crate::id::{AccountName, PoolName, QueueName};
 
 /// Time over which arrivals are counted, in milliseconds: short enough to see a
 /// burst before its first jobs are late.
@@ -98,36 +100,85 @@
         sizes
     }
 
-    /// Returns the time that each queue's pool needs for the work that waits, in
-    /// milliseconds, whatever its rank.
-    pub fn backlog_by_queue(&self, now_ms: u64) -> IndexMap<QueueName, u64> {
+    /// Returns what each pool has or can get soon, in thousandths of a core.
+    fn capacities(&self, now_ms: u64) -> IndexMap<PoolName, u64> {
+        let mut millis: IndexMap<PoolName, u64> = IndexMap::new();
+        for worker in self.workers.values().filter(|worker| worker.takes_work(now_ms)) {
+            let pool = worker.facts.pool.clone();
+            *millis.entry(pool).or_default() += worker.facts.capacity.cpu_millis;
+        }
+        for (pool, reach) in &self.reach {
+            let millis = millis.entry(pool.clone()).or_default();
+            *millis = (*millis).max(*reach);
+        }
+        millis
+    }
+
+    /// Finds the client accounts that ask for more than their share.
+    pub(super) fn weigh_shares(&mut self, now_ms: u64) {
+        let Some(config) = self.config.clone() else { return };
+        let mut demands: IndexMap<PoolName, IndexMap<AccountName, Resources>> = IndexMap::new();
+        for job in self.jobs.values().filter(|job| !job.phase.is_final()) {
+            let queue = config.queues.get(&job.record.queue);
+            let (Some(queue), Some(account)) = (queue, &job.record.account) else { continue };
+            let demand = demands.entry(queue.pool.clone()).or_default();
+            let demand = demand.entry(account.clone()).or_default();
+            *demand = demand.plus(&job.open_needs());
+        }
+        let sizes = self.worker_sizes();
+        let capacities = self.capacities(now_ms);
+        let weight = |account: &AccountName| config.accounts.get(account).map_or(1.0, |a| a.weight);
+        let above = demands.into_iter().map(|(pool, demands)| {
+            let size = sizes.get(&pool).copied().unwrap_or_default();
+            let demands = demands.into_iter().map(|(a, needs)| (a, needs.dominant_millis(&size)));
+            let capacity = capacities.get(&pool).copied().unwrap_or_default();
+            let above = above_share(&demands.collect(), weight, capacity);
+            (pool, above)
+        });
+        self.above_share = above.filter(|(_, above)| !above.is_empty()).collect();
+    }
+
+    /// Tells whether a job's account asks for more than its share of a pool.
+    pub(super) fn is_above_share(&self, pool: &PoolName, job: &Job) -> bool {
+        let above = self.above_share.get(pool);
+        above.zip(job.record.account.as_ref()).is_some_and(|(above, a)| above.contains(a))
+    }
+
+    /// Returns the load of each queue's pool, as its jobs are refused by it.
+    pub fn load_by_queue(&self, now_ms: u64) -> IndexMap<QueueName, QueueLoad> {
         let Some(config) = &self.config else { return IndexMap::new() };
-        let mut work: IndexMap<&PoolName, Resources> = IndexMap::new();
+        let mut work: IndexMap<&PoolName, (Resources, Resources)> = IndexMap::new();
         for job in self.jobs.values().filter(|job| !job.phase.is_final()) {
             let queue = config.queues.get(&job.record.queue);
             let Some(queue) = queue.filter(|_| !job.record.spec.is_long_running()) else {
                 continue;
             };
-            let work = work.entry(&queue.pool).or_default();
-            *work = work.plus(&job.waiting_work());
-        }
-        let mut cores: IndexMap<&PoolName, u64> = IndexMap::new();
-        for worker in self.workers.values().filter(|worker| worker.takes_work(now_ms)) {
-            *cores.entry(&worker.facts.pool).or_default() += worker.facts.capacity.cpu_millis;
-        }
-        for (pool, millis) in &self.reach {
-            let cores = cores.entry(pool).or_default();
-            *cores = (*cores).max(*millis);
+            let (all, within) = work.entry(&queue.pool).or_default();
+            let waiting = job.waiting_work();
+            *all = all.plus(&waiting);
+            if !self.is_above_share(&queue.pool, job) {
+                *within = within.plus(&waiting);
+            }
         }
+        let capacities = self.capacities(now_ms);
         let sizes = self.worker_sizes();
-        let backlog = config.queues.values().map(|queue| {
+        let loads = config.queues.values().map(|queue| {
             let size = sizes.get(&queue.pool).copied().unwrap_or_default();
-            let work = work.get(&queue.pool).map_or(0, |work| work.dominant_millis(&size));
             // A pool without workers may be about to get some: nothing is known.
-            let millis = cores.get(&queue.pool).filter(|millis| **millis > 0);
-            (queue.name.clone(), millis.map_or(0, |millis| work / millis))
+            let millis = capacities.get(&queue.pool).copied().unwrap_or_default();
+            let time_ms = |work: &Resources| {
+                work.dominant_millis(&size).checked_div(millis).unwrap_or_default()
+            };
+            let (all, within) = work.get(&queue.pool).copied().unwrap_or_default();
+            let above_share = self.above_share.get(&queue.pool).cloned().unwrap_or_default();
+            let load = QueueLoad {
+                backlog_ms: time_ms(&all),
+                within_shares_ms: time_ms(&within),
+                above_share,
+            };
+            (queue.name.clone(), load)
         });
-        backlog.collect()
+        loads.collect()
     }
 
     /// Notes what each pool has or can get soon, in thousandths of a core.
--- a/crates/masticfall-core/src/fleet/board/job.rs
+++ b/crates/masticfall-core/src/fleet/board/job.rs
@@ -255,6 +255,23 @@
         ends.into_iter().max().unwrap_or(0)
     }
 
+    /// Returns what its tasks need that run, or could run now.
+    pub fn open_needs(&self) -> Resources {
+        let mut needs = Resources::default();
+        for (number, occurrence) in &self.occurrences {
+            for (index, step) in occurrence.steps.iter().enumerate() {
+                let is_open = self.is_unlocked(*number, index);
+                let open = step.tasks.iter().filter(|task| match task.state {
+                    TaskState::Placed(_) => true,
+                    TaskState::Waiting => is_open,
+                    TaskState::Done => false,
+                });
+                needs = needs.plus(&step.spec_reserved.times(open.count() as u64));
+            }
+        }
+        needs
+    }
+
     /// Returns the estimated work of the tasks that wait: what they need, times
     /// milliseconds.
     pub fn waiting_work(&self) -> Resources {
--- a/crates/masticfall-core/src/fleet/board/place.rs
+++ b/crates/masticfall-core/src/fleet/board/place.rs
@@ -59,6 +59,7 @@
                 has_begun: job.phase != JobPhase::Queued || job.has_placements(),
                 due_ms: job.due_ms,
                 remaining_ms: job.remaining_ms(),
+                is_above_share: self.is_above_share(&queue.pool, job),
             };
             let rank = rank(queue, standing, now_ms);
             pools.entry(queue.pool.clone()).or_default().push((rank, id.clone()));
--- a/crates/masticfall-core/src/fleet/board/time.rs
+++ b/crates/masticfall-core/src/fleet/board/time.rs
@@ -21,6 +21,7 @@
         self.send_again(now.steady_ms);
         self.end_leases(now.steady_ms);
         self.leave_draining(now.steady_ms);
+        self.weigh_shares(now.steady_ms);
         // Tasks may have waited for a pause or for a worker's rest to end.
         self.wants_placing = true;
     }
--- /dev/null
+++ b/crates/masticfall-core/tests/suite/fleet_shares.rs
@@ -0,0 +1,109 @@
+//! One client account that sends many times its usual.
+
+use masticfall_core::fleet::admission::{Verdict, verdict};
+use masticfall_core::fleet::config::AccountConfig;
+use masticfall_core::fleet::report::RunEnd;
+use masticfall_core::fleet::shares::above_share;
+use masticfall_core::fleet::spec::Resources;
+use masticfall_core::prelude::*;
+
+use crate::fleet_rig::{Rig, config, now, record, step};
+
+fn above(demands: &[(&str, u64)], weights: &[(&str, f64)], capacity: u64) -> Vec<String> {
+    let demands = demands.iter().map(|(name, demand)| (AccountName::from(*name), *demand));
+    let weight = |account: &AccountName| {
+        weights.iter().find(|(name, _)| *name == account.as_str()).map_or(1.0, |(_, w)| *w)
+    };
+    let above = above_share(&demands.collect(), weight, capacity);
+    above.iter().map(ToString::to_string).collect()
+}
+
+#[test]
+fn nobody_is_above_its_share_while_all_fits() {
+    assert!(above(&[("a", 900), ("b", 100)], &[], 1_000).is_empty());
+}
+
+#[test]
+fn what_some_leave_is_the_others() {
+    // b and c leave 400 of their 500; a may have 900 less its own demand.
+    assert!(above(&[("a", 800), ("b", 50), ("c", 50)], &[], 900).is_empty());
+    assert_eq!(above(&[("a", 801), ("b", 50), ("c", 50)], &[], 900), ["a"]);
+}
+
+#[test]
+fn shares_go_by_weight() {
+    let demands = [("a", 600), ("b", 600)];
+    assert_eq!(above(&demands, &[("a", 3.0), ("b", 1.0)], 900), ["b"]);
+    assert_eq!(above(&demands, &[], 900), ["a", "b"]);
+}
+
+/// Plays 8 s in which account `hot` sends 20 jobs a second, several times what
+/// the pool holds, and `b` two; returns for each account how many were handed
+/// in, and how many ended within their objective.
+fn play_hot_account() -> IndexMap<AccountName, (u32, u32)> {
+    let mut rig = Rig::new(&[("w1", 16), ("w2", 16)]);
+    let mut config = (*config(2, Resources::default())).clone();
+    for name in ["hot", "b"] {
+        let account = AccountConfig { weight: 1.0, limit: Resources::default() };
+        config.accounts.insert(name.into(), account);
+    }
+    let queue = config.queues[&QueueName::from("q")].clone();
+    rig.board.set_config(std::sync::Arc::new(config));
+    let objective_ms = (queue.stretch * 800.0) as u64 + queue.target_ms;
+    let mut counts: IndexMap<AccountName, (u32, u32)> = IndexMap::new();
+    let mut begun: IndexMap<JobId, (AccountName, u64)> = IndexMap::new();
+    let mut ends: Vec<(u64, String)> = Vec::new();
+    for tick in 0..200_u64 {
+        let hot = (0..if tick < 80 { 2 } else { 0 }).map(|n| (n, "hot"));
+        let other = (tick < 80 && tick % 5 == 0).then_some((9, "b"));
+        for (number, account) in hot.chain(other) {
+            let account = AccountName::from(account);
+            counts.entry(account.clone()).or_default().0 += 1;
+            let mut record = record(vec![step(4, 2)]);
+            let load = &rig.board.load_by_queue(rig.now_ms)[&QueueName::from("q")];
+            let backlog_ms = load.backlog_of(Some(&account));
+            if verdict(&queue, &record.spec, backlog_ms) != Verdict::Admit {
+                continue;
+            }
+            let id = JobId::from(format!("{:016x}", tick * 16 + number));
+            record.account = Some(account.clone());
+            record.accepted_wall_ms = now(rig.now_ms).wall_ms;
+            begun.insert(id.clone(), (account, rig.now_ms));
+            rig.board.accept(&id, record, now(rig.now_ms));
+        }
+        rig.board.advance(now(rig.now_ms));
+        let started = rig.started.len();
+        rig.board.place(rig.now_ms);
+        rig.store();
+        rig.carry_out();
+        for start in &rig.started[started..] {
+            ends.push((rig.now_ms + 800, start.task.to_string()));
+        }
+        let due: Vec<String> =
+            ends.iter().filter(|(at, _)| *at <= rig.now_ms).map(|(_, task)| task.clone()).collect();
+        ends.retain(|(at, _)| *at > rig.now_ms);
+        for task in due {
+            rig.end(&task, RunEnd::Done);
+        }
+        let before: Vec<JobId> = rig.board.jobs.keys().cloned().collect();
+        rig.look_all();
+        rig.store();
+        for id in before.iter().filter(|id| !rig.board.jobs.contains_key(*id)) {
+            let (account, begun_ms) = &begun[id];
+            let in_time = u32::from(rig.now_ms <= begun_ms + objective_ms);
+            counts[account].1 += in_time;
+        }
+        rig.pass(100 - 4);
+    }
+    counts
+}
+
+#[test]
+fn others_are_served_while_one_account_floods_the_pool() {
+    let counts = play_hot_account();
+    let (asked, in_time) = counts[&AccountName::from("b")];
+    assert!(in_time * 10 >= asked * 9, "{in_time} of {asked} jobs of the small account");
+    // The pool holds five jobs a second; the flood gets what the other leaves.
+    let (_, in_time) = counts[&AccountName::from("hot")];
+    assert!(in_time >= 12, "{in_time} jobs of the large account");
+}
--- a/crates/masticfall-entry/src/fleet/jobs.rs
+++ b/crates/masticfall-entry/src/fleet/jobs.rs
@@ -157,7 +157,8 @@
     let (backlog_ms, age_ms) = {
         let shared = fleet.shared();
         let Some((load, at_ms)) = &shared.load else { return Ok(()) };
-        let backlog_ms = load.backlog_ms.get(&subject.queue).copied().unwrap_or_default();
+        let load = load.loads.get(&subject.queue);
+        let backlog_ms = load.map_or(0, |load| load.backlog_of(subject.account.as_ref()));
         (backlog_ms, now_ms.saturating_sub(*at_ms))
     };
     let config = fleet.config();
--- a/crates/masticfall-entry/src/fleet/leadership.rs
+++ b/crates/masticfall-entry/src/fleet/leadership.rs
@@ -321,21 +321,21 @@
 /// Renews the ownership until it is lost. Until the cell is loaded, what the
 /// last owner said is repeated.
 async fn beat(fleet: Arc<Fleet>, ownership: Ownership, last: Option<BeatRow>) {
-    let BeatRow { waiting, backlog_ms, silent_ms, .. } = last.unwrap_or_default();
-    let known = (waiting, backlog_ms, silent_ms);
+    let BeatRow { waiting, loads, silent_ms, .. } = last.unwrap_or_default();
+    let known = (waiting, loads, silent_ms);
     let mut sequence = Sequence::new(place(LEAD, BEAT_KEY));
     let mut number = 0;
     while is_owner(&fleet, ownership) {
         let epoch = ownership.epoch;
         let sent_ms = fleet.now_ms();
         let counts = fleet.with_board(epoch, |board| {
-            let backlog_ms = board.backlog_by_queue(sent_ms);
-            (board.waiting_by_queue(), backlog_ms, board.announce_silent(sent_ms))
+            let loads = board.load_by_queue(sent_ms);
+            (board.waiting_by_queue(), loads, board.announce_silent(sent_ms))
         });
-        let (waiting, backlog_ms, silent_ms) = counts.unwrap_or_else(|| known.clone());
+        let (waiting, loads, silent_ms) = counts.unwrap_or_else(|| known.clone());
         number += 1;
         let calls_done = fleet.calls_done.load(Ordering::Acquire);
-        let row = BeatRow { epoch, number, waiting, backlog_ms, silent_ms, calls_done };
+        let row = BeatRow { epoch, number, waiting, loads, silent_ms, calls_done };
         let written = match value(&row) {
             Ok(bytes) => write_next(&fleet, ownership, &mut sequence, bytes, Vec::new()).await,
             Err(error) => Err(error),
--- a/crates/masticfall-entry/src/fleet/rows.rs
+++ b/crates/masticfall-entry/src/fleet/rows.rs
@@ -1,6 +1,7 @@
 //! Our rows in the platform's store.
 
 use indexmap::IndexMap;
+use masticfall_core::fleet::admission::QueueLoad;
 use masticfall_core::id::{Incarnation, InstanceName, JobId, Name, QueueName, WorkerId};
 use masticfall_platform::error::{MalformedSnafu, Result};
 use masticfall_platform::fleet::RowPlace;
@@ -83,8 +84,8 @@
     pub number: u64,
     /// Jobs without a started task, by queue.
     pub waiting: IndexMap<QueueName, u32>,
-    /// Time that each queue's pool needs for what waits, in milliseconds.
-    pub backlog_ms: IndexMap<QueueName, u64>,
+    /// Load of each queue's pool.
+    pub loads: IndexMap<QueueName, QueueLoad>,
     /// Silent workers, with the time after which nothing runs there any more, in
     /// milliseconds. The owner gives them no lease before it has said that they
     /// answer again.
