--- a/crates/masticfall-soak/src/process.rs
+++ b/crates/masticfall-soak/src/process.rs
@@ -5,10 +5,18 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
+use std::sync::atomic::{AtomicU16, Ordering};
 
 use rustix::process::{Pid, Signal, kill_process};
 use tokio::process::{Child, Command};
 
+/// First port of the processes under test.
+const FIRST_PORT: u16 = 12_000;
+
+/// Ports of the processes under test; they end below the system's own range,
+/// which begins at 32,768.
+const PORTS: u16 = 20_000;
+
 /// An entry process that the soak started; it is killed when this is dropped.
 #[derive(Debug)]
 pub struct Process {
@@ -97,6 +105,17 @@
     }
 }
 
+/// Returns an address that nothing listens on. Its port lies below those that
+/// the system gives to outgoing connections, which would take it before the
+/// process starts, and is given out once.
 fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind(("127.0.0.1", 0))?.local_addr()
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    for _ in 0..PORTS {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + number.wrapping_add(std::process::id() as u16) % PORTS;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr();
+        }
+    }
+    Err(io::Error::from(io::ErrorKind::AddrInUse))
 }
