Signs of life fit into a row with any number of queues

Changes: loads by pool, and only where work waits; a warning with the row's size when three renewals fail; a job that no row can hold is refused as too large; the model's store has the bound too.

--- a/crates/masticfall-core/src/fleet/admission.rs
+++ b/crates/masticfall-core/src/fleet/admission.rs
@@ -70,9 +70,9 @@
 /// platform's contract; the rest is kept for younger jobs that overtake it.
 const ADMIT_FACTOR: f64 = 2.0;
 
-/// What is known of a queue's pool when a job is handed in.
+/// What is known of a pool when a job is handed in.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct QueueLoad {
+pub struct PoolLoad {
     /// Time that the pool needs for all that waits, in milliseconds.
     pub backlog_ms: u64,
     /// The same for jobs of accounts within their shares, which go first.
@@ -81,7 +81,7 @@
     pub above_share: IndexSet<AccountName>,
 }
 
-impl QueueLoad {
+impl PoolLoad {
     /// Returns the time that the pool needs for what goes before a new job of an
     /// account, in milliseconds.
     pub fn backlog_of(&self, account: Option<&AccountName>) -> u64 {
--- a/crates/masticfall-core/src/fleet/board/demand.rs
+++ b/crates/masticfall-core/src/fleet/board/demand.rs
@@ -5,11 +5,11 @@
 use indexmap::IndexMap;
 
 use super::{Board, Job, TaskState};
-use crate::fleet::admission::QueueLoad;
+use crate::fleet::admission::PoolLoad;
 use crate::fleet::pools::PoolDemand;
 use crate::fleet::shares::above_share;
 use crate::fleet::spec::{JobRecord, Resources};
-use crate::id::{AccountName, PoolName, QueueName};
+use crate::id::{AccountName, PoolName};
 
 /// Time over which arrivals are counted, in milliseconds: short enough to see a
 /// burst before its first jobs are late.
@@ -144,8 +144,9 @@
         above.zip(job.record.account.as_ref()).is_some_and(|(above, a)| above.contains(a))
     }
 
-    /// Returns the load of each queue's pool, as its jobs are refused by it.
-    pub fn load_by_queue(&self, now_ms: u64) -> IndexMap<QueueName, QueueLoad> {
+    /// Returns the load of each pool that work waits for, by which its queues
+    /// refuse jobs.
+    pub fn load_by_pool(&self, now_ms: u64) -> IndexMap<PoolName, PoolLoad> {
         let Some(config) = &self.config else { return IndexMap::new() };
         let mut work: IndexMap<&PoolName, (Resources, Resources)> = IndexMap::new();
         for job in self.jobs.values().filter(|job| !job.phase.is_final()) {
@@ -162,23 +163,21 @@
         }
         let capacities = self.capacities(now_ms);
         let sizes = self.worker_sizes();
-        let loads = config.queues.values().map(|queue| {
-            let size = sizes.get(&queue.pool).copied().unwrap_or_default();
+        let loads = work.into_iter().map(|(pool, (all, within))| {
+            let size = sizes.get(pool).copied().unwrap_or_default();
             // A pool without workers may be about to get some: nothing is known.
-            let millis = capacities.get(&queue.pool).copied().unwrap_or_default();
+            let millis = capacities.get(pool).copied().unwrap_or_default();
             let time_ms = |work: &Resources| {
                 work.dominant_millis(&size).checked_div(millis).unwrap_or_default()
             };
-            let (all, within) = work.get(&queue.pool).copied().unwrap_or_default();
-            let above_share = self.above_share.get(&queue.pool).cloned().unwrap_or_default();
-            let load = QueueLoad {
+            let load = PoolLoad {
                 backlog_ms: time_ms(&all),
                 within_shares_ms: time_ms(&within),
-                above_share,
+                above_share: self.above_share.get(pool).cloned().unwrap_or_default(),
             };
-            (queue.name.clone(), load)
+            (pool.clone(), load)
         });
-        loads.collect()
+        loads.filter(|(_, load)| load.backlog_ms > 0).collect()
     }
 
     /// Notes what each pool has or can get soon, in thousandths of a core.
--- a/crates/masticfall-core/tests/suite/fleet_order.rs
+++ b/crates/masticfall-core/tests/suite/fleet_order.rs
@@ -62,8 +62,8 @@
             for number in 0..2 {
                 let id = format!("{:016x}", 1 + tick * 2 + number);
                 let spec = crate::fleet_rig::record(vec![step(4, 2)]);
-                let loads = rig.board.load_by_queue(rig.now_ms);
-                let backlog_ms = loads[&QueueName::from("q")].backlog_ms;
+                let loads = rig.board.load_by_pool(rig.now_ms);
+                let backlog_ms = loads.get(&PoolName::from("p")).map_or(0, |load| load.backlog_ms);
                 if has_verdicts && verdict(queue, &spec.spec, backlog_ms) != Verdict::Admit {
                     refused += 1;
                     continue;
--- a/crates/masticfall-core/tests/suite/fleet_shares.rs
+++ b/crates/masticfall-core/tests/suite/fleet_shares.rs
@@ -60,8 +60,9 @@
             let account = AccountName::from(account);
             counts.entry(account.clone()).or_default().0 += 1;
             let mut record = record(vec![step(4, 2)]);
-            let load = &rig.board.load_by_queue(rig.now_ms)[&QueueName::from("q")];
-            let backlog_ms = load.backlog_of(Some(&account));
+            let loads = rig.board.load_by_pool(rig.now_ms);
+            let load = loads.get(&PoolName::from("p"));
+            let backlog_ms = load.map_or(0, |load| load.backlog_of(Some(&account)));
             if verdict(&queue, &record.spec, backlog_ms) != Verdict::Admit {
                 continue;
             }
--- a/crates/masticfall-entry/src/fleet/jobs.rs
+++ b/crates/masticfall-entry/src/fleet/jobs.rs
@@ -14,7 +14,9 @@
 use tokio::time::{Instant, sleep};
 
 use super::context::Fleet;
-use super::rows::{ENDED, JOBS, PROGRESS, cancel_place, job_place, place, read, value};
+use super::rows::{
+    ENDED, JOBS, MAX_ROW_BYTES, PROGRESS, cancel_place, job_place, place, read, value,
+};
 use crate::context::wall_ms;
 use crate::refusal::{Refusal, Result};
 
@@ -139,9 +141,14 @@
     // An unstored job must not be refused as not run once a write of it may
     // have taken effect, so the outcome is settled by writing again: the row is
     // inserted at most once.
+    let row = value(&record)?;
+    if row.len() > MAX_ROW_BYTES {
+        let detail = format!("the job takes {} bytes, of {MAX_ROW_BYTES} at most", row.len());
+        return Err(Refusal::new(ErrorKind::TooLarge, detail));
+    }
     let insert = RowTransaction {
         checks: vec![(job_place(JOBS, &id), 0), (job_place(ENDED, &id), 0)],
-        writes: vec![(job_place(JOBS, &id), Some(value(&record)?))],
+        writes: vec![(job_place(JOBS, &id), Some(row))],
     };
     let is_new = put_new(fleet, subject, &id, insert).await?;
     let (queue, config_version) = (&subject.queue, subject.config_version);
@@ -154,16 +161,19 @@
 /// A job that was accepted before is not refused: the same one may come again.
 async fn check_load(fleet: &Fleet, subject: &Subject, id: &JobId, spec: &JobSpec) -> Result<()> {
     let now_ms = fleet.now_ms();
+    let config = fleet.config();
+    let queue = config.as_ref().and_then(|config| config.queues.get(&subject.queue));
+    let Some(queue) = queue else { return Ok(()) };
     let (backlog_ms, age_ms) = {
         let shared = fleet.shared();
         let Some((load, at_ms)) = &shared.load else { return Ok(()) };
-        let load = load.loads.get(&subject.queue);
+        let load = load.loads.get(&queue.pool);
         let backlog_ms = load.map_or(0, |load| load.backlog_of(subject.account.as_ref()));
         (backlog_ms, now_ms.saturating_sub(*at_ms))
     };
-    let config = fleet.config();
-    let queue = config.as_ref().and_then(|config| config.queues.get(&subject.queue));
-    let Some(queue) = queue.filter(|_| age_ms < MAX_LOAD_AGE_MS) else { return Ok(()) };
+    if age_ms >= MAX_LOAD_AGE_MS {
+        return Ok(());
+    }
     let Verdict::Refuse { retry_after_ms } = verdict(queue, spec, backlog_ms) else {
         return Ok(());
     };
--- a/crates/masticfall-entry/src/fleet/leadership.rs
+++ b/crates/masticfall-entry/src/fleet/leadership.rs
@@ -72,6 +72,10 @@
 /// seconds, longer than any lease on instances that we know.
 const REMEMBERED_ROUNDS: usize = 64;
 
+/// Signs of life that fail in a row before a line tells so: as many as others
+/// wait for.
+const FAILURES_TOLD: u32 = 3;
+
 /// Pause before a failed hand-over is tried again, in milliseconds.
 const AGAIN_MS: u64 = 100;
 
@@ -325,29 +329,36 @@
     let known = (waiting, loads, silent_ms);
     let mut sequence = Sequence::new(place(LEAD, BEAT_KEY));
     let mut number = 0;
+    let mut failures = 0;
     while is_owner(&fleet, ownership) {
         let epoch = ownership.epoch;
         let sent_ms = fleet.now_ms();
         let counts = fleet.with_board(epoch, |board| {
-            let loads = board.load_by_queue(sent_ms);
+            let loads = board.load_by_pool(sent_ms);
             (board.waiting_by_queue(), loads, board.announce_silent(sent_ms))
         });
         let (waiting, loads, silent_ms) = counts.unwrap_or_else(|| known.clone());
         number += 1;
         let calls_done = fleet.calls_done.load(Ordering::Acquire);
         let row = BeatRow { epoch, number, waiting, loads, silent_ms, calls_done };
-        let written = match value(&row) {
+        let bytes = value(&row);
+        let row_bytes = bytes.as_ref().map_or(0, Vec::len);
+        let written = match bytes {
             Ok(bytes) => write_next(&fleet, ownership, &mut sequence, bytes, Vec::new()).await,
             Err(error) => Err(error),
         };
         match written {
             Ok(true) => {
+                failures = 0;
                 confirm(&fleet, epoch, sent_ms);
                 fleet.with_board(epoch, |board| board.announced(&row.silent_ms));
             }
             Ok(false) => return,
             Err(error) => {
-                tracing::debug!(name: "cell.not_renewed", epoch, %error, "trying again");
+                failures += 1;
+                if failures == FAILURES_TOLD {
+                    tracing::warn!(name: "cell.not_renewed", epoch, failures, bytes = row_bytes, %error, "others will take the cell over");
+                }
             }
         }
         sleep(Duration::from_millis(BEAT_MS)).await;
--- a/crates/masticfall-entry/src/fleet/rows.rs
+++ b/crates/masticfall-entry/src/fleet/rows.rs
@@ -1,8 +1,8 @@
 //! Our rows in the platform's store.
 
 use indexmap::IndexMap;
-use masticfall_core::fleet::admission::QueueLoad;
-use masticfall_core::id::{Incarnation, InstanceName, JobId, Name, QueueName, WorkerId};
+use masticfall_core::fleet::admission::PoolLoad;
+use masticfall_core::id::{Incarnation, InstanceName, JobId, Name, PoolName, QueueName, WorkerId};
 use masticfall_platform::error::{MalformedSnafu, Result};
 use masticfall_platform::fleet::RowPlace;
 use masticfall_wire::{decode, encode};
@@ -53,6 +53,9 @@
 /// Key of the row by which batches of progress follow each other, in [`CALLS`].
 pub const BATCH_KEY: &str = "batch";
 
+/// Largest value of a row, in bytes, by the platform's settings files.
+pub const MAX_ROW_BYTES: usize = 65_536;
+
 /// Who owns a cell.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OwnerRow {
@@ -82,10 +85,11 @@
     pub epoch: u32,
     /// Number of the sign of life.
     pub number: u64,
-    /// Jobs without a started task, by queue.
+    /// Jobs without a started task, by queue; queues without any are left out,
+    /// since there may be thousands, and the store takes rows of 64 KiB.
     pub waiting: IndexMap<QueueName, u32>,
-    /// Load of each queue's pool.
-    pub loads: IndexMap<QueueName, QueueLoad>,
+    /// Load of the pools that work waits for.
+    pub loads: IndexMap<PoolName, PoolLoad>,
     /// Silent workers, with the time after which nothing runs there any more, in
     /// milliseconds. The owner gives them no lease before it has said that they
     /// answer again.
--- a/crates/masticfall-entry/tests/suite/fleet.rs
+++ b/crates/masticfall-entry/tests/suite/fleet.rs
@@ -285,6 +285,18 @@
     check(&world, &asked, &accepted);
 }
 
+#[tokio::test(start_paused = true)]
+async fn job_that_no_row_can_hold_is_refused_clearly() {
+    let world = World::new(WORKERS, "p");
+    let processes = settled(&world, &["a"]).await;
+    let mut spec = two_steps();
+    let label = Name::from("a".repeat(1_000));
+    let step = StepSpec { required_label: Some(label), ..spec.steps[0].clone() };
+    spec.steps = vec![step; 90];
+    let refused = submit_spec(&world, &processes[0].fleet, &job(1), spec).await;
+    assert_eq!(refused, Err(ErrorKind::TooLarge));
+}
+
 #[tokio::test(start_paused = true)]
 async fn cancelled_job_stops_and_is_shown_so() {
     let world = World::new(WORKERS, "p");
@@ -409,6 +421,30 @@
     leaving.await.expect("left");
 }
 
+#[tokio::test(start_paused = true)]
+async fn owner_keeps_the_cell_with_thousands_of_queues() {
+    let world = World::new(WORKERS, "p");
+    let mut large = FleetConfig::clone(&config(1, &["key"]));
+    for number in 0..3_000 {
+        let name = QueueName::from(format!("queue-{number}"));
+        let mut queue = large.queues[0].clone();
+        queue.name = name.clone();
+        queue.prefix = Name::from(format!("/{number}/"));
+        large.queues.insert(name, queue);
+    }
+    world.set_config(Arc::new(large));
+    let processes = [launch(&world, "a"), launch(&world, "b")];
+    sleep(Duration::from_secs(3)).await;
+    let ids: Vec<JobId> = (1..40).map(job).collect();
+    for id in &ids {
+        submit(&world, &processes[0].fleet, id).await.expect("accepted");
+    }
+    sleep(Duration::from_secs(12)).await;
+    let takeovers: u64 = processes.iter().map(|p| p.fleet.metrics.takeovers.get()).sum();
+    assert_eq!(takeovers, 1, "signs of life fit into a row");
+    check(&world, &ids, &ids);
+}
+
 #[tokio::test(start_paused = true)]
 async fn ended_jobs_are_kept_for_their_time_and_then_removed() {
     let world = World::new(WORKERS, "p");
--- a/crates/masticfall-standin/src/fleet/store.rs
+++ b/crates/masticfall-standin/src/fleet/store.rs
@@ -14,6 +14,9 @@
 
 use super::{CALL_MS, GIVE_UP_MS, LATE_MS, StoreMode, World, WorldState, pause};
 
+/// Largest value of a row, in bytes; as on the platform.
+const ROW_BYTES: usize = 65_536;
+
 /// Waits for a call's way to the store, and fails as the store does.
 async fn reach(world: &World, process: &Name) -> Result<()> {
     pause(CALL_MS).await;
@@ -41,6 +44,10 @@
                 return UnknownSnafu { reason: "the store is silent" }.fail();
             }
             reach(&world, &process).await?;
+            let largest = transaction.writes.iter().filter_map(|(_, value)| value.as_ref());
+            if largest.map(Vec::len).max().unwrap_or_default() > ROW_BYTES {
+                return UnknownSnafu { reason: "a row is too large" }.fail();
+            }
             wait_for_part(&world, &transaction).await;
             let (mode, is_lost) = {
                 let mut state = world.state.lock();
