Processes that the store does not answer say so, and refuse at once

Ruled out: take-over (0.2 s after the silence), pools (instances stood empty). Changes: a process that has heard nothing from the store for 1.7 s, or only failures for 0.6 s, is not ready and refuses jobs at once, which is true and lets the caller go elsewhere; a write waits no longer than its caller.

--- a/crates/masticfall-entry/src/fleet/context.rs
+++ b/crates/masticfall-entry/src/fleet/context.rs
@@ -20,6 +20,14 @@
 use super::settings::FleetSettings;
 use crate::context::wall_ms;
 
+/// Silence of the store after which a process counts as cut off, in
+/// milliseconds: four signs of life of the cell's owner, which every process
+/// follows, and more than the operators' feed waits.
+const SILENT_MS: u64 = 1_700;
+
+/// The same where calls to the store fail, in milliseconds.
+const REFUSING_MS: u64 = 600;
+
 /// Where a process is in its life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum FleetPhase {
@@ -91,6 +99,7 @@
     /// What a question from another process has to carry.
     pub token: Name,
     operators_read_ms: AtomicU64,
+    store_answered_ms: AtomicU64,
     /// Rounds of this owner's calls about instances that are over.
     pub(super) calls_done: AtomicU64,
     store_lost: AtomicBool,
@@ -139,6 +148,7 @@
             ask,
             token: Name::from(format!("{:032x}", rand::rng().random::<u128>())),
             operators_read_ms: AtomicU64::new(clock()),
+            store_answered_ms: AtomicU64::new(clock()),
             calls_done: AtomicU64::new(0),
             store_lost: AtomicBool::new(false),
             clock,
@@ -157,9 +167,24 @@
         self.shared().config.clone()
     }
 
-    /// Tells whether the process wants new connections.
+    /// Tells whether the process wants new connections. Without the store it can
+    /// take no job, and the balancer finds callers another process.
     pub fn is_ready(&self) -> bool {
-        self.shared().phase == FleetPhase::Ready
+        self.shared().phase == FleetPhase::Ready && self.cut_off_ms().is_none()
+    }
+
+    /// Returns for how long the store has not answered, in milliseconds, if that
+    /// is too long to expect an answer.
+    pub fn cut_off_ms(&self) -> Option<u64> {
+        let answered_ms = self.store_answered_ms.load(Ordering::Relaxed);
+        let silent_ms = self.now_ms().saturating_sub(answered_ms);
+        let bound_ms = if self.is_store_lost() { REFUSING_MS } else { SILENT_MS };
+        (silent_ms > bound_ms).then_some(silent_ms)
+    }
+
+    /// Notes that the store has answered.
+    pub fn store_answered(&self) {
+        self.store_answered_ms.store(self.now_ms(), Ordering::Relaxed);
     }
 
     /// Tells whether the process was told to stop.
@@ -208,6 +233,7 @@
         let is_lost = result.is_err();
         if !is_lost {
             self.operators_read_ms.store(self.now_ms(), Ordering::Relaxed);
+            self.store_answered();
         }
         if self.store_lost.swap(is_lost, Ordering::Relaxed) == is_lost {
             return;
--- a/crates/masticfall-entry/src/fleet/follow.rs
+++ b/crates/masticfall-entry/src/fleet/follow.rs
@@ -160,6 +160,7 @@
             wait_ms = FEED_WAIT_MS;
             match (fleet.platform.follow)(follow).await {
                 Ok(Followed::Changes(rows, version)) => {
+                    fleet.store_answered();
                     after = after.max(version);
                     apply_lead(&fleet, &rows);
                 }
--- a/crates/masticfall-entry/src/fleet/jobs.rs
+++ b/crates/masticfall-entry/src/fleet/jobs.rs
@@ -10,8 +10,9 @@
 use masticfall_core::fleet::spec::{JobRecord, JobSpec};
 use masticfall_core::id::{AccountName, JobId, Name, QueueName};
 use masticfall_platform::PlatformError;
+use masticfall_platform::error::UnknownSnafu;
 use masticfall_platform::fleet::{FleetRow, RowCommit, RowPlace, RowRange, RowTransaction};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use super::context::Fleet;
 use super::rows::{
@@ -131,6 +132,10 @@
 pub async fn submit(fleet: &Arc<Fleet>, subject: &Subject, spec: JobSpec) -> Result<()> {
     let id = subject.job()?;
     spec.check().map_err(|fault| Refusal::new(ErrorKind::BadRequest, fault.to_string()))?;
+    if let Some(silent_ms) = fleet.cut_off_ms() {
+        let detail = format!("the store has not answered for {silent_ms} ms");
+        return Err(Refusal::new(ErrorKind::PlatformUnavailable, detail));
+    }
     check_load(fleet, subject, &id, &spec).await?;
     let record = JobRecord {
         queue: subject.queue.clone(),
@@ -193,7 +198,12 @@
 ) -> Result<bool> {
     let mut may_have_run = false;
     loop {
-        match (fleet.platform.transact)(insert.clone()).await {
+        let written = timeout_at(subject.until, (fleet.platform.transact)(insert.clone())).await;
+        // What was sent may be carried out though nobody waits for the answer.
+        let written = written.unwrap_or_else(|_elapsed| {
+            UnknownSnafu { reason: "no answer within the caller's time" }.fail()
+        });
+        match written {
             Ok(RowCommit::Done(_)) => return Ok(true),
             Ok(RowCommit::Conflict(_)) => return Ok(false),
             Err(error @ (PlatformError::Unavailable { .. } | PlatformError::Malformed { .. })) => {
--- a/crates/masticfall-entry/tests/suite/fleet.rs
+++ b/crates/masticfall-entry/tests/suite/fleet.rs
@@ -209,6 +209,47 @@
     assert_eq!(refused, Err(ErrorKind::Unauthorized), "an older configuration never comes back");
 }
 
+#[tokio::test(start_paused = true)]
+async fn cut_off_process_says_so_and_refuses_at_once() {
+    for mode in [StoreMode::Silent, StoreMode::Refuses] {
+        let world = World::new(WORKERS, "p");
+        let processes = settled(&world, &["a", "b"]).await;
+        let cut = processes.iter().position(|process| !is_owner(process)).expect("not the owner");
+        let fleet = &processes[cut].fleet;
+        assert!(fleet.is_ready());
+        world.set_store_for(&fleet.settings.name, mode);
+        sleep(Duration::from_millis(2_500)).await;
+        assert!(!fleet.is_ready(), "the balancer finds callers another process");
+        let begun_ms = world.now_ms();
+        let refused = submit(&world, fleet, &job(1)).await;
+        assert_eq!(refused, Err(ErrorKind::PlatformUnavailable));
+        assert!(world.now_ms() < begun_ms + 50, "known before");
+        world.set_store_for(&fleet.settings.name, StoreMode::Up);
+        sleep(Duration::from_millis(1_600)).await;
+        assert!(fleet.is_ready());
+        submit(&world, fleet, &job(2)).await.expect("accepted");
+        let other = processes.iter().find(|process| is_owner(process)).expect("an owner");
+        assert!(other.fleet.is_ready(), "the others go on");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn caller_is_told_within_its_time_that_the_outcome_is_unknown() {
+    let world = World::new(WORKERS, "p");
+    let processes = settled(&world, &["a"]).await;
+    // Each write takes most of the caller's 3 s.
+    world.set_part_write_ms(2_000);
+    let begun_ms = world.now_ms();
+    let submissions = (1..=4).map(|number| {
+        let (world, fleet) = (Arc::clone(&world), Arc::clone(&processes[0].fleet));
+        tokio::spawn(async move { submit(&world, &fleet, &job(number * 8)).await })
+    });
+    let outcomes = futures_util::future::join_all(submissions).await;
+    assert!(world.now_ms() < begun_ms + 3_000);
+    let unknown = outcomes.iter().filter(|o| matches!(o, Ok(Err(ErrorKind::PlatformUnknown))));
+    assert!(unknown.count() > 0, "some writes wait behind others");
+}
+
 #[tokio::test(start_paused = true)]
 async fn withdrawn_key_is_dead_at_processes_that_the_store_refuses() {
     let world = World::new(WORKERS, "p");
