--- /dev/null
+++ b/crates/masticfall-entry/tests/suite/fleet_faults.rs
@@ -0,0 +1,99 @@
+//! Promises under seeded faults.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use masticfall_core::error::ErrorKind;
+use masticfall_core::fleet::progress::JobPhase;
+use masticfall_entry::fleet::RunningFleet;
+use masticfall_standin::fleet::{StoreMode, World};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+use tokio::time::sleep;
+
+use crate::fleet_world::{WORKERS, check, job, launch, phase, settled, submit};
+
+#[rstest]
+#[case::seed_1(1)]
+#[case::seed_2(2)]
+#[case::seed_3(3)]
+#[case::seed_4(4)]
+#[case::seed_5(5)]
+#[case::seed_6(6)]
+#[case::seed_7(7)]
+#[case::seed_8(8)]
+#[tokio::test(start_paused = true)]
+async fn promises_hold_under_faults(#[case] seed: u64) {
+    play_faults(seed).await;
+}
+
+/// A longer search: `FLEET_SEEDS=200 cargo test -p masticfall-entry more_seeds`.
+#[tokio::test(start_paused = true)]
+async fn promises_hold_over_more_seeds() {
+    let seeds = std::env::var("FLEET_SEEDS").ok().and_then(|text| text.parse().ok());
+    for seed in 100..100 + seeds.unwrap_or(4_u64) {
+        eprintln!("seed {seed}");
+        play_faults(seed).await;
+    }
+}
+
+async fn play_faults(seed: u64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let world = World::new(WORKERS, "p");
+    let names = ["a", "b", "c", "d"];
+    let mut processes: IndexMap<&str, RunningFleet> =
+        names.iter().copied().zip(settled(&world, &names).await).collect();
+    world.set_late_orders(random.random_range(7..20));
+    let (mut asked, mut accepted) = (Vec::new(), Vec::new());
+    for number in 0..60 {
+        let id = job(number + 1);
+        let at = names[random.random_range(0..names.len())];
+        // A job that is refused was handed in once and must never run.
+        match submit(&world, &processes[at].fleet, &id).await {
+            Ok(()) => {
+                accepted.push(id.clone());
+                asked.push(id);
+            }
+            Err(ErrorKind::PlatformUnknown) => asked.push(id),
+            Err(_) => {}
+        }
+        sleep(Duration::from_millis(random.random_range(50..400))).await;
+        match random.random_range(0..12) {
+            0 => {
+                let owner = processes.iter().find(|(_, p)| p.fleet.shared().ownership.is_some());
+                if let Some(name) = owner.map(|(name, _)| *name) {
+                    let old = processes.insert(name, launch(&world, name)).expect("a process");
+                    old.crash();
+                }
+            }
+            1 => world.set_store(StoreMode::Silent),
+            2 if seed.is_multiple_of(2) => world.set_store(StoreMode::WritesLate),
+            2 => world.set_store(StoreMode::LosesAnswers),
+            3 => world.set_store_for(at, StoreMode::Refuses),
+            4 => world.set_silent(random.random_range(0..WORKERS), true),
+            5 => {
+                world.set_store(StoreMode::Up);
+                world.set_store_for(at, StoreMode::Up);
+            }
+            6 => {
+                for worker in 0..WORKERS {
+                    world.set_silent(worker, false);
+                }
+            }
+            _ => {}
+        }
+    }
+    world.set_store(StoreMode::Up);
+    world.set_late_orders(0);
+    for name in names {
+        world.set_store_for(name, StoreMode::Up);
+    }
+    (0..WORKERS).for_each(|worker| world.set_silent(worker, false));
+    sleep(Duration::from_mins(1)).await;
+    check(&world, &asked, &accepted);
+    let shown = &processes["b"].fleet;
+    for id in &accepted {
+        assert_eq!(phase(shown, id).await, Ok(JobPhase::Completed), "{id}");
+    }
+}
--- /dev/null
+++ b/crates/masticfall-entry/tests/suite/fleet_owners.rs
@@ -0,0 +1,173 @@
+//! Ownership of the cell: hand-overs, take-overs, and what they leave behind.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use masticfall_core::fleet::config::{FleetConfig, PoolConfig};
+use masticfall_core::id::{JobId, Name, QueueName};
+use masticfall_entry::fleet::RunningFleet;
+use masticfall_standin::fleet::check::holders_in_turns;
+use masticfall_standin::fleet::{StoreMode, World};
+use tokio::time::sleep;
+
+use crate::fleet_world::{
+    WORKERS, check, config, is_owner, job, launch, launch_weak, settled, submit,
+};
+
+#[tokio::test(start_paused = true)]
+async fn stopped_owner_hands_over_and_nothing_is_run_twice() {
+    let world = World::new(WORKERS, "p");
+    let mut processes = settled(&world, &["a", "b", "c"]).await;
+    let ids: Vec<JobId> = (1..10).map(job).collect();
+    for id in &ids {
+        submit(&world, &processes[1].fleet, id).await.expect("accepted");
+    }
+    let owner = processes.iter().position(|p| p.fleet.shared().ownership.is_some());
+    let owner = processes.remove(owner.expect("an owner"));
+    let before_ms = world.now_ms();
+    owner.leave(|| {}).await;
+    sleep(Duration::from_secs(12)).await;
+    check(&world, &ids, &ids);
+    let record = world.record();
+    let first = record.iter().map(|run| run.began_ms).filter(|at| *at > before_ms + 50).min();
+    let gap_ms = first.expect("starts by the next owner") - before_ms;
+    assert!(gap_ms < 1_500, "dispatch went on after {gap_ms} ms");
+}
+
+#[tokio::test(start_paused = true)]
+async fn restarted_owner_goes_on_at_once() {
+    let world = World::new(WORKERS, "p");
+    let mut processes = settled(&world, &["a"]).await;
+    let ids: Vec<JobId> = (1..6).map(job).collect();
+    for id in &ids {
+        submit(&world, &processes[0].fleet, id).await.expect("accepted");
+    }
+    sleep(Duration::from_millis(100)).await;
+    processes.remove(0).crash();
+    sleep(Duration::from_millis(100)).await;
+    let again = launch(&world, "a");
+    sleep(Duration::from_millis(300)).await;
+    assert!(again.fleet.shared().ownership.is_some(), "its former life needs no silence");
+    sleep(Duration::from_secs(10)).await;
+    check(&world, &ids, &ids);
+}
+
+#[tokio::test(start_paused = true)]
+async fn weak_owner_gives_the_cell_to_a_fitter_process() {
+    let world = World::new(WORKERS, "p");
+    world.set_config(config(1, &["key"]));
+    let weak = launch_weak(&world, "weak");
+    sleep(Duration::from_secs(3)).await;
+    assert!(is_owner(&weak), "nobody else is there");
+    let ids: Vec<JobId> = (1..20).map(job).collect();
+    for id in &ids {
+        submit(&world, &weak.fleet, id).await.expect("accepted");
+    }
+    let fit = launch(&world, "fit");
+    sleep(Duration::from_millis(2_500)).await;
+    assert!(is_owner(&fit) && !is_owner(&weak));
+    sleep(Duration::from_secs(12)).await;
+    check(&world, &ids, &ids);
+    let mut begun: Vec<u64> = world.record().iter().map(|run| run.began_ms).collect();
+    begun.sort_unstable();
+    let gap_ms = begun.windows(2).map(|pair| pair[1] - pair[0]).max().unwrap_or_default();
+    assert!(gap_ms < 1_000, "no start for {gap_ms} ms");
+}
+
+#[tokio::test(start_paused = true)]
+async fn fit_process_is_first_when_the_store_comes_back() {
+    for _ in 0..8 {
+        let world = World::new(WORKERS, "p");
+        let owner = settled(&world, &["owner"]).await.remove(0);
+        let weak: Vec<RunningFleet> =
+            ["w1", "w2", "w3"].iter().map(|name| launch_weak(&world, name)).collect();
+        let fit = launch(&world, "fit");
+        sleep(Duration::from_secs(1)).await;
+        world.set_store(StoreMode::Refuses);
+        owner.crash();
+        sleep(Duration::from_secs(4)).await;
+        world.set_store(StoreMode::Up);
+        sleep(Duration::from_millis(1_400)).await;
+        assert!(is_owner(&fit), "the fit process dispatches");
+        assert!(!weak.iter().any(is_owner));
+        fit.crash();
+        weak.into_iter().for_each(RunningFleet::crash);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn owner_that_lives_keeps_the_cell_over_an_outage_of_the_store() {
+    let world = World::new(WORKERS, "p");
+    let processes = settled(&world, &["a", "b", "c"]).await;
+    let owner = processes.iter().position(is_owner).expect("an owner");
+    world.set_store(StoreMode::Silent);
+    sleep(Duration::from_secs(4)).await;
+    world.set_store(StoreMode::Up);
+    sleep(Duration::from_secs(3)).await;
+    assert!(is_owner(&processes[owner]), "nobody takes over from a process that lives");
+    assert_eq!(processes.iter().filter(|process| is_owner(process)).count(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn owner_that_stops_while_the_store_is_away_hands_over_when_it_is_back() {
+    let world = World::new(WORKERS, "p");
+    let mut processes = settled(&world, &["a", "b"]).await;
+    let owner = processes.remove(processes.iter().position(is_owner).expect("an owner"));
+    world.set_store(StoreMode::Refuses);
+    let leaving = tokio::spawn(async move { owner.leave(|| {}).await });
+    sleep(Duration::from_millis(1_500)).await;
+    world.set_store(StoreMode::Up);
+    sleep(Duration::from_millis(700)).await;
+    assert!(is_owner(&processes[0]), "sooner than a silent owner is replaced");
+    leaving.await.expect("left");
+}
+
+#[tokio::test(start_paused = true)]
+async fn owner_keeps_the_cell_with_thousands_of_queues() {
+    let world = World::new(WORKERS, "p");
+    let mut large = FleetConfig::clone(&config(1, &["key"]));
+    for number in 0..3_000 {
+        let name = QueueName::from(format!("queue-{number}"));
+        let mut queue = large.queues[0].clone();
+        queue.name = name.clone();
+        queue.prefix = Name::from(format!("/{number}/"));
+        large.queues.insert(name, queue);
+    }
+    world.set_config(Arc::new(large));
+    let processes = [launch(&world, "a"), launch(&world, "b")];
+    sleep(Duration::from_secs(3)).await;
+    let ids: Vec<JobId> = (1..40).map(job).collect();
+    for id in &ids {
+        submit(&world, &processes[0].fleet, id).await.expect("accepted");
+    }
+    sleep(Duration::from_secs(12)).await;
+    let takeovers: u64 = processes.iter().map(|p| p.fleet.metrics.takeovers.get()).sum();
+    assert_eq!(takeovers, 1, "signs of life fit into a row");
+    check(&world, &ids, &ids);
+}
+
+#[tokio::test(start_paused = true)]
+async fn owners_do_not_take_turns_about_an_instance_within_its_lease() {
+    let world = World::new(12, "p");
+    let mut config = FleetConfig::clone(&config(1, &["key"]));
+    config.pools.insert("spare".into(), PoolConfig { checks_capacity: true, is_standby: true });
+    world.set_config(Arc::new(config));
+    let mut processes: Vec<RunningFleet> =
+        ["a", "b", "c", "d"].iter().map(|name| launch(&world, name)).collect();
+    sleep(Duration::from_secs(6)).await;
+    for is_crash in [true, false, true] {
+        let owner = processes.iter().position(is_owner).expect("an owner");
+        let owner = processes.remove(owner);
+        if is_crash {
+            owner.crash();
+        } else {
+            owner.leave(|| {}).await;
+        }
+        sleep(Duration::from_secs(7)).await;
+    }
+    let calls = world.machine_calls();
+    let holders: IndexMap<&Name, usize> = calls.iter().map(|call| (&call.holder, 0)).collect();
+    assert_eq!(holders.len(), 4, "every owner has called about surplus instances");
+    assert_eq!(holders_in_turns(&calls, 3_000), Vec::<String>::new());
+}
--- /dev/null
+++ b/crates/masticfall-entry/tests/suite/fleet_world.rs
@@ -0,0 +1,157 @@
+//! Entry processes on the model of a platform that runs fleets of workers: the
+//! set-up that the tests share, and the checks of the promises.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::BoxFuture;
+use indexmap::IndexMap;
+use masticfall_core::error::ErrorKind;
+use masticfall_core::fleet::config::{
+    AccountConfig, FleetConfig, PoolConfig, QueueConfig, RequestBounds,
+};
+use masticfall_core::fleet::progress::JobPhase;
+use masticfall_core::fleet::spec::{JobSpec, Resources, StepSpec};
+use masticfall_core::id::{AccountName, JobId, Name, PoolName, QueueName};
+use masticfall_core::key::KeyHash;
+use masticfall_entry::fleet::jobs;
+use masticfall_entry::fleet::jobs::Caller;
+use masticfall_entry::fleet::peers::PeerRow;
+use masticfall_entry::fleet::{Fleet, FleetSettings, RunningFleet, start};
+use masticfall_platform::Result as PlatformResult;
+use masticfall_platform::error::UnavailableSnafu;
+use masticfall_standin::fleet::World;
+use masticfall_standin::fleet::check::{
+    overfull_workers, overlapping_runs, starts_after_done, starts_out_of_order, unasked_runs,
+    unfinished_tasks,
+};
+use tokio::time::sleep;
+
+pub const WORKERS: usize = 6;
+pub const CAPACITY: Resources =
+    Resources { cpu_millis: 8_000, memory_mib: 64_000, accelerators: 0 };
+
+pub fn config(version: u64, keys: &[&str]) -> Arc<FleetConfig> {
+    let queue = QueueConfig {
+        name: "q".into(),
+        host: "h".into(),
+        prefix: "/q/".into(),
+        pool: "p".into(),
+        priority: 0,
+        max_attempts: 3,
+        stretch: 1.6,
+        target_ms: 600,
+        is_open: false,
+        advice: None,
+    };
+    let accounts = IndexMap::from([(
+        AccountName::from("a"),
+        AccountConfig { weight: 1.0, limit: Resources::default() },
+    )]);
+    let keys = keys.iter().map(|key| (KeyHash::of(key), AccountName::from("a")));
+    Arc::new(FleetConfig {
+        version,
+        queues: IndexMap::from([(QueueName::from("q"), queue)]),
+        pools: IndexMap::from([(
+            PoolName::from("p"),
+            PoolConfig { checks_capacity: true, is_standby: false },
+        )]),
+        accounts,
+        keys: keys.collect(),
+        bounds: RequestBounds { max_header_bytes: 9_000, max_body_bytes: 9_000 },
+    })
+}
+
+pub fn launch(world: &Arc<World>, name: &str) -> RunningFleet {
+    launch_on(world, FleetSettings::local(name, "dc"))
+}
+
+pub fn launch_on(world: &Arc<World>, settings: FleetSettings) -> RunningFleet {
+    let clock = Arc::clone(world);
+    let platform = world.platform(&settings.name);
+    start(settings, platform, Arc::new(move || clock.now_ms()), Arc::new(no_answer))
+}
+
+/// A process that no other one reaches.
+pub fn no_answer(_: PeerRow, _: u64) -> BoxFuture<'static, PlatformResult<Option<FleetConfig>>> {
+    Box::pin(async { UnavailableSnafu { reason: "not reached" }.fail() })
+}
+
+/// Launches a process on an instance that is ill fit to dispatch.
+pub fn launch_weak(world: &Arc<World>, name: &str) -> RunningFleet {
+    launch_on(world, FleetSettings { cpu_share: 0.04, ..FleetSettings::local(name, "dc") })
+}
+
+pub fn is_owner(process: &RunningFleet) -> bool {
+    process.fleet.shared().ownership.is_some()
+}
+
+pub fn caller(path: &str) -> Caller {
+    Caller {
+        host: "h".into(),
+        path: Name::from(format!("/q/{path}")),
+        key: Some("key".into()),
+        deadline_ms: Some(3_000),
+    }
+}
+
+pub fn two_steps() -> JobSpec {
+    let step = StepSpec {
+        tasks: 3,
+        needs: Resources { cpu_millis: 2_000, memory_mib: 100, accelerators: 0 },
+        estimate_ms: 400,
+        ..StepSpec::default()
+    };
+    let second = StepSpec { after: vec![0], tasks: 2, ..step.clone() };
+    JobSpec {
+        payload: "payload".into(),
+        steps: vec![step, second],
+        repeat: 0,
+        first_due_wall_ms: 0,
+        interval_ms: 0,
+    }
+}
+
+pub async fn submit(world: &World, fleet: &Arc<Fleet>, id: &JobId) -> Result<(), ErrorKind> {
+    submit_spec(world, fleet, id, two_steps()).await
+}
+
+pub async fn submit_spec(
+    world: &World,
+    fleet: &Arc<Fleet>,
+    id: &JobId,
+    spec: JobSpec,
+) -> Result<(), ErrorKind> {
+    world.know(id, &spec);
+    let subject = jobs::admit(fleet, &caller(id.as_str())).map_err(|refusal| refusal.kind)?;
+    jobs::submit(fleet, &subject, spec).await.map_err(|refusal| refusal.kind)
+}
+
+pub async fn phase(fleet: &Arc<Fleet>, id: &JobId) -> Result<JobPhase, ErrorKind> {
+    let subject = jobs::admit(fleet, &caller(id.as_str())).map_err(|refusal| refusal.kind)?;
+    jobs::show(fleet, &subject).await.map_err(|refusal| refusal.kind)
+}
+
+pub fn job(number: u64) -> JobId {
+    JobId::from(format!("{number:016x}"))
+}
+
+/// Holds the promises against the model's record; `accepted` may have been
+/// taken, `done` have to be finished.
+pub fn check(world: &World, accepted: &[JobId], done: &[JobId]) {
+    let record = world.record();
+    let specs = world.specs();
+    assert_eq!(overlapping_runs(&record), Vec::<String>::new(), "two runs of one task");
+    assert_eq!(starts_after_done(&record), Vec::<String>::new(), "started again after done");
+    assert_eq!(starts_out_of_order(&record, &specs), Vec::<String>::new(), "out of order");
+    assert_eq!(overfull_workers(&record, CAPACITY), Vec::<String>::new(), "too much on a worker");
+    assert_eq!(unasked_runs(&record, accepted), Vec::<String>::new(), "nobody asked for it");
+    assert_eq!(unfinished_tasks(&record, &specs, done), Vec::<String>::new(), "lost");
+}
+
+pub async fn settled(world: &Arc<World>, names: &[&str]) -> Vec<RunningFleet> {
+    world.set_config(config(1, &["key"]));
+    let processes: Vec<RunningFleet> = names.iter().map(|name| launch(world, name)).collect();
+    sleep(Duration::from_secs(3)).await;
+    processes
+}
