Jobs are taken for what pools hold while no instance can be moved

Change: when a round of moves fails, only usable workers count until one succeeds. Test: fleet::jobs_are_taken_for_what_the_pools_can_get (failed before).

--- a/crates/masticfall-entry/src/fleet/machines.rs
+++ b/crates/masticfall-entry/src/fleet/machines.rs
@@ -158,6 +158,8 @@
             round(&fleet, ownership, &mut waves, &mut finished, &mut planner, &mut calls).await;
         if let Err(error) = done {
             tracing::warn!(name: "wave.round_failed", %error, "trying again");
+            // No instance can be moved: jobs are taken for what the pools hold.
+            fleet.with_board(ownership.epoch, |board| board.set_reach(IndexMap::new()));
         }
         let now_ms = fleet.now_ms();
         if now_ms >= logged_ms + POOL_LOG_MS {
--- a/crates/masticfall-entry/tests/suite/fleet.rs
+++ b/crates/masticfall-entry/tests/suite/fleet.rs
@@ -8,7 +8,7 @@
 use futures_util::future::BoxFuture;
 use indexmap::IndexMap;
 use masticfall_core::error::ErrorKind;
-use masticfall_core::fleet::config::FleetConfig;
+use masticfall_core::fleet::config::{FleetConfig, PoolConfig};
 use masticfall_core::fleet::progress::JobPhase;
 use masticfall_core::fleet::spec::StepSpec;
 use masticfall_core::id::{JobId, Name};
@@ -193,6 +193,34 @@
     check(&world, &asked, &accepted);
 }
 
+/// Hands in twice what two workers hold, with 20 instances on standby; returns
+/// how many callers were refused.
+async fn refused_with(is_provider_down: bool) -> usize {
+    let world = World::new(2, "p");
+    world.set_standby(20);
+    let mut config = FleetConfig::clone(&config(1, &["key"]));
+    config.pools.insert("spare".into(), PoolConfig { checks_capacity: true, is_standby: true });
+    world.set_config(Arc::new(config));
+    let process = launch(&world, "a");
+    sleep(Duration::from_secs(2)).await;
+    world.set_provider_down(is_provider_down);
+    sleep(Duration::from_secs(1)).await;
+    let mut refused = 0;
+    for number in 1..60 {
+        // Five tasks of 2 cores for 0.4 s each.
+        let handed_in = submit(&world, &process.fleet, &job(number)).await;
+        refused += usize::from(handed_in == Err(ErrorKind::Overloaded));
+        sleep(Duration::from_millis(125)).await;
+    }
+    refused
+}
+
+#[tokio::test(start_paused = true)]
+async fn jobs_are_taken_for_what_the_pools_can_get() {
+    assert_eq!(refused_with(false).await, 0, "instances on standby count");
+    assert!(refused_with(true).await > 0, "not while nobody can move them");
+}
+
 #[tokio::test(start_paused = true)]
 async fn job_that_no_row_can_hold_is_refused_clearly() {
     let world = World::new(WORKERS, "p");
--- a/crates/masticfall-standin/src/fleet.rs
+++ b/crates/masticfall-standin/src/fleet.rs
@@ -116,6 +116,9 @@
     orders: u64,
     calls: u64,
     machine_calls: Vec<MachineCallRecord>,
+    /// Instances on standby, beside those of the workers.
+    standby: usize,
+    is_provider_down: bool,
     /// When each part has carried out what it was asked for.
     part_free_ms: IndexMap<Name, u64>,
     part_write_ms: u64,
@@ -202,6 +205,16 @@
         self.changed.notify_waiters();
     }
 
+    /// Lists so many instances in the pool `spare`, which stands by.
+    pub fn set_standby(&self, instances: usize) {
+        self.state.lock().standby = instances;
+    }
+
+    /// Lets the provider of instances refuse all calls, or answer again.
+    pub fn set_provider_down(&self, is_down: bool) {
+        self.state.lock().is_provider_down = is_down;
+    }
+
     /// Lets each part of the store carry out its transactions one after the
     /// other, in so many milliseconds each; 0 for all at once.
     pub fn set_part_write_ms(&self, ms: u64) {
@@ -310,6 +323,17 @@
             async move {
                 pause(CALL_MS).await;
                 let state = world.state.lock();
+                if state.is_provider_down {
+                    return UnavailableSnafu { reason: "the provider refuses" }.fail();
+                }
+                let standby = (0..state.standby).map(|number| Machine {
+                    instance: InstanceName::from(format!("s{number}")),
+                    pool: PoolName::from("spare"),
+                    state: MachineState::Up,
+                    data_centre: "dc".into(),
+                    capacity: CAPACITY,
+                    worker: None,
+                });
                 let machines = state.workers.values().map(|worker| Machine {
                     instance: worker.instance.clone(),
                     pool: worker.facts.pool.clone(),
@@ -318,7 +342,7 @@
                     capacity: worker.facts.capacity,
                     worker: Some(worker.facts.id.clone()),
                 });
-                Ok(machines.collect())
+                Ok(machines.chain(standby).collect())
             }
         })
     }
