--- a/crates/masticfall-core/tests/suite/fleet_order.rs
+++ b/crates/masticfall-core/tests/suite/fleet_order.rs
@@ -79,25 +79,9 @@
                 );
             }
         }
-        let started = rig.started.len();
-        rig.board.place(rig.now_ms);
-        rig.store();
-        rig.carry_out();
-        for start in &rig.started[started..] {
-            ends.push((rig.now_ms + 800, start.task.to_string()));
-        }
-        let due: Vec<String> =
-            ends.iter().filter(|(at, _)| *at <= rig.now_ms).map(|(_, task)| task.clone()).collect();
-        ends.retain(|(at, _)| *at > rig.now_ms);
-        for task in due {
-            rig.end(&task, RunEnd::Done);
-        }
-        let before: Vec<JobId> = rig.board.jobs.keys().cloned().collect();
-        rig.look_all();
-        rig.store();
-        for id in before.iter().filter(|id| !rig.board.jobs.contains_key(*id)) {
+        for id in rig.work(&mut ends, 800) {
             let objective_ms = 1_880;
-            useful += u32::from(rig.now_ms <= begun[id] + 3 * objective_ms);
+            useful += u32::from(rig.now_ms <= begun[&id] + 3 * objective_ms);
         }
         rig.pass(100 - 4);
     }
--- a/crates/masticfall-core/tests/suite/fleet_rig.rs
+++ b/crates/masticfall-core/tests/suite/fleet_rig.rs
@@ -227,6 +227,28 @@
         }
     }
 
+    /// Places, starts and ends tasks as they fall due: each is done `run_ms` after
+    /// its start. Returns the jobs that ended.
+    pub fn work(&mut self, running: &mut Vec<(u64, String)>, run_ms: u64) -> Vec<JobId> {
+        let started = self.started.len();
+        self.board.place(self.now_ms);
+        self.store();
+        self.carry_out();
+        for start in &self.started[started..] {
+            running.push((self.now_ms + run_ms, start.task.to_string()));
+        }
+        let due: Vec<String> =
+            running.iter().filter(|(at, _)| *at <= self.now_ms).map(|(_, t)| t.clone()).collect();
+        running.retain(|(at, _)| *at > self.now_ms);
+        for task in due {
+            self.end(&task, RunEnd::Done);
+        }
+        let before: Vec<JobId> = self.board.jobs.keys().cloned().collect();
+        self.look_all();
+        self.store();
+        before.into_iter().filter(|id| !self.board.jobs.contains_key(id)).collect()
+    }
+
     pub fn pass(&mut self, ms: u64) {
         self.now_ms += ms;
         self.board.advance(now(self.now_ms));
--- a/crates/masticfall-core/tests/suite/fleet_shares.rs
+++ b/crates/masticfall-core/tests/suite/fleet_shares.rs
@@ -2,7 +2,6 @@
 
 use masticfall_core::fleet::admission::{Verdict, verdict};
 use masticfall_core::fleet::config::AccountConfig;
-use masticfall_core::fleet::report::RunEnd;
 use masticfall_core::fleet::shares::above_share;
 use masticfall_core::fleet::spec::Resources;
 use masticfall_core::prelude::*;
@@ -73,24 +72,8 @@
             rig.board.accept(&id, record, now(rig.now_ms));
         }
         rig.board.advance(now(rig.now_ms));
-        let started = rig.started.len();
-        rig.board.place(rig.now_ms);
-        rig.store();
-        rig.carry_out();
-        for start in &rig.started[started..] {
-            ends.push((rig.now_ms + 800, start.task.to_string()));
-        }
-        let due: Vec<String> =
-            ends.iter().filter(|(at, _)| *at <= rig.now_ms).map(|(_, task)| task.clone()).collect();
-        ends.retain(|(at, _)| *at > rig.now_ms);
-        for task in due {
-            rig.end(&task, RunEnd::Done);
-        }
-        let before: Vec<JobId> = rig.board.jobs.keys().cloned().collect();
-        rig.look_all();
-        rig.store();
-        for id in before.iter().filter(|id| !rig.board.jobs.contains_key(*id)) {
-            let (account, begun_ms) = &begun[id];
+        for id in rig.work(&mut ends, 800) {
+            let (account, begun_ms) = &begun[&id];
             let in_time = u32::from(rig.now_ms <= begun_ms + objective_ms);
             counts[account].1 += in_time;
         }
