--- a/crates/masticfall-core/src/fleet/board/demand.rs
+++ b/crates/masticfall-core/src/fleet/board/demand.rs
@@ -220,9 +220,9 @@
                 }
             }
         }
-        for queue in config.queues.values() {
-            let demand = demands.entry(queue.pool.clone()).or_default();
-            demand.offered = self.arrivals.offered(&queue.pool, now_ms);
+        for pool in self.arrivals.0.keys() {
+            let demand = demands.entry(pool.clone()).or_default();
+            demand.offered = self.arrivals.offered(pool, now_ms);
         }
         let sizes = self.worker_sizes();
         for (pool, demand) in &mut demands {
--- a/crates/masticfall-core/src/fleet/pools.rs
+++ b/crates/masticfall-core/src/fleet/pools.rs
@@ -243,11 +243,6 @@
         &self.seen
     }
 
-    /// Tells whether an instance is being moved.
-    pub fn is_moving(&self, instance: &InstanceName) -> bool {
-        self.moving.contains_key(instance)
-    }
-
     fn note_arrived(
         &mut self,
         machines: &IndexMap<InstanceName, MachineView>,
--- a/crates/masticfall-entry/src/fleet/context.rs
+++ b/crates/masticfall-entry/src/fleet/context.rs
@@ -192,6 +192,11 @@
         self.shared().phase == FleetPhase::Leaving
     }
 
+    /// Tells whether this process owns the cell in an epoch.
+    pub fn is_owner(&self, epoch: u32) -> bool {
+        self.shared().ownership.is_some_and(|ownership| ownership.epoch == epoch)
+    }
+
     /// Returns our clock. It counts time that the instance was suspended, so
     /// that no lease seems to hold longer than it does.
     pub fn now_ms(&self) -> u64 {
--- a/crates/masticfall-entry/src/fleet/follow.rs
+++ b/crates/masticfall-entry/src/fleet/follow.rs
@@ -191,7 +191,7 @@
 
 /// Follows the accepted jobs while this process owns the cell in this epoch.
 pub async fn jobs(fleet: Arc<Fleet>, epoch: u32, mut after: u64) {
-    while is_owner(&fleet, epoch) {
+    while fleet.is_owner(epoch) {
         let follow = Follow { table: JOBS, after, wait_ms: FEED_WAIT_MS };
         match (fleet.platform.follow)(follow).await {
             Ok(Followed::Changes(rows, version)) => {
@@ -215,10 +215,6 @@
     }
 }
 
-fn is_owner(fleet: &Fleet, epoch: u32) -> bool {
-    fleet.shared().ownership.is_some_and(|ownership| ownership.epoch == epoch)
-}
-
 fn apply_job(fleet: &Fleet, epoch: u32, row: &FleetRow) {
     let Some(value) = &row.value else { return };
     let now = fleet.now();
@@ -235,7 +231,7 @@
 
 /// Follows the workers while this process owns the cell in this epoch.
 pub async fn workers(fleet: Arc<Fleet>, epoch: u32) {
-    while is_owner(&fleet, epoch) {
+    while fleet.is_owner(epoch) {
         let mut after = match (fleet.platform.worker_list)(()).await {
             Ok((news, version)) => {
                 relist(&fleet, epoch, news);
@@ -246,7 +242,7 @@
                 continue;
             }
         };
-        while is_owner(&fleet, epoch) {
+        while fleet.is_owner(epoch) {
             let follow = Follow { table: "", after, wait_ms: FEED_WAIT_MS };
             match (fleet.platform.worker_follow)(follow).await {
                 Ok(Followed::Changes(news, version)) => {
--- a/crates/masticfall-entry/src/fleet/leadership.rs
+++ b/crates/masticfall-entry/src/fleet/leadership.rs
@@ -318,10 +318,6 @@
     Ok((read::<OwnerRow>(bytes)? == *claim).then_some(row.version))
 }
 
-fn is_owner(fleet: &Fleet, ownership: Ownership) -> bool {
-    fleet.shared().ownership == Some(ownership)
-}
-
 /// Renews the ownership until it is lost. Until the cell is loaded, what the
 /// last owner said is repeated.
 async fn beat(fleet: Arc<Fleet>, ownership: Ownership, last: Option<BeatRow>) {
@@ -330,7 +326,7 @@
     let mut sequence = Sequence::new(place(LEAD, BEAT_KEY));
     let mut number = 0;
     let mut failures = 0;
-    while is_owner(&fleet, ownership) {
+    while fleet.is_owner(ownership.epoch) {
         let epoch = ownership.epoch;
         let sent_ms = fleet.now_ms();
         let counts = fleet.with_board(epoch, |board| {
@@ -448,7 +444,7 @@
 
 fn lose(fleet: &Fleet, ownership: Ownership, rows: &[FleetRow]) {
     observe(fleet, rows);
-    if fleet.shared().ownership == Some(ownership) {
+    if fleet.is_owner(ownership.epoch) {
         give_up(fleet, "the owner row has changed");
     }
 }
--- a/crates/masticfall-entry/src/fleet/leadership/load.rs
+++ b/crates/masticfall-entry/src/fleet/leadership/load.rs
@@ -8,11 +8,11 @@
 use masticfall_core::fleet::progress::ProgressRow;
 use masticfall_core::fleet::spec::JobRecord;
 use masticfall_core::id::{JobId, WorkerId};
+use masticfall_platform::Result;
 use masticfall_platform::fleet::FleetRow;
-use masticfall_platform::{PlatformError, Result};
 use tokio::time::{Instant, sleep};
 
-use super::{SILENCE_MS, UNCONFIRMED_MS, beat, is_owner};
+use super::{SILENCE_MS, UNCONFIRMED_MS, beat};
 use crate::fleet::context::{Fleet, Ownership};
 use crate::fleet::rows::{BEAT_KEY, BeatRow, LEAD, PROGRESS, cancelled_job, read};
 use crate::fleet::{dispatch, ended, follow, machines};
@@ -26,23 +26,11 @@
     let epoch = ownership.epoch;
     fleet.calls_done.store(0, Ordering::Release);
     fleet.shared().ownership = Some(ownership);
-    let last = loop {
-        match read_beat(fleet).await {
-            Ok(last) => break last,
-            Err(error) if is_owner(fleet, ownership) => wait_again(fleet, &error).await,
-            Err(_) => return,
-        }
-    };
+    let Some(last) = read_as_owner(fleet, epoch, || read_beat(fleet)).await else { return };
     // A large cell takes longer to load than others wait for a sign of life.
     tokio::spawn(beat(Arc::clone(fleet), ownership, last.clone()));
-    let loaded = loop {
-        match load(fleet, epoch, fell_silent).await {
-            Ok(loaded) => break loaded,
-            Err(error) if is_owner(fleet, ownership) => wait_again(fleet, &error).await,
-            Err(_) => return,
-        }
-    };
-    let Loaded { mut board, jobs_version, rows, filed } = loaded;
+    let loaded = read_as_owner(fleet, epoch, || load(fleet, epoch, fell_silent)).await;
+    let Some(Loaded { mut board, jobs_version, rows, filed }) = loaded else { return };
     // An owner in between may have reached the workers and said nothing.
     if let Some(beat) = last.filter(|beat| beat.epoch + 1 == epoch) {
         board.hear_silent(&beat.silent_ms, fleet.now_ms());
@@ -70,9 +58,22 @@
     tokio::spawn(ended::run(Arc::clone(fleet), ownership, filed));
 }
 
-async fn wait_again(fleet: &Fleet, error: &PlatformError) {
-    tracing::info!(name: "cell.not_loaded", process = %fleet.who, %error, "trying again");
-    sleep(Duration::from_millis(AGAIN_MS)).await;
+/// Reads until it succeeds; `None` when the cell is lost meanwhile.
+async fn read_as_owner<T, F: Future<Output = Result<T>>>(
+    fleet: &Fleet,
+    epoch: u32,
+    read: impl Fn() -> F,
+) -> Option<T> {
+    loop {
+        match read().await {
+            Ok(read) => return Some(read),
+            Err(error) if fleet.is_owner(epoch) => {
+                tracing::info!(name: "cell.not_loaded", process = %fleet.who, %error, "trying again");
+                sleep(Duration::from_millis(AGAIN_MS)).await;
+            }
+            Err(_) => return None,
+        }
+    }
 }
 
 /// Reads the last sign of life of the cell's owners.
--- a/crates/masticfall-entry/src/fleet/machines.rs
+++ b/crates/masticfall-entry/src/fleet/machines.rs
@@ -59,7 +59,7 @@
     /// Reads what the last owner may have called; `None` when the cell is lost.
     async fn begin(fleet: &Fleet, ownership: Ownership) -> Option<Self> {
         let lease_ms = fleet.settings.machine_lease_ms + LEASE_MARGIN_MS;
-        while fleet.shared().ownership == Some(ownership) {
+        while fleet.is_owner(ownership.epoch) {
             match follow::read_table(fleet, CALLS).await {
                 Ok((rows, _)) => {
                     let row = rows.iter().find(|row| &*row.key == CALLED_KEY);
@@ -153,7 +153,7 @@
     let mut finished: Vec<WaveName> = Vec::new();
     let mut planner = PoolPlanner::new(fleet.settings.machine_calls_per_s);
     let mut logged_ms = 0;
-    while fleet.shared().ownership == Some(ownership) {
+    while fleet.is_owner(ownership.epoch) {
         let done =
             round(&fleet, ownership, &mut waves, &mut finished, &mut planner, &mut calls).await;
         if let Err(error) = done {
--- a/crates/masticfall-platform/src/lib.rs
+++ b/crates/masticfall-platform/src/lib.rs
@@ -35,6 +35,18 @@
     Arc::new(move |argument| Box::pin(function(argument)))
 }
 
+/// Wraps an asynchronous function that needs a context of its own, such as a
+/// client, as an [`Operation`]; each call gets a clone of it.
+pub fn operation_on<C, A, R, F, Fut>(context: &C, function: F) -> Operation<A, R>
+where
+    C: Clone + Send + Sync + 'static,
+    F: Fn(C, A) -> Fut + Send + Sync + 'static,
+    Fut: Future<Output = Result<R>> + Send + 'static,
+{
+    let context = context.clone();
+    operation(move |argument| function(context.clone(), argument))
+}
+
 /// All services of the platform.
 #[derive(Debug, Clone)]
 pub struct Platform {
--- a/crates/masticfall-standin/src/fleet.rs
+++ b/crates/masticfall-standin/src/fleet.rs
@@ -22,7 +22,7 @@
 use masticfall_platform::fleet::{
     FleetPlatform, FleetRow, Machine, MachineCall, MachineOutcome, MachineState,
 };
-use masticfall_platform::operation;
+use masticfall_platform::{operation, operation_on};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -114,7 +114,6 @@
     specs: IndexMap<JobId, JobSpec>,
     late_orders: u64,
     orders: u64,
-    calls: u64,
     machine_calls: Vec<MachineCallRecord>,
     /// Instances on standby, beside those of the workers.
     standby: usize,
@@ -264,11 +263,6 @@
         self.state.lock().rows.keys().filter(|(name, ..)| *name == table).count()
     }
 
-    /// Returns how many calls the store has served.
-    pub fn store_calls(&self) -> u64 {
-        self.state.lock().calls
-    }
-
     /// Returns the platform as a process reaches it.
     pub fn platform(self: &Arc<Self>, process: &str) -> FleetPlatform {
         let process = Name::from(process);
@@ -302,48 +296,40 @@
     fn change_machine(
         self: &Arc<Self>,
     ) -> masticfall_platform::Operation<MachineCall, MachineOutcome> {
-        let world = Arc::clone(self);
-        operation(move |call: MachineCall| {
-            let world = Arc::clone(&world);
-            async move {
-                pause(CALL_MS).await;
-                let MachineCall { instance, holder, .. } = call;
-                let at_ms = world.now_ms();
-                let record = MachineCallRecord { instance, holder, at_ms };
-                world.state.lock().machine_calls.push(record);
-                Ok(MachineOutcome::Busy)
-            }
+        operation_on(self, move |world, call: MachineCall| async move {
+            pause(CALL_MS).await;
+            let MachineCall { instance, holder, .. } = call;
+            let at_ms = world.now_ms();
+            let record = MachineCallRecord { instance, holder, at_ms };
+            world.state.lock().machine_calls.push(record);
+            Ok(MachineOutcome::Busy)
         })
     }
 
     fn machines(self: &Arc<Self>) -> masticfall_platform::Operation<(), Vec<Machine>> {
-        let world = Arc::clone(self);
-        operation(move |()| {
-            let world = Arc::clone(&world);
-            async move {
-                pause(CALL_MS).await;
-                let state = world.state.lock();
-                if state.is_provider_down {
-                    return UnavailableSnafu { reason: "the provider refuses" }.fail();
-                }
-                let standby = (0..state.standby).map(|number| Machine {
-                    instance: InstanceName::from(format!("s{number}")),
-                    pool: PoolName::from("spare"),
-                    state: MachineState::Up,
-                    data_centre: "dc".into(),
-                    capacity: CAPACITY,
-                    worker: None,
-                });
-                let machines = state.workers.values().map(|worker| Machine {
-                    instance: worker.instance.clone(),
-                    pool: worker.facts.pool.clone(),
-                    state: MachineState::Up,
-                    data_centre: worker.facts.data_centre.clone(),
-                    capacity: worker.facts.capacity,
-                    worker: Some(worker.facts.id.clone()),
-                });
-                Ok(machines.chain(standby).collect())
+        operation_on(self, move |world, ()| async move {
+            pause(CALL_MS).await;
+            let state = world.state.lock();
+            if state.is_provider_down {
+                return UnavailableSnafu { reason: "the provider refuses" }.fail();
             }
+            let standby = (0..state.standby).map(|number| Machine {
+                instance: InstanceName::from(format!("s{number}")),
+                pool: PoolName::from("spare"),
+                state: MachineState::Up,
+                data_centre: "dc".into(),
+                capacity: CAPACITY,
+                worker: None,
+            });
+            let machines = state.workers.values().map(|worker| Machine {
+                instance: worker.instance.clone(),
+                pool: worker.facts.pool.clone(),
+                state: MachineState::Up,
+                data_centre: worker.facts.data_centre.clone(),
+                capacity: worker.facts.capacity,
+                worker: Some(worker.facts.id.clone()),
+            });
+            Ok(machines.chain(standby).collect())
         })
     }
 }
--- a/crates/masticfall-standin/src/fleet/store.rs
+++ b/crates/masticfall-standin/src/fleet/store.rs
@@ -9,7 +9,7 @@
     FleetRow, Follow, Followed, OperatorNews, RowCommit, RowPage, RowRange, RowTransaction,
     WorkerNews,
 };
-use masticfall_platform::{Operation, operation};
+use masticfall_platform::{Operation, operation_on};
 use tokio::time::{Instant, timeout_at};
 
 use super::{CALL_MS, GIVE_UP_MS, LATE_MS, StoreMode, World, WorldState, pause};
@@ -22,10 +22,7 @@
     pause(CALL_MS).await;
     let mode = world.state.lock().mode_of(process);
     match mode {
-        StoreMode::Up | StoreMode::LosesAnswers | StoreMode::WritesLate => {
-            world.state.lock().calls += 1;
-            Ok(())
-        }
+        StoreMode::Up | StoreMode::LosesAnswers | StoreMode::WritesLate => Ok(()),
         StoreMode::Refuses => UnavailableSnafu { reason: "the store refuses" }.fail(),
         StoreMode::Silent => {
             pause(GIVE_UP_MS).await;
@@ -35,46 +32,43 @@
 }
 
 pub(super) fn transact(world: &Arc<World>, process: &Name) -> Operation<RowTransaction, RowCommit> {
-    let (world, process) = (Arc::clone(world), Name::clone(process));
-    operation(move |transaction: RowTransaction| {
-        let (world, process) = (Arc::clone(&world), Name::clone(&process));
-        async move {
-            if world.state.lock().mode_of(&process) == StoreMode::Silent {
-                pause(GIVE_UP_MS).await;
-                return UnknownSnafu { reason: "the store is silent" }.fail();
-            }
-            reach(&world, &process).await?;
-            let largest = transaction.writes.iter().filter_map(|(_, value)| value.as_ref());
-            if largest.map(Vec::len).max().unwrap_or_default() > ROW_BYTES {
-                return UnknownSnafu { reason: "a row is too large" }.fail();
-            }
-            wait_for_part(&world, &transaction).await;
-            let (mode, is_lost) = {
-                let mut state = world.state.lock();
-                let mode = state.mode_of(&process);
-                let is_losing = matches!(mode, StoreMode::LosesAnswers | StoreMode::WritesLate);
-                state.lost += u64::from(is_losing);
-                (mode, is_losing && state.lost.is_multiple_of(2))
-            };
-            if is_lost && mode == StoreMode::WritesLate {
-                let world = Arc::clone(&world);
-                drop(tokio::spawn(async move {
-                    pause(LATE_MS).await;
-                    world.state.lock().apply(transaction);
-                    world.changed.notify_waiters();
-                }));
-                pause(GIVE_UP_MS).await;
-                return UnknownSnafu { reason: "the answer is lost" }.fail();
-            }
-            let commit = world.state.lock().apply(transaction);
-            world.changed.notify_waiters();
-            if is_lost {
-                pause(GIVE_UP_MS).await;
-                return UnknownSnafu { reason: "the answer is lost" }.fail();
-            }
-            pause(CALL_MS).await;
-            Ok(commit)
+    let context = (Arc::clone(world), Name::clone(process));
+    operation_on(&context, move |(world, process), transaction: RowTransaction| async move {
+        if world.state.lock().mode_of(&process) == StoreMode::Silent {
+            pause(GIVE_UP_MS).await;
+            return UnknownSnafu { reason: "the store is silent" }.fail();
         }
+        reach(&world, &process).await?;
+        let largest = transaction.writes.iter().filter_map(|(_, value)| value.as_ref());
+        if largest.map(Vec::len).max().unwrap_or_default() > ROW_BYTES {
+            return UnknownSnafu { reason: "a row is too large" }.fail();
+        }
+        wait_for_part(&world, &transaction).await;
+        let (mode, is_lost) = {
+            let mut state = world.state.lock();
+            let mode = state.mode_of(&process);
+            let is_losing = matches!(mode, StoreMode::LosesAnswers | StoreMode::WritesLate);
+            state.lost += u64::from(is_losing);
+            (mode, is_losing && state.lost.is_multiple_of(2))
+        };
+        if is_lost && mode == StoreMode::WritesLate {
+            let world = Arc::clone(&world);
+            drop(tokio::spawn(async move {
+                pause(LATE_MS).await;
+                world.state.lock().apply(transaction);
+                world.changed.notify_waiters();
+            }));
+            pause(GIVE_UP_MS).await;
+            return UnknownSnafu { reason: "the answer is lost" }.fail();
+        }
+        let commit = world.state.lock().apply(transaction);
+        world.changed.notify_waiters();
+        if is_lost {
+            pause(GIVE_UP_MS).await;
+            return UnknownSnafu { reason: "the answer is lost" }.fail();
+        }
+        pause(CALL_MS).await;
+        Ok(commit)
     })
 }
 
@@ -126,30 +120,27 @@
 }
 
 pub(super) fn range(world: &Arc<World>, process: &Name) -> Operation<RowRange, RowPage> {
-    let (world, process) = (Arc::clone(world), Name::clone(process));
-    operation(move |range: RowRange| {
-        let (world, process) = (Arc::clone(&world), Name::clone(&process));
-        async move {
-            reach(&world, &process).await?;
-            let page = {
-                let state = world.state.lock();
-                let rows = state.rows.iter().filter(|((table, part, key), _)| {
-                    *table == range.table
-                        && *part == range.part
-                        && **key >= *range.from
-                        && (range.to.is_empty() || **key < *range.to)
-                });
-                let rows = rows.map(|((_, part, key), (value, version))| FleetRow {
-                    part: Name::clone(part),
-                    key: Name::clone(key),
-                    value: Some(value.clone()),
-                    version: *version,
-                });
-                RowPage { rows: rows.collect(), has_more: false, version: state.version }
-            };
-            pause(CALL_MS).await;
-            Ok(page)
-        }
+    let context = (Arc::clone(world), Name::clone(process));
+    operation_on(&context, move |(world, process), range: RowRange| async move {
+        reach(&world, &process).await?;
+        let page = {
+            let state = world.state.lock();
+            let rows = state.rows.iter().filter(|((table, part, key), _)| {
+                *table == range.table
+                    && *part == range.part
+                    && **key >= *range.from
+                    && (range.to.is_empty() || **key < *range.to)
+            });
+            let rows = rows.map(|((_, part, key), (value, version))| FleetRow {
+                part: Name::clone(part),
+                key: Name::clone(key),
+                value: Some(value.clone()),
+                version: *version,
+            });
+            RowPage { rows: rows.collect(), has_more: false, version: state.version }
+        };
+        pause(CALL_MS).await;
+        Ok(page)
     })
 }
 
@@ -179,20 +170,16 @@
 }
 
 pub(super) fn follow(world: &Arc<World>, process: &Name) -> Operation<Follow, Followed<FleetRow>> {
-    let (world, process) = (Arc::clone(world), Name::clone(process));
-    operation(move |follow: Follow| {
-        let (world, process) = (Arc::clone(&world), Name::clone(&process));
-        async move {
-            let read = |state: &WorldState| {
-                let newer = |row: &FleetRow| row.version > follow.after;
-                let rows =
-                    state.log.iter().filter(|(table, row)| *table == follow.table && newer(row));
-                rows.map(|(_, row)| row.clone()).collect::<Vec<_>>()
-            };
-            let (rows, version) = wait_for(&world, &process, follow.wait_ms, read).await?;
-            let version = rows.last().map_or(version, |row| row.version);
-            Ok(Followed::Changes(rows, version))
-        }
+    let context = (Arc::clone(world), Name::clone(process));
+    operation_on(&context, move |(world, process), follow: Follow| async move {
+        let read = |state: &WorldState| {
+            let newer = |row: &FleetRow| row.version > follow.after;
+            let rows = state.log.iter().filter(|(table, row)| *table == follow.table && newer(row));
+            rows.map(|(_, row)| row.clone()).collect::<Vec<_>>()
+        };
+        let (rows, version) = wait_for(&world, &process, follow.wait_ms, read).await?;
+        let version = rows.last().map_or(version, |row| row.version);
+        Ok(Followed::Changes(rows, version))
     })
 }
 
@@ -216,14 +203,11 @@
     process: &Name,
     news: fn(&WorldState, u64) -> Vec<T>,
 ) -> Operation<(), (Vec<T>, u64)> {
-    let (world, process) = (Arc::clone(world), Name::clone(process));
-    operation(move |()| {
-        let (world, process) = (Arc::clone(&world), Name::clone(&process));
-        async move {
-            reach(&world, &process).await?;
-            let state = world.state.lock();
-            Ok((news(&state, 0), state.version))
-        }
+    let context = (Arc::clone(world), Name::clone(process));
+    operation_on(&context, move |(world, process), ()| async move {
+        reach(&world, &process).await?;
+        let state = world.state.lock();
+        Ok((news(&state, 0), state.version))
     })
 }
 
@@ -233,14 +217,11 @@
     process: &Name,
     news: fn(&WorldState, u64) -> Vec<T>,
 ) -> Operation<Follow, Followed<T>> {
-    let (world, process) = (Arc::clone(world), Name::clone(process));
-    operation(move |follow: Follow| {
-        let (world, process) = (Arc::clone(&world), Name::clone(&process));
-        async move {
-            let read = |state: &WorldState| news(state, follow.after);
-            let (news, version) = wait_for(&world, &process, follow.wait_ms, read).await?;
-            Ok(Followed::Changes(news, version))
-        }
+    let context = (Arc::clone(world), Name::clone(process));
+    operation_on(&context, move |(world, process), follow: Follow| async move {
+        let read = |state: &WorldState| news(state, follow.after);
+        let (news, version) = wait_for(&world, &process, follow.wait_ms, read).await?;
+        Ok(Followed::Changes(news, version))
     })
 }
 
--- a/crates/masticfall-standin/src/fleet/workers.rs
+++ b/crates/masticfall-standin/src/fleet/workers.rs
@@ -7,7 +7,7 @@
 use masticfall_core::fleet::spec::Resources;
 use masticfall_platform::error::UnavailableSnafu;
 use masticfall_platform::fleet::{LookCall, Looked, RunCall, StartCall};
-use masticfall_platform::{Operation, operation};
+use masticfall_platform::{Operation, operation_on};
 use tokio::time::{Instant, timeout_at};
 
 use super::{CALL_MS, GIVE_UP_MS, ModelRun, RunRecord, World, WorldState, pause};
@@ -85,98 +85,82 @@
 }
 
 pub(super) fn start(world: &Arc<World>) -> Operation<StartCall, StartOutcome> {
-    let world = Arc::clone(world);
-    operation(move |call: StartCall| {
-        let world = Arc::clone(&world);
-        async move {
-            pause(CALL_MS).await;
-            let is_late = {
-                let mut state = world.state.lock();
-                state.orders += 1;
-                state.late_orders > 0 && state.orders.is_multiple_of(state.late_orders)
-            };
-            if world.state.lock().is_silent(&call.worker) {
-                pause(GIVE_UP_MS).await;
-                return Ok(StartOutcome::Unknown);
-            }
-            if is_late {
-                let late = Arc::clone(&world);
-                tokio::spawn(async move {
-                    pause(LATE_MS).await;
-                    let now_ms = late.now_ms();
-                    late.state.lock().start(&call, now_ms);
-                });
-                pause(GIVE_UP_MS).await;
-                return Ok(StartOutcome::Unknown);
-            }
-            let now_ms = world.now_ms();
-            let outcome = world.state.lock().start(&call, now_ms);
-            pause(CALL_MS).await;
-            Ok(outcome)
+    operation_on(world, move |world, call: StartCall| async move {
+        pause(CALL_MS).await;
+        let is_late = {
+            let mut state = world.state.lock();
+            state.orders += 1;
+            state.late_orders > 0 && state.orders.is_multiple_of(state.late_orders)
+        };
+        if world.state.lock().is_silent(&call.worker) {
+            pause(GIVE_UP_MS).await;
+            return Ok(StartOutcome::Unknown);
         }
+        if is_late {
+            let late = Arc::clone(&world);
+            tokio::spawn(async move {
+                pause(LATE_MS).await;
+                let now_ms = late.now_ms();
+                late.state.lock().start(&call, now_ms);
+            });
+            pause(GIVE_UP_MS).await;
+            return Ok(StartOutcome::Unknown);
+        }
+        let now_ms = world.now_ms();
+        let outcome = world.state.lock().start(&call, now_ms);
+        pause(CALL_MS).await;
+        Ok(outcome)
     })
 }
 
 pub(super) fn stop(world: &Arc<World>) -> Operation<RunCall, StopOutcome> {
-    let world = Arc::clone(world);
-    operation(move |call: RunCall| {
-        let world = Arc::clone(&world);
-        async move {
-            pause(CALL_MS).await;
-            if world.state.lock().is_silent(&call.worker) {
-                pause(GIVE_UP_MS).await;
-                return Ok(StopOutcome::Unknown);
-            }
-            let now_ms = world.now_ms();
-            let outcome = world.state.lock().stop(&call, now_ms);
-            world.changed.notify_waiters();
-            Ok(outcome)
+    operation_on(world, move |world, call: RunCall| async move {
+        pause(CALL_MS).await;
+        if world.state.lock().is_silent(&call.worker) {
+            pause(GIVE_UP_MS).await;
+            return Ok(StopOutcome::Unknown);
         }
+        let now_ms = world.now_ms();
+        let outcome = world.state.lock().stop(&call, now_ms);
+        world.changed.notify_waiters();
+        Ok(outcome)
     })
 }
 
 pub(super) fn pace(world: &Arc<World>) -> Operation<RunCall, StopOutcome> {
-    let world = Arc::clone(world);
-    operation(move |call: RunCall| {
-        let world = Arc::clone(&world);
-        async move {
-            pause(CALL_MS).await;
-            let mut state = world.state.lock();
-            let worker = state.workers.get_mut(&call.worker);
-            let key = (call.task.clone(), call.attempt);
-            if let Some(run) = worker.and_then(|worker| worker.running.get_mut(&key)) {
-                run.pace_percent = call.pace_percent;
-            }
-            Ok(StopOutcome::Accepted)
+    operation_on(world, move |world, call: RunCall| async move {
+        pause(CALL_MS).await;
+        let mut state = world.state.lock();
+        let worker = state.workers.get_mut(&call.worker);
+        let key = (call.task.clone(), call.attempt);
+        if let Some(run) = worker.and_then(|worker| worker.running.get_mut(&key)) {
+            run.pace_percent = call.pace_percent;
         }
+        Ok(StopOutcome::Accepted)
     })
 }
 
 pub(super) fn look(world: &Arc<World>) -> Operation<LookCall, Looked> {
-    let world = Arc::clone(world);
-    operation(move |call: LookCall| {
-        let world = Arc::clone(&world);
-        async move {
-            pause(CALL_MS).await;
-            let until = Instant::now() + Duration::from_millis(call.wait_ms);
-            loop {
-                if world.state.lock().is_silent(&call.worker) {
-                    pause(GIVE_UP_MS).await;
-                    return UnavailableSnafu { reason: "the worker is silent" }.fail();
-                }
-                let looked = look_once(&world, &call);
-                let is_over = Instant::now() >= until;
-                match looked {
-                    Looked::Report(report) if report.ended.is_empty() && !is_over => {}
-                    looked => {
-                        pause(CALL_MS).await;
-                        return Ok(looked);
-                    }
+    operation_on(world, move |world, call: LookCall| async move {
+        pause(CALL_MS).await;
+        let until = Instant::now() + Duration::from_millis(call.wait_ms);
+        loop {
+            if world.state.lock().is_silent(&call.worker) {
+                pause(GIVE_UP_MS).await;
+                return UnavailableSnafu { reason: "the worker is silent" }.fail();
+            }
+            let looked = look_once(&world, &call);
+            let is_over = Instant::now() >= until;
+            match looked {
+                Looked::Report(report) if report.ended.is_empty() && !is_over => {}
+                looked => {
+                    pause(CALL_MS).await;
+                    return Ok(looked);
                 }
-                let step = Instant::now() + Duration::from_millis(STEP_MS);
-                // An elapsed time is the usual case.
-                drop(timeout_at(step.min(until), world.changed.notified()).await);
             }
+            let step = Instant::now() + Duration::from_millis(STEP_MS);
+            // An elapsed time is the usual case.
+            drop(timeout_at(step.min(until), world.changed.notified()).await);
         }
     })
 }
--- a/crates/masticfalld/src/fleet.rs
+++ b/crates/masticfalld/src/fleet.rs
@@ -11,10 +11,9 @@
 use masticfall_entry::fleet::{FleetSettings, peers, start};
 use masticfall_platform::serve::bind;
 use tokio::signal::unix::{SignalKind, signal};
-use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
-use tracing_subscriber::EnvFilter;
+use tracing_appender::non_blocking::NonBlockingBuilder;
 
-use crate::AnySettings;
+use crate::{AnySettings, start_logs};
 
 /// Lines that wait to be written before further ones are dropped: a reader of
 /// standard output that stops must not stop the process.
@@ -26,13 +25,14 @@
         println!("{}: ok", path.display());
         return ExitCode::SUCCESS;
     }
-    let logs = match start_logs(filter) {
-        Ok(logs) => logs,
-        Err(message) => {
-            eprintln!("error: {message}");
-            return ExitCode::from(2);
-        }
-    };
+    let (writer, logs) = NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(LOG_LINES)
+        .finish(std::io::stdout());
+    if let Err(message) = start_logs(filter, true, writer) {
+        eprintln!("error: {message}");
+        return ExitCode::from(2);
+    }
     // One thread: a quarter of a core gains nothing from more of them.
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let code = match runtime {
@@ -46,23 +46,6 @@
     code
 }
 
-fn start_logs(filter: &str) -> Result<WorkerGuard, String> {
-    let filter = EnvFilter::try_new(filter)
-        .map_err(|error| format!("`{filter}` is no log filter: {error}"))?;
-    let (writer, guard) = NonBlockingBuilder::default()
-        .lossy(true)
-        .buffered_lines_limit(LOG_LINES)
-        .finish(std::io::stdout());
-    tracing_subscriber::fmt()
-        .json()
-        .flatten_event(true)
-        .with_env_filter(filter)
-        .with_writer(writer)
-        .try_init()
-        .map_err(|error| format!("cannot start the logs: {error}"))?;
-    Ok(guard)
-}
-
 async fn serve(path: &Path, settings: FleetSettings) -> ExitCode {
     let services =
         Services { store: settings.store, machines: settings.machines, advice: settings.advice };
--- a/crates/masticfalld/src/lib.rs
+++ b/crates/masticfalld/src/lib.rs
@@ -12,6 +12,7 @@
 use masticfall_platform::http::connect;
 use tokio::signal::unix::{SignalKind, signal};
 use tracing_subscriber::EnvFilter;
+use tracing_subscriber::fmt::MakeWriter;
 
 /// Period at which the process looks whether it lost its place in the fleet, in milliseconds.
 const WATCH_MS: u64 = 200;
@@ -33,7 +34,7 @@
         println!("{}: ok", path.display());
         return ExitCode::SUCCESS;
     }
-    if let Err(message) = start_logs(filter) {
+    if let Err(message) = start_logs(filter, false, std::io::stderr) {
         eprintln!("error: {message}");
         return ExitCode::from(2);
     }
@@ -69,13 +70,18 @@
     })
 }
 
-fn start_logs(filter: &str) -> Result<(), String> {
+/// Starts JSON lines; `is_flat` puts the fields of an event beside its time.
+fn start_logs<W>(filter: &str, is_flat: bool, writer: W) -> Result<(), String>
+where
+    W: for<'a> MakeWriter<'a> + Send + Sync + 'static,
+{
     let filter = EnvFilter::try_new(filter)
         .map_err(|error| format!("`{filter}` is no log filter: {error}"))?;
     tracing_subscriber::fmt()
         .json()
+        .flatten_event(is_flat)
         .with_env_filter(filter)
-        .with_writer(std::io::stderr)
+        .with_writer(writer)
         .try_init()
         .map_err(|error| format!("cannot start the logs: {error}"))
 }
