Count tasks by state as it changes, instead of scanning every task

Cause: a profile of owners on the large site shows a fifth to a quarter of their time in scans of all tasks (has_ready_tasks, current_demand, waiting_work, pool_demand), and list_worker and expire_unlisted visit every placement of every job.

Change: each step keeps the numbers of its tasks by state, changed in one place; tasks on workers outside the table are kept by worker. requeue no longer turns a completed task into a waiting one when it had no run. Messages of reports can be encoded (for relays), and the choice of relays and the hash that processes agree on are here.

Shown: fleet_counts::counted_state_equals_a_full_scan compares counts, workers' and accounts' usage and the workers outside the table with a full scan after each of up to 60 random events, 192 cases.

--- a/crates/masticfall-core/src/fleet.rs
+++ b/crates/masticfall-core/src/fleet.rs
@@ -13,6 +13,7 @@
 pub mod placing;
 pub mod pools;
 pub mod progress;
+pub mod relays;
 pub mod report;
 pub mod shares;
 pub mod spec;
--- a/crates/masticfall-core/src/fleet/board.rs
+++ b/crates/masticfall-core/src/fleet/board.rs
@@ -21,7 +21,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-pub use job::{Job, Occurrence, OrderState, Placement, Step, Task, TaskState};
+pub use job::{Job, Occurrence, OrderState, Placement, Step, Task, TaskCounts, TaskState};
 pub use permits::AdviceRequest;
 pub use reports::PollRequest;
 pub use store::{Batch, BatchWrite};
@@ -31,7 +31,7 @@
 use super::report::RunEnd;
 use super::spec::{JobRecord, Resources, TaskKey};
 use super::worker::{Worker, WorkerFacts};
-use crate::id::{AccountName, JobId, Name, PoolName, QueueName, WorkerId};
+use crate::id::{AccountName, DataCentre, JobId, Name, PoolName, QueueName, WorkerId};
 
 /// Attempt numbers that each takeover of a cell skips, so that a run started by
 /// the previous owner can't share its number with a new one.
@@ -247,6 +247,9 @@
     attainable_millis: IndexMap<PoolName, u64>,
     /// Client accounts whose demand exceeds their share, by pool.
     above_share: IndexMap<PoolName, IndexSet<AccountName>>,
+    /// Tasks placed on workers that aren't in the table, by worker: earlier owners placed
+    /// them.
+    placed_elsewhere: IndexMap<WorkerId, IndexSet<TaskKey>>,
     /// Tasks whose last order has an unknown outcome.
     unknown_orders: IndexSet<TaskKey>,
     dirty: IndexSet<JobId>,
@@ -288,6 +291,7 @@
             advice_requests: Vec::new(),
             attainable_millis: IndexMap::new(),
             above_share: IndexMap::new(),
+            placed_elsewhere: IndexMap::new(),
             unknown_orders: IndexSet::new(),
             dirty: IndexSet::new(),
             ended: IndexMap::new(),
@@ -371,13 +375,9 @@
         }
         let id = facts.id.clone();
         let mut worker = Worker::new(facts, self.previous_lease_until_ms);
-        for (job_id, job) in &self.jobs {
-            for (key, placed_on) in job.placements(job_id) {
-                if placed_on == id {
-                    worker.used = worker.used.plus(&job.step(&key).reserved_per_task);
-                    worker.placements.insert(key);
-                }
-            }
+        for key in self.placed_elsewhere.swap_remove(&id).unwrap_or_default() {
+            worker.used = worker.used.plus(&self.jobs[&key.job].step(&key).reserved_per_task);
+            worker.placements.insert(key);
         }
         self.workers.insert(id, worker);
     }
@@ -406,6 +406,20 @@
         self.workers.iter().filter(|(_, worker)| worker.is_listed).map(|(id, _)| id)
     }
 
+    /// Returns the workers outside the table on which earlier owners placed tasks.
+    pub fn unknown_workers(&self) -> impl Iterator<Item = &WorkerId> {
+        self.placed_elsewhere.keys()
+    }
+
+    /// Returns the number of listed workers in each data centre.
+    pub fn workers_by_data_centre(&self) -> IndexMap<DataCentre, usize> {
+        let mut counts = IndexMap::new();
+        for worker in self.workers.values().filter(|worker| worker.is_listed) {
+            *counts.entry(worker.facts.data_centre.clone()).or_default() += 1;
+        }
+        counts
+    }
+
     /// Returns the number of jobs in each queue that have not started.
     pub fn waiting_by_queue(&self) -> IndexMap<QueueName, u32> {
         let mut counts = IndexMap::new();
@@ -429,10 +443,15 @@
     fn add_usage(&mut self, key: &TaskKey, worker: &WorkerId) {
         let Some(job) = self.jobs.get(&key.job) else { return };
         let needs = job.step(key).reserved_per_task;
-        if let Some(worker) = self.workers.get_mut(worker)
-            && worker.placements.insert(key.clone())
-        {
-            worker.used = worker.used.plus(&needs);
+        match self.workers.get_mut(worker) {
+            Some(worker) => {
+                if worker.placements.insert(key.clone()) {
+                    worker.used = worker.used.plus(&needs);
+                }
+            }
+            None => {
+                self.placed_elsewhere.entry(worker.clone()).or_default().insert(key.clone());
+            }
         }
         if let Some(account) = &job.record.account {
             let used = self.account_usage.entry(account.clone()).or_default();
@@ -444,10 +463,15 @@
     fn remove_usage(&mut self, key: &TaskKey, worker: &WorkerId) {
         let Some(job) = self.jobs.get(&key.job) else { return };
         let needs = job.step(key).reserved_per_task;
-        if let Some(worker) = self.workers.get_mut(worker)
-            && worker.placements.swap_remove(key)
-        {
-            worker.used = worker.used.minus(&needs);
+        if let Some(worker) = self.workers.get_mut(worker) {
+            if worker.placements.swap_remove(key) {
+                worker.used = worker.used.minus(&needs);
+            }
+        } else if let Some(keys) = self.placed_elsewhere.get_mut(worker) {
+            keys.swap_remove(key);
+            if keys.is_empty() {
+                self.placed_elsewhere.swap_remove(worker);
+            }
         }
         if let Some(account) = &job.record.account
             && let Some(used) = self.account_usage.get_mut(account)
--- a/crates/masticfall-core/src/fleet/board/cordon.rs
+++ b/crates/masticfall-core/src/fleet/board/cordon.rs
@@ -62,10 +62,10 @@
     fn can_evict(&self, key: &TaskKey, now_ms: u64) -> bool {
         let Some(job) = self.jobs.get(&key.job) else { return false };
         let Some(task) = job.task(key) else { return false };
-        let is_unavailable = |task: &&Task| !self.is_available(&task.state, now_ms);
+        let is_unavailable = |task: &&Task| !self.is_available(task.state(), now_ms);
         let unavailable = job.step(key).tasks.iter().filter(is_unavailable).count();
         let max_unavailable = job.record.spec.steps[key.step as usize].max_unavailable.max(1);
-        self.is_available(&task.state, now_ms) && unavailable < max_unavailable as usize
+        self.is_available(task.state(), now_ms) && unavailable < max_unavailable as usize
     }
 
     fn is_available(&self, state: &TaskState, now_ms: u64) -> bool {
--- a/crates/masticfall-core/src/fleet/board/demand.rs
+++ b/crates/masticfall-core/src/fleet/board/demand.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexMap;
 
-use super::{Board, Job, TaskState};
+use super::{Board, Job};
 use crate::fleet::admission::PoolLoad;
 use crate::fleet::pools::PoolDemand;
 use crate::fleet::shares::above_share;
@@ -199,9 +199,7 @@
             for (number, occurrence) in &job.occurrences {
                 let steps = job.record.spec.steps.iter().zip(&occurrence.steps);
                 for (index, (spec, step)) in steps.enumerate() {
-                    let placed =
-                        step.tasks.iter().filter(|t| matches!(t.state, TaskState::Placed(_)));
-                    let placed = placed.count() as u64;
+                    let placed = u64::from(step.counts().placed);
                     let needs = step.reserved_per_task.times(placed);
                     demand.placed = demand.placed.plus(&needs);
                     if is_long_running {
@@ -209,8 +207,7 @@
                     }
                     let mut tasks = placed;
                     if (!can_wait || is_long_running) && job.is_step_ready(*number, index) {
-                        let waiting = step.tasks.iter().filter(|t| t.state == TaskState::Waiting);
-                        let waiting = waiting.count() as u64;
+                        let waiting = u64::from(step.counts().waiting);
                         let needs = step.reserved_per_task.times(waiting);
                         demand.waiting = demand.waiting.plus(&needs);
                         tasks += waiting;
--- a/crates/masticfall-core/src/fleet/board/job.rs
+++ b/crates/masticfall-core/src/fleet/board/job.rs
@@ -60,8 +60,8 @@
 /// A task.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Task {
-    /// Current state.
-    pub state: TaskState,
+    /// Changed by [`Step::set_state`] only, which keeps the step's counts.
+    state: TaskState,
     /// Number of the last attempt.
     pub attempt: u32,
     /// Number of failed attempts.
@@ -74,20 +74,78 @@
     pub failed_on: Vec<WorkerId>,
 }
 
+impl Task {
+    /// Returns the current state.
+    pub fn state(&self) -> &TaskState {
+        &self.state
+    }
+
+    /// Returns the current run.
+    pub fn run_mut(&mut self) -> Option<&mut Placement> {
+        match &mut self.state {
+            TaskState::Placed(run) => Some(run),
+            TaskState::Waiting | TaskState::Done => None,
+        }
+    }
+}
+
+/// Numbers of a step's tasks by state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct TaskCounts {
+    /// Waiting tasks.
+    pub waiting: u32,
+    /// Placed tasks.
+    pub placed: u32,
+    /// Completed tasks.
+    pub done: u32,
+}
+
+impl TaskCounts {
+    /// Counts tasks by state.
+    pub fn of(tasks: &[Task]) -> Self {
+        let mut counts = Self::default();
+        for task in tasks {
+            *counts.of_state(&task.state) += 1;
+        }
+        counts
+    }
+
+    fn of_state(&mut self, state: &TaskState) -> &mut u32 {
+        match state {
+            TaskState::Waiting => &mut self.waiting,
+            TaskState::Placed(_) => &mut self.placed,
+            TaskState::Done => &mut self.done,
+        }
+    }
+}
+
 /// A step of one occurrence.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Step {
     /// Its tasks.
     pub tasks: Vec<Task>,
-    /// Number of completed tasks.
-    pub done: u32,
     /// Resources that each task reserves on its worker.
     pub reserved_per_task: Resources,
+    counts: TaskCounts,
 }
 
 impl Step {
+    /// Returns the numbers of tasks by state. They are kept up to date, since summing the
+    /// demand of thousands of jobs would otherwise visit every task each time.
+    pub fn counts(&self) -> TaskCounts {
+        self.counts
+    }
+
     fn is_done(&self) -> bool {
-        self.done as usize == self.tasks.len()
+        self.counts.done as usize == self.tasks.len()
+    }
+
+    /// Sets the state of a task; returns the previous one.
+    fn set_state(&mut self, index: usize, state: TaskState) -> TaskState {
+        let task = &mut self.tasks[index];
+        *self.counts.of_state(&task.state) -= 1;
+        *self.counts.of_state(&state) += 1;
+        std::mem::replace(&mut task.state, state)
     }
 }
 
@@ -158,7 +216,8 @@
                 failed_on: Vec::new(),
             };
             let tasks = vec![task; spec.tasks as usize];
-            Step { tasks, done: 0, reserved_per_task: spec.reserved() }
+            let counts = TaskCounts::of(&tasks);
+            Step { tasks, reserved_per_task: spec.reserved(), counts }
         });
         let steps = steps.collect();
         self.occurrences.insert(number, Occurrence { steps });
@@ -181,12 +240,17 @@
         steps.get_mut(key.step as usize)?.tasks.get_mut(key.index as usize)
     }
 
+    /// Sets the state of a task; returns the previous one.
+    pub fn set_state(&mut self, key: &TaskKey, state: TaskState) -> Option<TaskState> {
+        let steps = &mut self.occurrences.get_mut(&key.occurrence)?.steps;
+        let step = steps.get_mut(key.step as usize)?;
+        let index = key.index as usize;
+        (index < step.tasks.len()).then(|| step.set_state(index, state))
+    }
+
     /// Returns the current run of a task, if it has this attempt number.
     pub fn run_mut(&mut self, key: &TaskKey, attempt: u32) -> Option<&mut Placement> {
-        match &mut self.task_mut(key)?.state {
-            TaskState::Placed(run) if run.attempt == attempt => Some(run),
-            _ => None,
-        }
+        self.task_mut(key)?.run_mut().filter(|run| run.attempt == attempt)
     }
 
     /// Marks a task as completed; returns whether that completed its occurrence.
@@ -196,16 +260,11 @@
         let is_gang = self.record.spec.steps[key.step as usize].is_gang;
         let Some(occurrence) = self.occurrences.get_mut(&key.occurrence) else { return false };
         let step = &mut occurrence.steps[key.step as usize];
-        let task = &mut step.tasks[key.index as usize];
-        if task.state != TaskState::Done {
-            task.state = TaskState::Done;
-            step.done += 1;
-        }
+        step.set_state(key.index as usize, TaskState::Done);
         if is_gang {
-            for task in &mut step.tasks {
-                if task.state == TaskState::Waiting {
-                    task.state = TaskState::Done;
-                    step.done += 1;
+            for index in 0..step.tasks.len() {
+                if step.tasks[index].state == TaskState::Waiting {
+                    step.set_state(index, TaskState::Done);
                 }
             }
         }
@@ -234,9 +293,7 @@
         !self.phase.is_final()
             && self.occurrences.iter().any(|(number, occurrence)| {
                 occurrence.steps.iter().enumerate().any(|(index, step)| {
-                    !step.is_done()
-                        && step.tasks.iter().any(|task| task.state == TaskState::Waiting)
-                        && self.is_step_ready(*number, index)
+                    step.counts.waiting > 0 && self.is_step_ready(*number, index)
                 })
             })
     }
@@ -261,13 +318,10 @@
         let mut needs = Resources::default();
         for (number, occurrence) in &self.occurrences {
             for (index, step) in occurrence.steps.iter().enumerate() {
-                let is_ready = self.is_step_ready(*number, index);
-                let demanding = step.tasks.iter().filter(|task| match task.state {
-                    TaskState::Placed(_) => true,
-                    TaskState::Waiting => is_ready,
-                    TaskState::Done => false,
-                });
-                needs = needs.plus(&step.reserved_per_task.times(demanding.count() as u64));
+                let TaskCounts { waiting, placed, .. } = step.counts;
+                let is_ready = waiting > 0 && self.is_step_ready(*number, index);
+                let demanding = placed + if is_ready { waiting } else { 0 };
+                needs = needs.plus(&step.reserved_per_task.times(u64::from(demanding)));
             }
         }
         needs
@@ -278,8 +332,8 @@
         let mut work = Resources::default();
         for occurrence in self.occurrences.values() {
             for (spec, step) in self.record.spec.steps.iter().zip(&occurrence.steps) {
-                let waiting = step.tasks.iter().filter(|task| task.state == TaskState::Waiting);
-                work = work.plus(&spec.needs.times(waiting.count() as u64 * spec.estimate_ms));
+                let waiting = u64::from(step.counts.waiting);
+                work = work.plus(&spec.needs.times(waiting * spec.estimate_ms));
             }
         }
         work
@@ -298,9 +352,8 @@
 
     /// Returns whether any task is placed.
     pub fn has_placements(&self) -> bool {
-        let steps = self.occurrences.values().flat_map(|occurrence| &occurrence.steps);
-        let mut tasks = steps.flat_map(|step| &step.tasks);
-        tasks.any(|task| matches!(task.state, TaskState::Placed(_)))
+        let mut steps = self.occurrences.values().flat_map(|occurrence| &occurrence.steps);
+        steps.any(|step| step.counts.placed > 0)
     }
 
     fn for_each_task(&self, id: &JobId, mut visit: impl FnMut(TaskKey, &Task)) {
@@ -368,16 +421,14 @@
             task.failures = row.failures;
             task.checkpoint.clone_from(&row.checkpoint);
             task.attempt = row.attempt;
-            match (row.stage, progress.workers.get(row.worker as usize)) {
-                (TaskStage::Done, _) => {
-                    task.state = TaskState::Done;
-                    step.done += 1;
-                }
+            let state = match (row.stage, progress.workers.get(row.worker as usize)) {
+                (TaskStage::Done, _) => TaskState::Done,
                 (TaskStage::Placed, Some((worker, _))) => {
-                    task.state = TaskState::Placed(Placement::restored(worker, row.attempt));
+                    TaskState::Placed(Placement::restored(worker, row.attempt))
                 }
-                _ => {}
-            }
+                _ => TaskState::Waiting,
+            };
+            step.set_state(row.index as usize, state);
         }
     }
 }
--- a/crates/masticfall-core/src/fleet/board/pace.rs
+++ b/crates/masticfall-core/src/fleet/board/pace.rs
@@ -53,7 +53,7 @@
         let serving = self.runs_on(id, |step| step.target_tail_ms > 0);
         let ratios = serving.iter().filter_map(|(key, _)| {
             let job = self.jobs.get(&key.job)?;
-            let TaskState::Placed(run) = &job.task(key)?.state else { return None };
+            let TaskState::Placed(run) = job.task(key)?.state() else { return None };
             let target_ms = job.record.spec.steps[key.step as usize].target_tail_ms;
             let is_reporting = run.percent >= AVAILABLE_PERCENT && run.load > 0;
             is_reporting.then(|| run.load as f64 / target_ms as f64)
@@ -67,7 +67,7 @@
         let runs = worker.placements.iter().filter_map(|key| {
             let job = self.jobs.get(&key.job)?;
             let step = &job.record.spec.steps[key.step as usize];
-            match &job.task(key)?.state {
+            match job.task(key)?.state() {
                 TaskState::Placed(run) if matches_step(step) && is_settled(run) => {
                     Some((key.clone(), run.attempt))
                 }
--- a/crates/masticfall-core/src/fleet/board/place.rs
+++ b/crates/masticfall-core/src/fleet/board/place.rs
@@ -279,7 +279,7 @@
     }
 
     fn racks_of(&self, job: &Job, key: &TaskKey) -> Vec<Name> {
-        let runs = job.step(key).tasks.iter().filter_map(|task| match &task.state {
+        let runs = job.step(key).tasks.iter().filter_map(|task| match task.state() {
             TaskState::Placed(run) => self.workers.get(&run.worker),
             _ => None,
         });
@@ -291,7 +291,8 @@
         let floor = job.attempt_floor;
         let Some(task) = job.task_mut(key) else { return };
         task.attempt = attempt.unwrap_or(task.attempt + 1).max(floor + 1);
-        task.state = TaskState::Placed(Placement::new(worker, task.attempt));
+        let placement = Placement::new(worker, task.attempt);
+        job.set_state(key, TaskState::Placed(placement));
         self.add_usage(key, worker);
     }
 
@@ -308,11 +309,11 @@
         key: &TaskKey,
         not_before_ms: Option<u64>,
     ) -> Option<WorkerId> {
-        let task = self.jobs.get_mut(&key.job)?.task_mut(key)?;
-        let TaskState::Placed(run) = std::mem::replace(&mut task.state, TaskState::Waiting) else {
-            return None;
-        };
+        let job = self.jobs.get_mut(&key.job)?;
+        let task = job.task_mut(key)?;
+        task.run_mut()?;
         task.not_before_ms = not_before_ms.unwrap_or(0);
+        let TaskState::Placed(run) = job.set_state(key, TaskState::Waiting)? else { return None };
         self.remove_usage(key, &run.worker);
         self.dirty.insert(key.job.clone());
         self.needs_placement = true;
@@ -338,7 +339,7 @@
     let waiting = tasks
         .iter()
         .enumerate()
-        .filter(|(_, task)| task.state == TaskState::Waiting && task.not_before_ms <= now_ms);
+        .filter(|(_, task)| *task.state() == TaskState::Waiting && task.not_before_ms <= now_ms);
     let key = |index| TaskKey { job: id.clone(), occurrence, step, index };
     waiting.map(|(index, _)| key(index as u32)).collect()
 }
--- a/crates/masticfall-core/src/fleet/board/reports.rs
+++ b/crates/masticfall-core/src/fleet/board/reports.rs
@@ -219,7 +219,7 @@
             let Some(task) = self.jobs.get_mut(&key.job).and_then(|job| job.task_mut(&key)) else {
                 continue;
             };
-            let TaskState::Placed(run) = &mut task.state else { continue };
+            let Some(run) = task.run_mut() else { continue };
             let Some(reported) = running.swap_remove(&(key.clone(), run.attempt)) else {
                 let is_settled = matches!(run.order, OrderState::Settled(at) if at < sent_ms);
                 if is_settled {
@@ -287,7 +287,7 @@
         let Some(job) = self.jobs.get(&run.task.job) else { return false };
         let Some(task) = job.task(&run.task) else { return false };
         let is_step_ready = job.is_step_ready(run.task.occurrence, run.task.step as usize);
-        let is_adoptable = match &task.state {
+        let is_adoptable = match task.state() {
             TaskState::Waiting => true,
             TaskState::Placed(placed) => placed.order == OrderState::Unstored,
             TaskState::Done => false,
@@ -296,15 +296,13 @@
             return false;
         }
         self.requeue(&run.task, None);
-        let Some(task) = self.jobs.get_mut(&run.task.job).and_then(|j| j.task_mut(&run.task))
-        else {
-            return false;
-        };
+        let Some(job) = self.jobs.get_mut(&run.task.job) else { return false };
+        let Some(task) = job.task_mut(&run.task) else { return false };
         task.attempt = task.attempt.max(run.attempt);
         let mut placement = Placement::new(id, run.attempt);
         placement.order = OrderState::Settled(now_ms);
         placement.percent = run.percent;
-        task.state = TaskState::Placed(placement);
+        job.set_state(&run.task, TaskState::Placed(placement));
         self.add_usage(&run.task, id);
         self.dirty.insert(run.task.job.clone());
         true
@@ -312,7 +310,7 @@
 }
 
 fn is_stopping(task: Option<&super::Task>) -> bool {
-    task.is_some_and(|task| match &task.state {
+    task.is_some_and(|task| match task.state() {
         TaskState::Placed(run) => run.stop_sent_ms.is_some(),
         _ => false,
     })
--- a/crates/masticfall-core/src/fleet/board/results.rs
+++ b/crates/masticfall-core/src/fleet/board/results.rs
@@ -1,6 +1,6 @@
 //! Results of orders.
 
-use super::{Board, Notice, Order, OrderState, StopOrder, StopReason, TaskState};
+use super::{Board, Notice, Order, OrderState, StopOrder, StopReason};
 use crate::fleet::report::{StartOutcome, StopOutcome};
 use crate::fleet::spec::TaskKey;
 use crate::id::{JobId, WorkerId};
@@ -98,7 +98,7 @@
     pub(super) fn stop(&mut self, key: &TaskKey, reason: StopReason, now_ms: u64) {
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let Some(task) = job.task_mut(key) else { return };
-        let TaskState::Placed(run) = &mut task.state else { return };
+        let Some(run) = task.run_mut() else { return };
         let (worker, attempt) = (run.worker.clone(), run.attempt);
         if run.order == OrderState::Unstored {
             self.requeue(key, None);
--- a/crates/masticfall-core/src/fleet/board/store.rs
+++ b/crates/masticfall-core/src/fleet/board/store.rs
@@ -1,6 +1,6 @@
 //! Batches of progress to be stored, and the actions that follow once they are.
 
-use super::{Board, Order, OrderState, StartOrder, TaskState};
+use super::{Board, Order, OrderState, StartOrder, Task, TaskState};
 use crate::fleet::progress::{EndedRow, ProgressRow};
 use crate::fleet::spec::TaskKey;
 use crate::id::{JobId, Name, WorkerId};
@@ -41,7 +41,7 @@
         for id in ids {
             let Some(job) = self.jobs.get(&id) else { continue };
             for (key, _) in job.placements(&id) {
-                if let Some(TaskState::Placed(run)) = job.task(&key).map(|task| &task.state)
+                if let Some(TaskState::Placed(run)) = job.task(&key).map(Task::state)
                     && run.order == OrderState::Unstored
                 {
                     batch.starts.push((key, run.attempt));
--- a/crates/masticfall-core/src/fleet/board/time.rs
+++ b/crates/masticfall-core/src/fleet/board/time.rs
@@ -1,6 +1,6 @@
 //! Changes driven by time: lease expiry, resent orders, due occurrences.
 
-use super::{Board, Notice, Now, OrderState, StopReason, TaskState};
+use super::{Board, Notice, Now, OrderState, StopReason, Task, TaskState};
 use crate::fleet::report::RunEnd;
 use crate::fleet::spec::TaskKey;
 use crate::fleet::worker::Worker;
@@ -47,7 +47,7 @@
         let mut stops = Vec::new();
         self.unknown_orders.retain(|key| {
             let task = self.jobs.get(&key.job).and_then(|job| job.task(key));
-            let Some(TaskState::Placed(run)) = task.map(|task| &task.state) else { return false };
+            let Some(TaskState::Placed(run)) = task.map(Task::state) else { return false };
             let OrderState::Unknown(since_ms) = run.order else { return false };
             let has_lease =
                 |worker: &Worker| !worker.is_unresponsive && !worker.is_announced_unresponsive;
@@ -109,12 +109,8 @@
         if now_ms <= self.previous_lease_until_ms {
             return;
         }
-        let mut lost = Vec::new();
-        for (id, job) in &self.jobs {
-            let placements = job.placements(id).into_iter();
-            lost.extend(placements.filter(|(_, worker)| !self.workers.contains_key(worker)));
-        }
-        for (key, _) in lost {
+        let lost: Vec<TaskKey> = self.placed_elsewhere.values().flatten().cloned().collect();
+        for key in lost {
             self.end_run(&key, RunEnd::Lapsed, None, true, now_ms);
         }
     }
--- a/crates/masticfall-core/src/fleet/report.rs
+++ b/crates/masticfall-core/src/fleet/report.rs
@@ -25,7 +25,8 @@
 }
 
 /// A run in progress, as reported by a worker.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(into = "ActiveRunTuple", from = "ActiveRunTuple")]
 pub struct ActiveRun {
     /// The task.
     pub task: TaskKey,
@@ -40,8 +41,24 @@
     pub load: u64,
 }
 
+/// The encoded form of a run in progress.
+type ActiveRunTuple = (TaskKey, u32, Option<Name>, u32, u64);
+
+impl From<ActiveRun> for ActiveRunTuple {
+    fn from(run: ActiveRun) -> Self {
+        (run.task, run.attempt, run.checkpoint, run.percent, run.load)
+    }
+}
+
+impl From<ActiveRunTuple> for ActiveRun {
+    fn from((task, attempt, checkpoint, percent, load): ActiveRunTuple) -> Self {
+        Self { task, attempt, checkpoint, percent, load }
+    }
+}
+
 /// A run that ended, as reported by a worker.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(into = "EndedRunTuple", from = "EndedRunTuple")]
 pub struct EndedRun {
     /// Sequence number of the end; grows by one within an incarnation of the worker.
     pub number: u64,
@@ -55,8 +72,23 @@
     pub checkpoint: Option<Name>,
 }
 
+/// The encoded form of a run that ended.
+type EndedRunTuple = (u64, TaskKey, u32, RunEnd, Option<Name>);
+
+impl From<EndedRun> for EndedRunTuple {
+    fn from(run: EndedRun) -> Self {
+        (run.number, run.task, run.attempt, run.end, run.checkpoint)
+    }
+}
+
+impl From<EndedRunTuple> for EndedRun {
+    fn from((number, task, attempt, end, checkpoint): EndedRunTuple) -> Self {
+        Self { number, task, attempt, end, checkpoint }
+    }
+}
+
 /// A worker's report.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct WorkerReport {
     /// The worker's steady clock, in milliseconds.
     pub clock_ms: u64,
@@ -69,7 +101,7 @@
 }
 
 /// Outcome of a start order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
 #[strum(serialize_all = "snake_case")]
 pub enum StartOutcome {
     /// The run exists on the worker.
@@ -97,7 +129,7 @@
 }
 
 /// Outcome of a stop or pace order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
 #[strum(serialize_all = "snake_case")]
 pub enum StopOutcome {
     /// The order takes effect; a stopped run ends, or never starts.
--- a/crates/masticfall-core/src/fleet/spec.rs
+++ b/crates/masticfall-core/src/fleet/spec.rs
@@ -239,7 +239,8 @@
 }
 
 /// Key of one task of a job.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(into = "TaskKeyTuple", from = "TaskKeyTuple")]
 pub struct TaskKey {
     /// The job.
     pub job: JobId,
@@ -251,6 +252,21 @@
     pub index: u32,
 }
 
+/// The encoded form of a task's key: a tuple takes half of the space of a map.
+type TaskKeyTuple = (JobId, u32, u32, u32);
+
+impl From<TaskKey> for TaskKeyTuple {
+    fn from(key: TaskKey) -> Self {
+        (key.job, key.occurrence, key.step, key.index)
+    }
+}
+
+impl From<TaskKeyTuple> for TaskKey {
+    fn from((job, occurrence, step, index): TaskKeyTuple) -> Self {
+        Self { job, occurrence, step, index }
+    }
+}
+
 impl fmt::Display for TaskKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{}.{}.{}", self.job, self.occurrence, self.step, self.index)
--- a/crates/masticfall-core/src/lib.rs
+++ b/crates/masticfall-core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod escrow;
 pub mod fleet;
 pub mod guard;
+pub mod hash;
 pub mod id;
 pub mod instance;
 pub mod job;
--- a/crates/masticfall-core/tests/suite/main.rs
+++ b/crates/masticfall-core/tests/suite/main.rs
@@ -4,6 +4,7 @@
 mod config;
 mod errors;
 mod escrow;
+mod fleet_counts;
 mod fleet_leases;
 mod fleet_maintenance;
 mod fleet_order;
