--- a/crates/masticfall-entry/src/fleet.rs
+++ b/crates/masticfall-entry/src/fleet.rs
@@ -14,6 +14,7 @@
 pub mod metrics;
 mod notices;
 pub mod peers;
+pub mod relay;
 mod rows;
 mod run;
 pub mod settings;
--- a/crates/masticfall-entry/src/fleet/context.rs
+++ b/crates/masticfall-entry/src/fleet/context.rs
@@ -16,7 +16,8 @@
 use tokio::sync::Notify;
 
 use super::metrics::FleetMetrics;
-use super::peers::{ConfigFetcher, PeerRow};
+use super::peers::{PeerCalls, PeerRow};
+use super::relay::Relays;
 use super::rows::HeartbeatRow;
 use super::settings::FleetSettings;
 use crate::context::wall_ms;
@@ -95,8 +96,10 @@
     pub ownership_changed: Notify,
     /// Other processes, by name.
     pub peers: Mutex<IndexMap<Name, PeerRow>>,
-    /// Requests a configuration from a peer.
-    pub(super) fetch_peer_config: ConfigFetcher,
+    /// Calls to other processes.
+    pub(super) peer_calls: PeerCalls,
+    /// Relays of the cell's owner.
+    pub(super) relays: Relays,
     /// Token that a peer's request must carry.
     pub token: Name,
     operators_read_ms: AtomicU64,
@@ -121,7 +124,7 @@
         settings: FleetSettings,
         platform: FleetPlatform,
         clock: Clock,
-        fetch_peer_config: ConfigFetcher,
+        peer_calls: PeerCalls,
     ) -> Arc<Self> {
         let number: u32 = rand::rng().random();
         let incarnation = Incarnation::from(format!("{}.{number:08x}", settings.name));
@@ -134,19 +137,21 @@
             board: None,
             confirmed_ms: 0,
         };
+        let metrics = FleetMetrics::new(Arc::clone(&platform.traffic));
         Arc::new(Self {
             settings,
             platform,
             incarnation,
             started_ms: clock(),
-            metrics: FleetMetrics::new(),
+            metrics,
             board_changed: Notify::new(),
             store_requested: Notify::new(),
             batch_stored: Notify::new(),
             ownership_tracker: super::leadership::OwnershipTracker::default(),
             ownership_changed: Notify::new(),
             peers: Mutex::new(IndexMap::new()),
-            fetch_peer_config,
+            peer_calls,
+            relays: Relays::default(),
             token: Name::from(format!("{:032x}", rand::rng().random::<u128>())),
             operators_read_ms: AtomicU64::new(clock()),
             store_response_ms: AtomicU64::new(clock()),
--- a/crates/masticfall-entry/src/fleet/dispatch.rs
+++ b/crates/masticfall-entry/src/fleet/dispatch.rs
@@ -2,6 +2,7 @@
 //! and polls workers for reports.
 
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,14 +12,15 @@
 use masticfall_core::fleet::progress::ProgressRow;
 use masticfall_core::fleet::report::{StartOutcome, StopOutcome};
 use masticfall_core::id::{Name, WorkerId};
+use masticfall_platform::Result;
 use masticfall_platform::fleet::{AdviceCall, PollCall, PollOutcome, RowKey, RunCall, StartCall};
-use masticfall_platform::{PlatformError, Result};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
 
 use super::context::{Fleet, Ownership};
 use super::leadership::{self, WriteSequence};
 use super::notices;
+use super::relay::{self, CallTarget, PollError, RelayCall};
 use super::rows::{BATCH_KEY, CALLS_TABLE, PROGRESS_TABLE, cell_row_key, encode_row};
 
 /// Interval at which the board's clock is advanced, in milliseconds.
@@ -36,9 +38,13 @@
 /// are read together.
 const POLL_PAUSE_MS: u64 = 15;
 
-/// Pause after a failed poll, in milliseconds.
+/// Pause after a failed poll, in milliseconds; doubled with each further failure.
 const POLL_RETRY_MS: u64 = 200;
 
+/// Maximum number of times that [`POLL_RETRY_MS`] is doubled: a worker that answers again
+/// is found within 0.8 s, and hundreds of instances that left their pools cost little.
+const MAX_POLL_RETRY_DOUBLINGS: u32 = 2;
+
 /// Maximum time that the next poll of a worker waits until the ended runs of the
 /// last one are stored, in milliseconds.
 const MAX_STORE_WAIT_MS: u64 = 250;
@@ -123,15 +129,24 @@
     fleet.update_board(epoch, |board| board.advice_received(&request, permits, now_ms));
 }
 
-fn address_of(fleet: &Fleet, epoch: u32, worker: &WorkerId) -> Option<std::net::SocketAddr> {
-    let address = |board: &mut Board| Some(board.workers.get(worker)?.facts.address);
-    fleet.with_board(epoch, address).flatten()
+fn target_of(fleet: &Fleet, epoch: u32, worker: &WorkerId) -> Option<(SocketAddr, CallTarget)> {
+    fleet.with_board(epoch, |board| call_target(board, worker)).flatten()
+}
+
+fn call_target(board: &Board, id: &WorkerId) -> Option<(SocketAddr, CallTarget)> {
+    let worker = board.workers.get(id)?;
+    let target = CallTarget {
+        worker: id.clone(),
+        data_centre: worker.facts.data_centre.clone(),
+        avoids_relay: false,
+    };
+    Some((worker.facts.address, target))
 }
 
 async fn send_start(fleet: Arc<Fleet>, epoch: u32, order: StartOrder) {
-    let outcome = match address_of(&fleet, epoch, &order.worker) {
+    let outcome = match target_of(&fleet, epoch, &order.worker) {
         None => StartOutcome::Unreached,
-        Some(address) => {
+        Some((address, target)) => {
             let call = StartCall {
                 address,
                 worker: order.worker.clone(),
@@ -143,7 +158,7 @@
                 fencing_token: epoch,
                 permit: order.permit.clone(),
             };
-            (fleet.platform.start)(call).await.unwrap_or_else(|error| {
+            relay::start(&fleet, &target, call).await.unwrap_or_else(|error| {
                 tracing::warn!(name: "order.failed", task = %order.task, %error, "could not send the start order");
                 StartOutcome::Unreached
             })
@@ -160,8 +175,9 @@
 }
 
 async fn send_stop(fleet: Arc<Fleet>, epoch: u32, order: StopOrder) {
-    let Some(call) = run_call(&fleet, epoch, &order, 0) else { return };
-    let outcome = (fleet.platform.stop)(call).await.unwrap_or_else(|error| {
+    let Some((target, call)) = run_call(&fleet, epoch, &order, 0) else { return };
+    let outcome = relay::order(&fleet, &target, RelayCall::Stop(call)).await;
+    let outcome = outcome.unwrap_or_else(|error| {
         tracing::warn!(name: "order.failed", task = %order.task, %error, "could not send the stop order");
         StopOutcome::Unknown
     });
@@ -172,23 +188,30 @@
 async fn send_pace(fleet: Arc<Fleet>, epoch: u32, order: PaceOrder) {
     let PaceOrder { worker, task, attempt, percent } = order;
     let run = StopOrder { worker, task, attempt };
-    let Some(call) = run_call(&fleet, epoch, &run, percent) else { return };
-    let outcome = (fleet.platform.pace)(call).await;
+    let Some((target, call)) = run_call(&fleet, epoch, &run, percent) else { return };
+    let outcome = relay::order(&fleet, &target, RelayCall::Pace(call)).await;
     if !matches!(outcome, Ok(StopOutcome::Accepted)) {
         tracing::debug!(name: "order.pace_unanswered", task = %run.task, ?outcome, "pace not confirmed; set again after the worker's next report");
         fleet.update_board(epoch, |board| board.pace_failed(&run));
     }
 }
 
-fn run_call(fleet: &Fleet, epoch: u32, order: &StopOrder, pace_percent: u32) -> Option<RunCall> {
-    Some(RunCall {
-        address: address_of(fleet, epoch, &order.worker)?,
+fn run_call(
+    fleet: &Fleet,
+    epoch: u32,
+    order: &StopOrder,
+    pace_percent: u32,
+) -> Option<(CallTarget, RunCall)> {
+    let (address, target) = target_of(fleet, epoch, &order.worker)?;
+    let call = RunCall {
+        address,
         worker: order.worker.clone(),
         task: order.task.clone(),
         attempt: order.attempt,
         fencing_token: epoch,
         pace_percent,
-    })
+    };
+    Some((target, call))
 }
 
 /// Stores the progress of jobs until the cell is lost: one transaction at a time,
@@ -266,13 +289,15 @@
 /// Polls a worker for reports and extends its leases, until the worker is removed
 /// or the cell is lost.
 pub async fn poll_worker(fleet: Arc<Fleet>, epoch: u32, id: WorkerId) {
+    let mut failures = 0_u32;
     loop {
         let now_ms = fleet.now_ms();
         let prepared = fleet.with_board(epoch, |board| {
             let poll = board.poll(&id, now_ms)?;
-            Some((poll, board.workers.get(&id)?.facts.address))
+            Some((poll, call_target(board, &id)?))
         });
-        let Some((poll, address)) = prepared.flatten() else { return };
+        let Some((poll, (address, mut target))) = prepared.flatten() else { return };
+        target.avoids_relay = !failures.is_multiple_of(2);
         let call = PollCall {
             address,
             worker: id.clone(),
@@ -281,8 +306,9 @@
             lease_deadline_ms: poll.lease_deadline_ms,
             wait_ms: poll.wait_ms,
         };
-        let pause_ms = match (fleet.platform.poll)(call).await {
+        let pause_ms = match relay::poll(&fleet, &target, call).await {
             Ok(PollOutcome::Report(report)) => {
+                failures = 0;
                 let has_ended_runs = !report.ended.is_empty();
                 let read_ms = fleet.now_ms();
                 fleet.update_board(epoch, |board| board.report(&id, now_ms, report, read_ms));
@@ -305,16 +331,19 @@
                 fleet.update_board(epoch, |board| board.remove_worker(&id, now_ms));
                 return;
             }
-            Err(error) => {
-                record_poll_failure(&fleet, epoch, &id, &error);
-                POLL_RETRY_MS
+            Err(PollError::RelayLost) => POLL_PAUSE_MS,
+            Err(PollError::Unresponsive(reason)) => {
+                record_poll_failure(&fleet, epoch, &id, &reason);
+                let doublings = failures.min(MAX_POLL_RETRY_DOUBLINGS);
+                failures += 1;
+                POLL_RETRY_MS << doublings
             }
         };
         sleep(Duration::from_millis(pause_ms)).await;
     }
 }
 
-fn record_poll_failure(fleet: &Fleet, epoch: u32, id: &WorkerId, error: &PlatformError) {
-    tracing::debug!(name: "worker.silent", worker = %id, %error, "worker did not respond; retrying");
+fn record_poll_failure(fleet: &Fleet, epoch: u32, id: &WorkerId, reason: &str) {
+    tracing::debug!(name: "worker.silent", worker = %id, error = reason, "worker did not respond; retrying");
     fleet.update_board(epoch, |board| board.poll_failed(id));
 }
--- a/crates/masticfall-entry/src/fleet/ended.rs
+++ b/crates/masticfall-entry/src/fleet/ended.rs
@@ -148,7 +148,9 @@
 async fn find_expired(fleet: &Fleet, epoch: u32) -> Result<Vec<JobId>> {
     let mut found = Vec::new();
     for partition in JOB_PARTITIONS {
-        let (rows, _) = read_all(&fleet.platform.range, ENDED_TABLE, partition).await?;
+        let (rows, _) =
+            read_all(&fleet.platform.range, ENDED_TABLE, partition, fleet.settings.page_rows())
+                .await?;
         let ids = rows.into_iter().map(|row| JobId::from(&*row.key));
         let is_kept =
             |id: &JobId| fleet.with_board(epoch, |board| board.keeps_ended(id)) != Some(false);
--- a/crates/masticfall-entry/src/fleet/follow.rs
+++ b/crates/masticfall-entry/src/fleet/follow.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::{FutureExt, StreamExt, TryStreamExt, stream};
 use masticfall_core::fleet::config::FleetConfig;
 use masticfall_core::fleet::spec::JobRecord;
 use masticfall_core::id::{JobId, WorkerId};
@@ -129,15 +130,19 @@
 /// Reads all rows of a table in the cell's partition, with the version to follow
 /// from.
 pub async fn read_table(fleet: &Fleet, table: &'static str) -> Result<(Vec<FleetRow>, u64)> {
-    read_all(&fleet.platform.range, table, CELL_PARTITION).await
+    read_all(&fleet.platform.range, table, CELL_PARTITION, fleet.settings.page_rows()).await
 }
 
 /// Reads the rows of all jobs that haven't ended, with the version to follow from.
 pub async fn read_jobs(fleet: &Fleet) -> Result<(Vec<FleetRow>, u64)> {
-    let reads = JOB_PARTITIONS.iter().map(|part| read_all(&fleet.platform.range, JOBS_TABLE, part));
+    let page_rows = fleet.settings.page_rows();
+    // Boxed, since the compiler can't prove the closure's future to be `Send` otherwise.
+    let reads = JOB_PARTITIONS
+        .map(|part| read_all(&fleet.platform.range, JOBS_TABLE, part, page_rows).boxed());
+    let reads = stream::iter(reads).buffered(fleet.settings.concurrent_reads());
     let mut all = Vec::new();
     let mut oldest = u64::MAX;
-    for (rows, version) in futures_util::future::try_join_all(reads).await? {
+    for (rows, version) in reads.try_collect::<Vec<_>>().await? {
         all.extend(rows);
         oldest = oldest.min(version);
     }
--- a/crates/masticfall-entry/src/fleet/jobs.rs
+++ b/crates/masticfall-entry/src/fleet/jobs.rs
@@ -11,13 +11,13 @@
 use masticfall_core::id::{AccountName, JobId, Name, QueueName};
 use masticfall_platform::PlatformError;
 use masticfall_platform::error::UnknownSnafu;
-use masticfall_platform::fleet::{FleetRow, RowCommit, RowKey, RowRange, RowTransaction};
+use masticfall_platform::fleet::{FleetRow, RowCommit, RowKey, RowTransaction};
 use tokio::time::{Instant, sleep, timeout_at};
 
 use super::context::Fleet;
 use super::rows::{
     ENDED_TABLE, JOBS_TABLE, MAX_ROW_BYTES, PROGRESS_TABLE, cancel_row_key, cell_row_key,
-    decode_row, encode_row, job_row_key,
+    decode_row, encode_row, job_row_key, read_row,
 };
 use crate::context::wall_ms;
 use crate::refusal::{Refusal, Result};
@@ -241,7 +241,7 @@
     if let Some(phase) = phase_on_board(fleet, &id) {
         return Ok(phase);
     }
-    if let Some(row) = read_row(fleet, cell_row_key(PROGRESS_TABLE, id.as_str())).await? {
+    if let Some(row) = read_row(&fleet.platform, cell_row_key(PROGRESS_TABLE, id.as_str())).await? {
         return Ok(decode_value::<ProgressRow>(&row)?.phase);
     }
     match stored_job(fleet, &id).await? {
@@ -271,20 +271,15 @@
 /// a job that is archived in between is not missed.
 async fn stored_job(fleet: &Fleet, id: &JobId) -> Result<Option<StoredJob>> {
     let row_key = job_row_key(JOBS_TABLE, id);
-    if let Some(row) = read_row(fleet, row_key.clone()).await? {
+    if let Some(row) = read_row(&fleet.platform, row_key.clone()).await? {
         return Ok(Some(StoredJob::Active(row_key, row.version)));
     }
-    let Some(row) = read_row(fleet, job_row_key(ENDED_TABLE, id)).await? else { return Ok(None) };
+    let Some(row) = read_row(&fleet.platform, job_row_key(ENDED_TABLE, id)).await? else {
+        return Ok(None);
+    };
     Ok(Some(StoredJob::Ended(decode_value::<EndedRow>(&row)?.phase)))
 }
 
-async fn read_row(fleet: &Fleet, row_key: RowKey) -> Result<Option<FleetRow>> {
-    let RowKey { table, part, key } = row_key;
-    let to = Name::from(format!("{key}\0"));
-    let page = (fleet.platform.range)(RowRange { table, part, from: key, to }).await?;
-    Ok(page.rows.into_iter().next().filter(|row| row.value.is_some()))
-}
-
 fn decode_value<T: serde::de::DeserializeOwned>(row: &FleetRow) -> Result<T> {
     Ok(decode_row(row.value.as_deref().unwrap_or_default())?)
 }
--- a/crates/masticfall-entry/src/fleet/leadership/load.rs
+++ b/crates/masticfall-entry/src/fleet/leadership/load.rs
@@ -17,7 +17,7 @@
 use crate::fleet::rows::{
     HEARTBEAT_KEY, HeartbeatRow, LEAD_TABLE, PROGRESS_TABLE, cancelled_job, decode_row,
 };
-use crate::fleet::{dispatch, ended, follow, machines};
+use crate::fleet::{dispatch, ended, follow, machines, relay};
 
 /// Delay before a failed read is retried, in milliseconds.
 const RETRY_MS: u64 = 100;
@@ -55,6 +55,7 @@
     let took_ms = begun.elapsed().as_millis() as u64;
     tracing::info!(name: "cell.taken", process = %fleet.incarnation, epoch, jobs = count, rows, took_ms, fell_silent = previous_timed_out, "took over the cell; now dispatching");
     fleet.metrics.takeovers.inc();
+    tokio::spawn(relay::maintain(Arc::clone(fleet), epoch));
     for worker in workers {
         tokio::spawn(dispatch::poll_worker(Arc::clone(fleet), epoch, worker));
     }
--- a/crates/masticfall-entry/src/fleet/machines.rs
+++ b/crates/masticfall-entry/src/fleet/machines.rs
@@ -17,7 +17,8 @@
 use masticfall_core::fleet::spec::Resources;
 use masticfall_core::id::{InstanceName, Name, PoolName, WaveName};
 use masticfall_platform::Result;
-use masticfall_platform::fleet::{Machine, MachineCall, MachineOutcome, RowKey};
+use masticfall_platform::fleet::{Machine, MachineCall, MachineOutcome, RowKey, SendCheck};
+use masticfall_platform::traffic::TrafficCount;
 use tokio::time::sleep;
 
 use super::context::{Fleet, Ownership};
@@ -26,6 +27,7 @@
     CALLS_TABLE, INSTANCE_CALLS_KEY, InstanceCallsRow, LEAD_TABLE, cell_row_key, decode_row,
     encode_row,
 };
+use super::settings::BYTES_PER_MS_PER_MBPS;
 use super::{follow, leadership};
 
 /// Pause between two planning rounds, in milliseconds: short compared with the
@@ -40,12 +42,29 @@
 /// waits this much longer before its first call about an instance that the previous
 /// owner may have called, and an owner keeps its calls listed for its successor this
 /// much longer.
-const LEASE_MARGIN_MS: u64 = 300;
+const LEASE_MARGIN_MS: u64 = 800;
+
+/// Maximum age of the proof of ownership when a call about an instance is sent, in
+/// milliseconds. The next owner may have taken over right after the proof, and counts
+/// the lease from then, so this and the call's way to the provider have to fit into
+/// [`LEASE_MARGIN_MS`].
+const MAX_PROOF_AGE_MS: u64 = 600;
 
 /// Planned downtime of an instance in maintenance, in milliseconds. The platform
 /// states two seconds; the instance list shows when the instance is back.
 const PLANNED_DOWNTIME_MS: u64 = 2_000;
 
+/// Size of an instance in the list, in bytes.
+const LISTED_MACHINE_BYTES: f64 = 160.0;
+
+/// Maximum share of the link for reading the list of instances. At 1,100 instances and
+/// 200 Mbit/s the list is then read every 0.2 s, and decoding it takes about a hundredth
+/// of a core.
+const MAX_LIST_LINK_SHARE: f64 = 0.035;
+
+/// Maximum interval between two reads of the list of instances, in milliseconds.
+const MAX_LIST_INTERVAL_MS: u64 = 600;
+
 /// Round of a call of unknown outcome, which may still take effect at any time.
 const UNKNOWN_OUTCOME: u64 = u64::MAX;
 
@@ -59,6 +78,8 @@
     recent: IndexMap<InstanceName, (u64, u64)>,
     /// Number of the current round of calls.
     round: u64,
+    /// When the write that proves the ownership for this round was sent.
+    proof_sent_ms: u64,
     sequence: WriteSequence,
     lease_ms: u64,
 }
@@ -92,6 +113,7 @@
                             .collect(),
                         recent: IndexMap::new(),
                         round: 0,
+                        proof_sent_ms: 0,
                         sequence: WriteSequence::new(cell_row_key(CALLS_TABLE, INSTANCE_CALLS_KEY)),
                         lease_ms,
                     });
@@ -123,6 +145,7 @@
         let now_ms = fleet.now_ms();
         let lease_ms = self.lease_ms;
         self.round += 1;
+        self.proof_sent_ms = now_ms;
         let round = self.round;
         self.recent.retain(|_, (at_ms, _)| now_ms < *at_ms + lease_ms);
         self.recent.extend(instances.map(|name| (name.clone(), (now_ms, round))));
@@ -135,6 +158,13 @@
         leadership::write_ordered(fleet, ownership, &mut self.sequence, row, writes).await
     }
 
+    /// Returns the check that a call of the current round may still be sent: the proof
+    /// of ownership is recent, and no loss of the ownership is known.
+    fn send_check(&self, fleet: &Arc<Fleet>, ownership: Ownership) -> SendCheck {
+        let (fleet, send_by_ms) = (Arc::clone(fleet), self.proof_sent_ms + MAX_PROOF_AGE_MS);
+        Arc::new(move || fleet.now_ms() <= send_by_ms && fleet.is_owner(ownership.epoch))
+    }
+
     /// Records the end of the current round, with the instances whose call has an
     /// unknown outcome. Such a call may still take effect later; the round isn't
     /// reported as completed until the row says so.
@@ -156,6 +186,29 @@
     }
 }
 
+/// The list of instances as last read.
+#[derive(Debug, Default)]
+struct ListedMachines {
+    machines: IndexMap<InstanceName, MachineView>,
+    next_read_ms: u64,
+}
+
+impl ListedMachines {
+    /// Returns the list, which is read again unless it was read recently: it is read whole
+    /// each time, which takes too much of the link and of the processor on a large fleet.
+    async fn refresh(&mut self, fleet: &Fleet) -> Result<&IndexMap<InstanceName, MachineView>> {
+        let now_ms = fleet.now_ms();
+        if now_ms >= self.next_read_ms {
+            self.machines = machine_views((fleet.platform.machines)(()).await?);
+            let link_bytes_per_ms = fleet.settings.link_mbps * BYTES_PER_MS_PER_MBPS;
+            let list_bytes = self.machines.len() as f64 * LISTED_MACHINE_BYTES;
+            let interval_ms = list_bytes / (link_bytes_per_ms * MAX_LIST_LINK_SHARE);
+            self.next_read_ms = now_ms + (interval_ms as u64).min(MAX_LIST_INTERVAL_MS);
+        }
+        Ok(&self.machines)
+    }
+}
+
 /// Returns the key of a wave's row.
 fn wave_key(name: &WaveName) -> String {
     format!("wave/{name}")
@@ -168,9 +221,24 @@
     let mut finished: Vec<WaveName> = Vec::new();
     let mut planner = PoolPlanner::new(fleet.settings.machine_calls_per_s);
     let mut logged_ms = 0;
+    let mut listed = ListedMachines::default();
+    let mut traffic = IndexMap::new();
     while fleet.is_owner(ownership.epoch) {
-        let result =
-            run_round(&fleet, ownership, &mut waves, &mut finished, &mut planner, &mut calls).await;
+        let result = match listed.refresh(&fleet).await {
+            Ok(machines) => {
+                run_round(
+                    &fleet,
+                    ownership,
+                    &mut waves,
+                    &mut finished,
+                    &mut planner,
+                    &mut calls,
+                    machines,
+                )
+                .await
+            }
+            Err(error) => Err(error),
+        };
         if let Err(error) = result {
             tracing::warn!(name: "wave.round_failed", %error, "maintenance and pool round failed; retrying");
             // No instance can be moved: accept jobs only for the pools' current capacity.
@@ -182,6 +250,7 @@
         if now_ms >= logged_ms + LOG_INTERVAL_MS {
             logged_ms = now_ms;
             log_pools(ownership.epoch, &planner);
+            traffic = log_traffic(&fleet, ownership.epoch, &traffic);
             log_waves(ownership.epoch, &waves);
         }
         sleep(Duration::from_millis(ROUND_PAUSE_MS)).await;
@@ -203,6 +272,24 @@
     }
 }
 
+/// Logs the owner's traffic since the last call, by kind of call; returns the new counts.
+fn log_traffic(
+    fleet: &Fleet,
+    epoch: u32,
+    earlier: &IndexMap<&'static str, TrafficCount>,
+) -> IndexMap<&'static str, TrafficCount> {
+    let counts = fleet.platform.traffic.counts().map(|(kind, count)| (kind.into(), count));
+    let counts: IndexMap<&'static str, TrafficCount> = counts.collect();
+    for (call, count) in &counts {
+        let before = earlier.get(call).copied().unwrap_or_default();
+        let TrafficCount { calls, sent_bytes, received_bytes } = count.since(&before);
+        if calls > 0 {
+            tracing::info!(name: "owner.traffic", epoch, call, calls, sent_bytes, received_bytes, "traffic of the owner");
+        }
+    }
+    counts
+}
+
 /// Logs the progress of each wave.
 fn log_waves(epoch: u32, waves: &IndexMap<WaveName, Wave>) {
     for (name, wave) in waves {
@@ -219,19 +306,19 @@
     finished: &mut Vec<WaveName>,
     planner: &mut PoolPlanner,
     calls: &mut InstanceCalls,
+    machines: &IndexMap<InstanceName, MachineView>,
 ) -> Result<()> {
     load_new_waves(fleet, waves, finished).await?;
-    let machines = machine_views((fleet.platform.machines)(()).await?);
     for wave in waves.values_mut() {
-        advance_wave(fleet, ownership, wave, &machines, calls).await?;
-        if wave.is_done(&machines) {
+        advance_wave(fleet, ownership, wave, machines, calls).await?;
+        if wave.is_done(machines) {
             (fleet.platform.report_wave)((wave.name.clone(), true)).await?;
             tracing::info!(name: "wave.completed", wave = %wave.name, instances = wave.instances.len(), "maintenance wave completed");
             finished.push(wave.name.clone());
         }
     }
     waves.retain(|name, _| !finished.contains(name));
-    move_instances(fleet, ownership, waves, planner, &machines, calls).await
+    move_instances(fleet, ownership, waves, planner, machines, calls).await
 }
 
 async fn move_instances(
@@ -267,7 +354,8 @@
         }
         return recorded.map(drop);
     }
-    let requests = calls.iter().map(|call| move_instance(fleet, ownership, call));
+    let may_send = instance_calls.send_check(fleet, ownership);
+    let requests = calls.iter().map(|call| move_instance(fleet, ownership, &may_send, call));
     let outcomes = futures_util::future::join_all(requests).await;
     let unresolved =
         calls.iter().zip(&outcomes).filter(|(_, outcome)| **outcome == MoveOutcome::Unknown);
@@ -280,31 +368,51 @@
     Ok(())
 }
 
-async fn move_instance(fleet: &Fleet, ownership: Ownership, call: &MoveCall) -> MoveOutcome {
-    match change_instance(fleet, ownership, &call.instance, Some(&call.to), None).await {
+async fn move_instance(
+    fleet: &Fleet,
+    ownership: Ownership,
+    may_send: &SendCheck,
+    call: &MoveCall,
+) -> MoveOutcome {
+    let change = InstanceChange::Move(call.to.clone());
+    match change_instance(fleet, ownership, may_send, &call.instance, change).await {
         MachineOutcome::Done => MoveOutcome::Begun,
         MachineOutcome::Invalid | MachineOutcome::NotInWave => MoveOutcome::NotAllowed,
-        MachineOutcome::Busy | MachineOutcome::Limited | MachineOutcome::Fenced => {
-            MoveOutcome::Refused
-        }
+        MachineOutcome::Busy
+        | MachineOutcome::Limited
+        | MachineOutcome::NotSent
+        | MachineOutcome::Fenced => MoveOutcome::Refused,
         MachineOutcome::Unknown => MoveOutcome::Unknown,
     }
 }
 
+/// A change of an instance.
+enum InstanceChange {
+    /// To another pool.
+    Move(PoolName),
+    /// Maintenance, as part of a wave.
+    Maintain(WaveName),
+}
+
 /// Requests a change of one instance from the provider.
 async fn change_instance(
     fleet: &Fleet,
     ownership: Ownership,
+    may_send: &SendCheck,
     instance: &InstanceName,
-    pool: Option<&PoolName>,
-    wave: Option<&WaveName>,
+    change: InstanceChange,
 ) -> MachineOutcome {
+    let (pool, wave) = match change {
+        InstanceChange::Move(pool) => (Some(pool), None),
+        InstanceChange::Maintain(wave) => (None, Some(wave)),
+    };
     let call = MachineCall {
         instance: instance.clone(),
-        pool: pool.cloned(),
-        wave: wave.cloned(),
+        pool,
+        wave,
         holder: Name::clone(fleet.incarnation.name()),
         fencing_token: ownership.epoch,
+        may_send: Arc::clone(may_send),
     };
     (fleet.platform.change_machine)(call).await.unwrap_or_else(|error| {
         tracing::warn!(name: "instance.call_failed", %instance, %error, "could not send the instance call");
@@ -377,7 +485,9 @@
             return Err(error);
         }
     }
-    let requests = calls.iter().map(|call| take_down(fleet, ownership, &wave.name, call));
+    let may_send = instance_calls.send_check(fleet, ownership);
+    let requests =
+        calls.iter().map(|call| take_down(fleet, ownership, &may_send, &wave.name, call));
     let outcomes = futures_util::future::join_all(requests).await;
     let unresolved =
         calls.iter().zip(&outcomes).filter(|(_, outcome)| **outcome == TakeDownOutcome::Unknown);
@@ -404,15 +514,18 @@
 async fn take_down(
     fleet: &Fleet,
     ownership: Ownership,
+    may_send: &SendCheck,
     wave: &WaveName,
     call: &TakeDownCall,
 ) -> TakeDownOutcome {
-    match change_instance(fleet, ownership, &call.instance, None, Some(wave)).await {
+    let change = InstanceChange::Maintain(wave.clone());
+    match change_instance(fleet, ownership, may_send, &call.instance, change).await {
         MachineOutcome::Done => TakeDownOutcome::Begun,
         MachineOutcome::NotInWave | MachineOutcome::Invalid => TakeDownOutcome::NotDue,
-        MachineOutcome::Busy | MachineOutcome::Limited | MachineOutcome::Fenced => {
-            TakeDownOutcome::Refused
-        }
+        MachineOutcome::Busy
+        | MachineOutcome::Limited
+        | MachineOutcome::NotSent
+        | MachineOutcome::Fenced => TakeDownOutcome::Refused,
         MachineOutcome::Unknown => TakeDownOutcome::Unknown,
     }
 }
--- a/crates/masticfall-entry/src/fleet/metrics.rs
+++ b/crates/masticfall-entry/src/fleet/metrics.rs
@@ -1,11 +1,14 @@
 //! Counters and latency histograms of a process.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use masticfall_core::error::ErrorKind;
-use prometheus_client::encoding::EncodeLabelSet;
+use masticfall_platform::traffic::{Traffic, TrafficCount};
+use prometheus_client::collector::Collector;
 use prometheus_client::encoding::text::encode;
-use prometheus_client::metrics::counter::Counter;
+use prometheus_client::encoding::{DescriptorEncoder, EncodeLabelSet, EncodeMetric};
+use prometheus_client::metrics::counter::{ConstCounter, Counter};
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
@@ -26,6 +29,40 @@
     pub end: &'static str,
 }
 
+/// Exposes the traffic with the platform by kind of call.
+#[derive(Debug)]
+struct TrafficCollector(Arc<Traffic>);
+
+impl TrafficCollector {
+    fn encode_counter(
+        &self,
+        encoder: &mut DescriptorEncoder<'_>,
+        name: &str,
+        help: &str,
+        value: fn(&TrafficCount) -> u64,
+    ) -> Result<(), std::fmt::Error> {
+        let total = ConstCounter::new(0_u64);
+        let mut family = encoder.encode_descriptor(name, help, None, total.metric_type())?;
+        for (kind, count) in self.0.counts() {
+            let label: &'static str = kind.into();
+            let counter = ConstCounter::new(value(&count));
+            counter.encode(family.encode_family(&[("call", label)])?)?;
+        }
+        Ok(())
+    }
+}
+
+impl Collector for TrafficCollector {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> Result<(), std::fmt::Error> {
+        let encoder = &mut encoder;
+        self.encode_counter(encoder, "calls", "Calls to the platform", |count| count.calls)?;
+        let help = "Bytes of request bodies to the platform";
+        self.encode_counter(encoder, "sent_bytes", help, |count| count.sent_bytes)?;
+        let help = "Bytes of response bodies from the platform";
+        self.encode_counter(encoder, "received_bytes", help, |count| count.received_bytes)
+    }
+}
+
 /// Metrics of a process.
 #[derive(Debug)]
 pub struct FleetMetrics {
@@ -44,15 +81,9 @@
     pub takeovers: Counter,
 }
 
-impl Default for FleetMetrics {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 impl FleetMetrics {
-    /// Creates and registers all metrics.
-    pub fn new() -> Self {
+    /// Creates and registers all metrics; `traffic` is counted by the platform's adapter.
+    pub fn new(traffic: Arc<Traffic>) -> Self {
         let histogram = || Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKET_COUNT));
         let metrics = Self {
             registry: Registry::default(),
@@ -65,6 +96,7 @@
             takeovers: Counter::default(),
         };
         let mut registry = Registry::with_prefix("masticfall");
+        registry.register_collector(Box::new(TrafficCollector(traffic)));
         let m = &metrics;
         registry.register("requests", "Requests by method and end", m.requests.clone());
         registry.register("request_seconds", "Time to answer a request", m.latency.clone());
--- a/crates/masticfall-entry/src/fleet/peers.rs
+++ b/crates/masticfall-entry/src/fleet/peers.rs
@@ -7,13 +7,15 @@
 
 mod channel;
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
 use masticfall_core::fleet::config::FleetConfig;
-use masticfall_core::id::Name;
+use masticfall_core::fleet::relays::worker_capacity;
+use masticfall_core::id::{DataCentre, Name};
 use masticfall_platform::Result;
 use masticfall_platform::fleet::RowTransaction;
 use rand::Rng;
@@ -21,10 +23,11 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
-pub use channel::{fetch_config, serve};
+pub use channel::{connect_relay, fetch_config, serve};
 
 use super::context::Fleet;
 use super::follow;
+use super::relay::RelayConnector;
 use super::rows::{PEERS_TABLE, cell_row_key, decode_row, encode_row};
 
 /// Interval of requests to peers, in milliseconds: with three tries a second, a
@@ -50,6 +53,38 @@
     pub address: SocketAddr,
     /// Token that a request must carry: proves that the sender can read these rows.
     pub token: Name,
+    /// Its data centre.
+    #[serde(default = "unknown_data_centre")]
+    pub data_centre: DataCentre,
+    /// Number of workers that it can serve as a relay; 0 if it doesn't relay.
+    #[serde(default)]
+    pub worker_capacity: u32,
+}
+
+/// Data centre of a process whose version doesn't relay.
+fn unknown_data_centre() -> DataCentre {
+    DataCentre::from("")
+}
+
+/// Calls to other processes.
+#[derive(Clone)]
+pub struct PeerCalls {
+    /// Requests a configuration.
+    pub fetch_config: ConfigFetcher,
+    /// Connects to a relay.
+    pub connect_relay: RelayConnector,
+}
+
+impl fmt::Debug for PeerCalls {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("PeerCalls").finish_non_exhaustive()
+    }
+}
+
+impl Default for PeerCalls {
+    fn default() -> Self {
+        Self { fetch_config: Arc::new(fetch_config), connect_relay: Arc::new(connect_relay) }
+    }
 }
 
 /// Requests a configuration newer than a version from a peer.
@@ -64,21 +99,8 @@
         if !is_listed {
             is_listed = write_own_row(&fleet, true).await.is_ok();
         }
-        let wait_ms = match follow::read_table(&fleet, PEERS_TABLE).await {
-            Ok((rows, _)) => {
-                let mut peers = fleet.peers.lock();
-                peers.clear();
-                for row in rows.iter().filter(|row| *row.key != *fleet.settings.name) {
-                    match row.value.as_deref().map(decode_row::<PeerRow>) {
-                        Some(Ok(peer)) => drop(peers.insert(Name::clone(&row.key), peer)),
-                        Some(Err(error)) => {
-                            tracing::warn!(name: "peer.unreadable", peer = &*row.key, %error, "ignoring peer row");
-                        }
-                        None => {}
-                    }
-                }
-                LIST_INTERVAL_MS
-            }
+        let wait_ms = match read_list(&fleet).await {
+            Ok(()) => LIST_INTERVAL_MS,
             Err(error) => {
                 tracing::debug!(name: "peers.not_read", %error, "failed to read the list of peers; retrying");
                 RETRY_MS
@@ -90,12 +112,37 @@
     }
 }
 
+/// Reads the list of the other processes.
+///
+/// # Errors
+/// The platform's failure.
+pub async fn read_list(fleet: &Fleet) -> Result<()> {
+    let (rows, _) = follow::read_table(fleet, PEERS_TABLE).await?;
+    let mut peers = fleet.peers.lock();
+    peers.clear();
+    for row in rows.iter().filter(|row| *row.key != *fleet.settings.name) {
+        match row.value.as_deref().map(decode_row::<PeerRow>) {
+            Some(Ok(peer)) => drop(peers.insert(Name::clone(&row.key), peer)),
+            Some(Err(error)) => {
+                tracing::warn!(name: "peer.unreadable", peer = &*row.key, %error, "ignoring peer row");
+            }
+            None => {}
+        }
+    }
+    Ok(())
+}
+
 /// Writes or removes the row of this process.
 ///
 /// # Errors
 /// The platform's failure.
 pub async fn write_own_row(fleet: &Fleet, is_listed: bool) -> Result<()> {
-    let row = PeerRow { address: fleet.settings.peers, token: Name::clone(&fleet.token) };
+    let row = PeerRow {
+        address: fleet.settings.peers,
+        token: Name::clone(&fleet.token),
+        data_centre: fleet.settings.data_centre.clone(),
+        worker_capacity: worker_capacity(fleet.settings.cpu_share, fleet.settings.link_mbps),
+    };
     let row = if is_listed { Some(encode_row(&row)?) } else { None };
     let writes = vec![(cell_row_key(PEERS_TABLE, Name::clone(&fleet.settings.name)), row)];
     (fleet.platform.transact)(RowTransaction { checks: Vec::new(), writes }).await.map(drop)
@@ -114,7 +161,7 @@
         let Some(peer) = peer else { continue };
         let known = fleet.config().map_or(0, |config| config.version);
         let address = peer.address;
-        match (fleet.fetch_peer_config)(peer, known).await {
+        match (fleet.peer_calls.fetch_config)(peer, known).await {
             Ok(Some(config)) => {
                 tracing::info!(name: "config.from_peer", process = %fleet.incarnation, peer = %address, known, version = config.version, "received a newer configuration from a peer");
                 follow::apply_config(&fleet, Arc::new(config));
--- a/crates/masticfall-entry/src/fleet/peers/channel.rs
+++ b/crates/masticfall-entry/src/fleet/peers/channel.rs
@@ -1,4 +1,4 @@
-//! Configuration requests between processes: CBOR over WebSocket.
+//! Connections between processes: CBOR over WebSocket.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,21 +10,35 @@
 use masticfall_platform::{PlatformError, Result};
 use masticfall_wire::{decode, encode};
 use subtle::ConstantTimeEq;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
 use tokio::time::timeout;
 use tokio_tungstenite::tungstenite::client::IntoClientRequest;
 use tokio_tungstenite::tungstenite::handshake::server::{ErrorResponse, Request, Response};
 use tokio_tungstenite::tungstenite::http::{HeaderValue, StatusCode};
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::tungstenite::{Error, Message};
-use tokio_tungstenite::{accept_hdr_async_with_config, connect_async_with_config};
+use tokio_tungstenite::{
+    MaybeTlsStream, WebSocketStream, accept_hdr_async_with_config, connect_async_with_config,
+};
 
 use super::PeerRow;
 use crate::fleet::context::Fleet;
+use crate::fleet::relay::{self, FrameChannel};
 
 /// Header with the token of the process that receives the request.
 const TOKEN_HEADER: &str = "masticfall-peer-token";
 
+/// Path of requests for the configuration.
+const CONFIG_PATH: &str = "/config";
+
+/// Path of an owner's connection to a relay.
+const RELAY_PATH: &str = "/relay";
+
+/// Frames that a connection holds in each direction before the sender has to wait.
+const FRAMES_IN_FLIGHT: usize = 4;
+
 /// Timeout of an exchange, in milliseconds: enough for a configuration of a few
 /// megabytes over a link of 10 Mbit/s.
 const EXCHANGE_TIMEOUT_MS: u64 = 2_500;
@@ -46,16 +60,58 @@
     })
 }
 
-async fn exchange(peer: &PeerRow, known: u64) -> Result<Option<FleetConfig>> {
-    let unavailable =
-        |error: Error| -> PlatformError { UnavailableSnafu { reason: error.to_string() }.build() };
-    let malformed = |reason: String| -> PlatformError { MalformedSnafu { reason }.build() };
-    let url = format!("ws://{}/config", peer.address);
+#[expect(clippy::needless_pass_by_value, reason = "passed to `map_err`")]
+fn unavailable(error: Error) -> PlatformError {
+    UnavailableSnafu { reason: error.to_string() }.build()
+}
+
+async fn connect(peer: &PeerRow, path: &str) -> Result<WebSocketStream<MaybeTlsStream<TcpStream>>> {
+    let url = format!("ws://{}{path}", peer.address);
     let mut request = url.into_client_request().map_err(unavailable)?;
-    let token = HeaderValue::from_str(&peer.token).map_err(|error| malformed(error.to_string()))?;
+    let token = HeaderValue::from_str(&peer.token)
+        .or_else(|error| MalformedSnafu { reason: error.to_string() }.fail())?;
     request.headers_mut().insert(TOKEN_HEADER, token);
     let connected = connect_async_with_config(request, Some(websocket_config()), true).await;
-    let (mut channel, _) = connected.map_err(unavailable)?;
+    let (channel, _) = connected.map_err(unavailable)?;
+    Ok(channel)
+}
+
+/// Opens a connection to a process that relays calls to workers.
+pub fn connect_relay(peer: PeerRow) -> BoxFuture<'static, Result<FrameChannel>> {
+    Box::pin(async move { Ok(carry_frames(connect(&peer, RELAY_PATH).await?)) })
+}
+
+/// Carries frames over a connection until either side ends it.
+fn carry_frames<S>(connection: WebSocketStream<S>) -> FrameChannel
+where
+    S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+{
+    let (mut sink, mut stream) = connection.split();
+    let (outgoing, mut frames) = mpsc::channel::<Vec<u8>>(FRAMES_IN_FLIGHT);
+    let (received, incoming) = mpsc::channel(FRAMES_IN_FLIGHT);
+    tokio::spawn(async move {
+        while let Some(frame) = frames.recv().await {
+            if let Err(error) = sink.send(Message::binary(frame)).await {
+                tracing::debug!(name: "peer.broken_off", %error, "peer connection failed");
+                return;
+            }
+        }
+        // The other side may have closed the connection already.
+        drop(sink.close().await);
+    });
+    tokio::spawn(async move {
+        while let Some(Ok(message)) = stream.next().await {
+            if message.is_binary() && received.send(message.into_data().to_vec()).await.is_err() {
+                return;
+            }
+        }
+    });
+    FrameChannel { outgoing, incoming }
+}
+
+async fn exchange(peer: &PeerRow, known: u64) -> Result<Option<FleetConfig>> {
+    let malformed = |reason: String| -> PlatformError { MalformedSnafu { reason }.build() };
+    let mut channel = connect(peer, CONFIG_PATH).await?;
     let message = encode(&known).map_err(|error| malformed(error.to_string()))?;
     channel.send(Message::binary(message)).await.map_err(unavailable)?;
     match channel.next().await {
@@ -67,7 +123,7 @@
     }
 }
 
-/// Serves the configuration to peers for as long as the process runs.
+/// Serves peers for as long as the process runs.
 pub async fn serve(fleet: Arc<Fleet>, listener: TcpListener) {
     loop {
         match listener.accept().await {
@@ -75,9 +131,15 @@
                 let fleet = Arc::clone(&fleet);
                 tokio::spawn(async move {
                     let handling = handle_request(&fleet, stream);
-                    if timeout(Duration::from_millis(EXCHANGE_TIMEOUT_MS), handling).await.is_err()
-                    {
-                        tracing::debug!(name: "peer.too_slow", "peer request timed out");
+                    match timeout(Duration::from_millis(EXCHANGE_TIMEOUT_MS), handling).await {
+                        Ok(Ok(Some(channel))) => relay::serve(fleet, channel).await,
+                        Ok(Ok(None)) => {}
+                        Ok(Err(error)) => {
+                            tracing::debug!(name: "peer.broken_off", %error, "peer connection failed");
+                        }
+                        Err(_elapsed) => {
+                            tracing::debug!(name: "peer.too_slow", "peer request timed out");
+                        }
                     }
                 });
             }
@@ -89,10 +151,14 @@
     }
 }
 
+/// Handles a request for the configuration, or accepts an owner's connection to a relay
+/// and returns it.
 #[expect(clippy::result_large_err, reason = "the library's callback has this type")]
-async fn handle_request(fleet: &Fleet, stream: TcpStream) {
+async fn handle_request(fleet: &Fleet, stream: TcpStream) -> Result<Option<FrameChannel>, Error> {
+    let mut is_relay = false;
     let check = |request: &Request, response: Response| {
         let given = request.headers().get(TOKEN_HEADER).map(HeaderValue::as_bytes);
+        is_relay = request.uri().path() == RELAY_PATH;
         if given.is_some_and(|given| given.ct_eq(fleet.token.as_bytes()).into()) {
             return Ok(response);
         }
@@ -100,17 +166,16 @@
         *refused.status_mut() = StatusCode::UNAUTHORIZED;
         Err(refused)
     };
-    let exchange = async {
-        let mut channel =
-            accept_hdr_async_with_config(stream, check, Some(websocket_config())).await?;
-        let Some(message) = channel.next().await.transpose()? else { return Ok(()) };
-        let Ok(known) = decode::<u64>(&message.into_data()) else { return Ok(()) };
-        let newer = fleet.config().filter(|config| config.version > known);
-        let Ok(bytes) = encode(&newer.as_deref()) else { return Ok(()) };
-        channel.send(Message::binary(bytes)).await?;
-        channel.close(None).await
-    };
-    if let Err::<(), Error>(error) = exchange.await {
-        tracing::debug!(name: "peer.broken_off", %error, "peer connection failed");
+    let config = Some(websocket_config());
+    let mut channel = accept_hdr_async_with_config(stream, check, config).await?;
+    if is_relay {
+        return Ok(Some(carry_frames(channel)));
     }
+    let Some(message) = channel.next().await.transpose()? else { return Ok(None) };
+    let Ok(known) = decode::<u64>(&message.into_data()) else { return Ok(None) };
+    let newer = fleet.config().filter(|config| config.version > known);
+    let Ok(bytes) = encode(&newer.as_deref()) else { return Ok(None) };
+    channel.send(Message::binary(bytes)).await?;
+    channel.close(None).await?;
+    Ok(None)
 }
--- a/crates/masticfall-entry/src/fleet/rows.rs
+++ b/crates/masticfall-entry/src/fleet/rows.rs
@@ -2,9 +2,10 @@
 
 use indexmap::IndexMap;
 use masticfall_core::fleet::admission::PoolLoad;
+use masticfall_core::hash::fnv_1a;
 use masticfall_core::id::{Incarnation, InstanceName, JobId, Name, PoolName, QueueName, WorkerId};
 use masticfall_platform::error::{MalformedSnafu, Result};
-use masticfall_platform::fleet::RowKey;
+use masticfall_platform::fleet::{FleetPlatform, FleetRow, RowKey, RowRange};
 use masticfall_wire::{decode, encode};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -122,12 +123,20 @@
     RowKey { key: Name::from(cancel_key(id)), ..job_row_key(JOBS_TABLE, id) }
 }
 
+/// Reads one row; returns `None` if it doesn't exist.
+///
+/// # Errors
+/// The platform's failure.
+pub async fn read_row(platform: &FleetPlatform, row_key: RowKey) -> Result<Option<FleetRow>> {
+    let RowKey { table, part, key } = row_key;
+    let to = Name::from(format!("{key}\0"));
+    let page = (platform.range)(RowRange { table, part, from: key, to, limit: 1 }).await?;
+    Ok(page.rows.into_iter().next().filter(|row| row.value.is_some()))
+}
+
 /// Returns the partition of a job's rows.
 pub fn job_partition(id: &JobId) -> &'static str {
-    // FNV-1a spreads sequential identifiers, too.
-    let hash = id.as_str().bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-    });
+    let hash = fnv_1a(id.as_str().bytes());
     JOB_PARTITIONS[(hash % JOB_PARTITIONS.len() as u64) as usize]
 }
 
--- a/crates/masticfall-entry/src/fleet/run.rs
+++ b/crates/masticfall-entry/src/fleet/run.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use super::context::{Clock, Fleet, FleetPhase};
-use super::peers::ConfigFetcher;
+use super::peers::PeerCalls;
 use super::settings::FleetSettings;
 use super::{follow, leadership, peers};
 
@@ -33,15 +33,14 @@
 }
 
 /// Starts the background tasks of a process. Except in tests, `clock` is
-/// [`boottime_ms`](super::context::boottime_ms) and `fetch_peer_config` is
-/// [`peers::fetch_config`].
+/// [`boottime_ms`](super::context::boottime_ms) and `peer_calls` are the default ones.
 pub fn start(
     settings: FleetSettings,
     platform: FleetPlatform,
     clock: Clock,
-    fetch_peer_config: ConfigFetcher,
+    peer_calls: PeerCalls,
 ) -> RunningFleet {
-    let fleet = Fleet::new(settings, platform, clock, fetch_peer_config);
+    let fleet = Fleet::new(settings, platform, clock, peer_calls);
     let background_tasks: Vec<BoxFuture<'static, ()>> = vec![
         Box::pin(follow::operators(Arc::clone(&fleet))),
         Box::pin(follow::ownership(Arc::clone(&fleet))),
--- a/crates/masticfall-entry/src/fleet/settings.rs
+++ b/crates/masticfall-entry/src/fleet/settings.rs
@@ -4,6 +4,7 @@
 
 use masticfall_core::config::{ConfigError, Document};
 use masticfall_core::id::{DataCentre, Name};
+use masticfall_platform::fleet::MAX_PAGE_ROWS;
 
 use crate::settings::address;
 
@@ -24,10 +25,33 @@
 /// Bandwidth that is sufficient to load a large cell's rows within 0.2 s, in Mbit/s.
 const SUFFICIENT_LINK_MBPS: f64 = 150.0;
 
+/// Time in which a page of rows is to arrive, in milliseconds; a third of the timeout of
+/// a read.
+const MAX_PAGE_MS: f64 = 400.0;
+
+/// Bytes that a link of one Mbit/s carries in a millisecond.
+pub const BYTES_PER_MS_PER_MBPS: f64 = 125.0;
+
+/// Size of a large row as transferred, in bytes.
+const LARGE_ROW_BYTES: f64 = 1_500.0;
+
+/// Minimum number of rows in a page; fewer would take longer in round trips.
+const MIN_PAGE_ROWS: u32 = 20;
+
+/// Bandwidth for which one read at a time suffices, in Mbit/s.
+const LINK_MBPS_PER_READ: f64 = 10.0;
+
 /// Default rate limit of the provider of instances, in calls a second: the lowest
 /// of all known deployments.
 const DEFAULT_MACHINE_CALLS_PER_S: f64 = 64.0;
 
+/// Default of the number of workers that the owner calls itself; a process with a quarter
+/// of a core keeps up with that many at a peak.
+const DEFAULT_MAX_DIRECT_WORKERS: u64 = 64;
+
+/// Maximum of the number of workers that the owner calls itself.
+const MAX_DIRECT_WORKERS_LIMIT: u64 = 100_000;
+
 /// Settings of a process.
 #[derive(Debug, Clone)]
 pub struct FleetSettings {
@@ -72,6 +96,9 @@
     pub cpu_share: f64,
     /// Bandwidth of the instance's link, in Mbit/s.
     pub link_mbps: f64,
+    /// Number of workers up to which the owner of the cell calls all of them itself;
+    /// beyond it, other processes relay its calls.
+    pub max_direct_workers: u64,
 }
 
 /// Result of reading settings: the settings, or all errors found.
@@ -101,6 +128,7 @@
             keep_ended_ms: 120_000,
             cpu_share: SUFFICIENT_CPU_SHARE,
             link_mbps: SUFFICIENT_LINK_MBPS,
+            max_direct_workers: DEFAULT_MAX_DIRECT_WORKERS,
         }
     }
 
@@ -116,6 +144,18 @@
         cpu.min(link).clamp(0.0, 1.0)
     }
 
+    /// Returns how many rows of a table are read at a time, so that a page arrives well
+    /// within the timeout of a read on a thin link.
+    pub fn page_rows(&self) -> u32 {
+        let page_bytes = self.link_mbps * BYTES_PER_MS_PER_MBPS * MAX_PAGE_MS;
+        ((page_bytes / LARGE_ROW_BYTES) as u32).clamp(MIN_PAGE_ROWS, MAX_PAGE_ROWS)
+    }
+
+    /// Returns how many partitions of a table are read at the same time.
+    pub fn concurrent_reads(&self) -> usize {
+        ((self.link_mbps / LINK_MBPS_PER_READ) as usize).max(1)
+    }
+
     /// Reads settings from the text of an INI file.
     ///
     /// # Errors
@@ -146,6 +186,12 @@
             keep_ended_ms: seconds(&mut doc, "keep_ended_s", 120.0),
             cpu_share: number(&mut doc, "cpu_share", SUFFICIENT_CPU_SHARE),
             link_mbps: number(&mut doc, "link_mbps", SUFFICIENT_LINK_MBPS),
+            max_direct_workers: doc.number(
+                SECTION,
+                "max_direct_workers",
+                DEFAULT_MAX_DIRECT_WORKERS,
+                (0, MAX_DIRECT_WORKERS_LIMIT),
+            ),
         };
         let errors = doc.finish(&[], &[SECTION]);
         if errors.is_empty() { Ok(settings) } else { Err(errors) }
--- a/crates/masticfall-entry/tests/suite/fleet.rs
+++ b/crates/masticfall-entry/tests/suite/fleet.rs
@@ -14,7 +14,7 @@
 use masticfall_core::id::{JobId, Name};
 use masticfall_entry::fleet::jobs;
 use masticfall_entry::fleet::peers;
-use masticfall_entry::fleet::peers::PeerRow;
+use masticfall_entry::fleet::peers::{PeerCalls, PeerRow};
 use masticfall_entry::fleet::{Fleet, FleetSettings, start};
 use masticfall_platform::Result as PlatformResult;
 use masticfall_standin::fleet::{StoreMode, World};
@@ -24,7 +24,7 @@
 
 use crate::fleet_world::{
     WORKERS, assert_invariants, caller, config, is_owner, job, launch, phase, start_settled,
-    submit, submit_spec, two_step_spec,
+    submit, submit_spec, two_step_spec, unreachable_peers,
 };
 
 #[tokio::test(start_paused = true)]
@@ -135,7 +135,8 @@
             Box::pin(async move { Ok(newer.map(|config| FleetConfig::clone(&config))) })
         };
         let platform = world.platform(&name);
-        let process = start(settings, platform, Arc::new(move || clock.now_ms()), Arc::new(fetch));
+        let peer_calls = PeerCalls { fetch_config: Arc::new(fetch), ..unreachable_peers() };
+        let process = start(settings, platform, Arc::new(move || clock.now_ms()), peer_calls);
         running.lock().insert(peers, Arc::clone(&process.fleet));
         processes.push(process);
     }
@@ -163,11 +164,11 @@
     let address = listener.local_addr().expect("an address");
     drop(tokio::spawn(peers::serve(Arc::clone(&process.fleet), listener)));
     let token = Name::clone(&process.fleet.token);
-    let row = PeerRow { address, token };
+    let row = PeerRow { address, token, data_centre: "dc".into(), worker_capacity: 0 };
     let newer = peers::fetch_config(row.clone(), 2).await.expect("an answer").expect("a newer one");
     assert_eq!(newer, *config(3, &["key"]), "the whole configuration");
-    assert_eq!(peers::fetch_config(row, 3).await.expect("an answer"), None);
-    let unauthorized = PeerRow { address, token: "guessed".into() };
+    assert_eq!(peers::fetch_config(row.clone(), 3).await.expect("an answer"), None);
+    let unauthorized = PeerRow { token: "guessed".into(), ..row.clone() };
     assert!(peers::fetch_config(unauthorized, 0).await.is_err());
 }
 
--- a/crates/masticfall-entry/tests/suite/fleet_owners.rs
+++ b/crates/masticfall-entry/tests/suite/fleet_owners.rs
@@ -5,15 +5,16 @@
 
 use indexmap::IndexMap;
 use masticfall_core::fleet::config::{FleetConfig, PoolConfig};
+use masticfall_core::fleet::spec::JobSpec;
 use masticfall_core::id::{JobId, Name, QueueName};
-use masticfall_entry::fleet::RunningFleet;
+use masticfall_entry::fleet::{FleetSettings, RunningFleet};
 use masticfall_standin::fleet::check::calls_within_lease;
 use masticfall_standin::fleet::{StoreMode, World};
 use tokio::time::sleep;
 
 use crate::fleet_world::{
-    WORKERS, assert_invariants, config, is_owner, job, launch, launch_low_fitness, start_settled,
-    submit,
+    CAPACITY, WORKERS, assert_invariants, config, is_owner, job, launch, launch_low_fitness,
+    launch_with, start_settled, submit, submit_spec, two_step_spec,
 };
 
 #[tokio::test(start_paused = true)]
@@ -175,3 +176,47 @@
     assert_eq!(holders.len(), 4, "every owner has called about surplus instances");
     assert_eq!(calls_within_lease(&calls, 3_000), Vec::<String>::new());
 }
+
+/// A call about an instance waits for a connection while the store is lost to its owner,
+/// and would reach the provider among the calls of the next owner.
+#[tokio::test(start_paused = true)]
+async fn call_about_an_instance_is_not_sent_long_after_its_proof() {
+    let world = World::new(12, "p");
+    let mut config = FleetConfig::clone(&config(1, &["key"]));
+    config.pools.insert("spare".into(), PoolConfig { checks_capacity: true, is_standby: true });
+    world.set_config(Arc::new(config));
+    world.set_provider_connect_ms(6_500);
+    let processes: Vec<RunningFleet> = ["a", "b"].iter().map(|name| launch(&world, name)).collect();
+    sleep(Duration::from_secs(4)).await;
+    let owner = processes.iter().find(|process| is_owner(process)).expect("an owner");
+    world.set_store_for(&owner.fleet.settings.name, StoreMode::Unresponsive);
+    sleep(Duration::from_secs(2)).await;
+    world.set_provider_connect_ms(0);
+    sleep(Duration::from_secs(12)).await;
+    let calls = world.machine_calls();
+    assert!(!calls.is_empty(), "the next owner has called about surplus instances");
+    assert_eq!(calls_within_lease(&calls, 3_000), Vec::<String>::new());
+}
+
+/// Pages sized for a fast link time out on a thin one, so that the cell is never loaded.
+#[tokio::test(start_paused = true)]
+async fn process_on_a_thin_link_loads_a_large_cell() {
+    let world = World::new(1, "p");
+    let first = start_settled(&world, &["a"]).await.remove(0);
+    let mut spec = JobSpec { payload: "x".repeat(2_000).into(), ..two_step_spec() };
+    spec.steps.truncate(1);
+    spec.steps[0].tasks = 1;
+    // Fits on no worker, so that all jobs keep waiting, and counts little for admission.
+    spec.steps[0].needs.cpu_millis = 2 * CAPACITY.cpu_millis;
+    spec.steps[0].estimate_ms = 1;
+    for number in 1..=500 {
+        submit_spec(&world, &first.fleet, &job(number), spec.clone()).await.expect("accepted");
+    }
+    let settings = FleetSettings { link_mbps: 2.0, ..FleetSettings::local("b", "dc") };
+    world.set_link_bytes_per_ms("b", 250);
+    let second = launch_with(&world, settings);
+    sleep(Duration::from_secs(2)).await;
+    first.crash();
+    sleep(Duration::from_secs(15)).await;
+    assert!(second.fleet.shared().board.is_some(), "the cell was never loaded");
+}
--- /dev/null
+++ b/crates/masticfall-entry/tests/suite/fleet_relays.rs
@@ -0,0 +1,263 @@
+//! Relays of the owner's calls to workers: loss, delay and shutdown of relays, and an
+//! owner that is replaced while its calls are on their way.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use masticfall_core::error::ErrorKind;
+use masticfall_core::fleet::progress::JobPhase;
+use masticfall_core::id::{JobId, Name};
+use masticfall_entry::fleet::peers::{PeerCalls, PeerRow};
+use masticfall_entry::fleet::relay::{self, FrameChannel};
+use masticfall_entry::fleet::{Fleet, FleetSettings, RunningFleet, start};
+use masticfall_platform::error::{Result, UnavailableSnafu};
+use masticfall_platform::operation;
+use masticfall_standin::fleet::{StoreMode, World};
+use parking_lot::Mutex;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+use crate::fleet_world::{
+    WORKERS, assert_invariants, config, is_owner, job, phase, submit, unreachable_peers,
+};
+
+/// Connections between processes, with injected faults.
+#[derive(Default)]
+struct RelayNet {
+    fleets: Mutex<IndexMap<Name, Arc<Fleet>>>,
+    /// Delay of each frame to or from a process, in milliseconds, by its token.
+    delays_ms: Mutex<IndexMap<Name, u64>>,
+    direct_polls: AtomicUsize,
+}
+
+impl RelayNet {
+    fn launch(self: &Arc<Self>, world: &Arc<World>, name: &str) -> RunningFleet {
+        let settings = FleetSettings { max_direct_workers: 0, ..FleetSettings::local(name, "dc") };
+        let clock = Arc::clone(world);
+        let mut platform = world.platform(name);
+        let (net, poll) = (Arc::clone(self), Arc::clone(&platform.poll));
+        platform.poll = operation(move |call| {
+            net.direct_polls.fetch_add(1, Ordering::Relaxed);
+            poll(call)
+        });
+        let net = Arc::clone(self);
+        let connect_relay = move |peer: PeerRow| {
+            let connected = net.connect(&peer.token);
+            Box::pin(async move { connected }) as futures_util::future::BoxFuture<'static, _>
+        };
+        let peer_calls =
+            PeerCalls { connect_relay: Arc::new(connect_relay), ..unreachable_peers() };
+        let process = start(settings, platform, Arc::new(move || clock.now_ms()), peer_calls);
+        let token = Name::clone(&process.fleet.token);
+        self.fleets.lock().insert(token, Arc::clone(&process.fleet));
+        process
+    }
+
+    fn connect(self: &Arc<Self>, token: &Name) -> Result<FrameChannel> {
+        let Some(relay) = self.fleets.lock().get(token).cloned() else {
+            return UnavailableSnafu { reason: "no process at this address" }.fail();
+        };
+        let (outgoing, at_relay) = self.carry(token);
+        let (to_owner, incoming) = self.carry(token);
+        let channel = FrameChannel { outgoing: to_owner, incoming: at_relay };
+        drop(tokio::spawn(relay::serve(relay, channel)));
+        Ok(FrameChannel { outgoing, incoming })
+    }
+
+    /// Carries frames to or from the process with a token until it is gone.
+    fn carry(self: &Arc<Self>, token: &Name) -> (mpsc::Sender<Vec<u8>>, mpsc::Receiver<Vec<u8>>) {
+        let (sender, mut sent) = mpsc::channel::<Vec<u8>>(4);
+        let (deliver, receiver) = mpsc::channel(4);
+        let (net, token) = (Arc::clone(self), Name::clone(token));
+        tokio::spawn(async move {
+            while let Some(frame) = sent.recv().await {
+                let delay_ms = net.delays_ms.lock().get(&token).copied().unwrap_or_default();
+                sleep(Duration::from_millis(delay_ms)).await;
+                let is_gone = !net.fleets.lock().contains_key(&token);
+                if is_gone || deliver.send(frame).await.is_err() {
+                    return;
+                }
+            }
+        });
+        (sender, receiver)
+    }
+
+    fn crash(&self, process: RunningFleet) {
+        self.fleets.lock().swap_remove(&process.fleet.token);
+        process.crash();
+    }
+
+    fn set_delay_ms(&self, process: &RunningFleet, delay_ms: u64) {
+        self.delays_ms.lock().insert(Name::clone(&process.fleet.token), delay_ms);
+    }
+}
+
+async fn start_relayed(
+    world: &Arc<World>,
+    net: &Arc<RelayNet>,
+    names: &[&'static str],
+) -> IndexMap<&'static str, RunningFleet> {
+    world.set_config(config(1, &["key"]));
+    let processes = names.iter().map(|name| (*name, net.launch(world, name))).collect();
+    sleep(Duration::from_secs(14)).await;
+    processes
+}
+
+fn owner_name(processes: &IndexMap<&'static str, RunningFleet>) -> &'static str {
+    let owner = processes.iter().find(|(_, process)| is_owner(process));
+    owner.map(|(name, _)| *name).expect("an owner")
+}
+
+#[tokio::test(start_paused = true)]
+async fn jobs_complete_through_relays() {
+    let world = World::new(WORKERS, "p");
+    let net = Arc::new(RelayNet::default());
+    let processes = start_relayed(&world, &net, &["a", "b", "c"]).await;
+    let ids: Vec<JobId> = (1..20).map(job).collect();
+    for id in &ids {
+        submit(&world, &processes["a"].fleet, id).await.expect("accepted");
+    }
+    sleep(Duration::from_secs(20)).await;
+    assert_invariants(&world, &ids, &ids);
+    let traffic = &processes[owner_name(&processes)].fleet.platform.traffic;
+    let relayed = traffic.counts().find(|(kind, _)| <&str>::from(*kind) == "relay");
+    let (_, count) = relayed.expect("a count of relayed frames");
+    assert!(count.sent_bytes > 0 && count.received_bytes > 0, "calls went through relays");
+}
+
+#[tokio::test(start_paused = true)]
+async fn lost_relay_makes_no_worker_unresponsive_and_loses_no_run() {
+    let world = World::new(WORKERS, "p");
+    let net = Arc::new(RelayNet::default());
+    let mut processes = start_relayed(&world, &net, &["a", "b", "c", "d"]).await;
+    let owner = owner_name(&processes);
+    let ids: Vec<JobId> = (1..40).map(job).collect();
+    for id in &ids {
+        submit(&world, &processes[owner].fleet, id).await.expect("accepted");
+    }
+    for _ in 0..2 {
+        sleep(Duration::from_millis(150)).await;
+        let relay = *processes.keys().find(|name| **name != owner).expect("a relay");
+        net.crash(processes.shift_remove(relay).expect("a process"));
+    }
+    sleep(Duration::from_secs(30)).await;
+    assert_invariants(&world, &ids, &ids);
+    let lapsed = world.record().iter().filter(|run| run.lapsed_unacknowledged).count();
+    assert_eq!(lapsed, 0, "no lease lapsed while a relay was replaced");
+    let attempts = world.record().iter().map(|run| run.attempt).max();
+    assert!(attempts <= Some(2), "runs were given up: attempt {attempts:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn relay_that_shuts_down_finishes_its_calls() {
+    let world = World::new(WORKERS, "p");
+    let net = Arc::new(RelayNet::default());
+    let mut processes = start_relayed(&world, &net, &["a", "b", "c"]).await;
+    let owner = owner_name(&processes);
+    let ids: Vec<JobId> = (1..30).map(job).collect();
+    for id in &ids {
+        submit(&world, &processes[owner].fleet, id).await.expect("accepted");
+    }
+    let relay = *processes.keys().find(|name| **name != owner).expect("a relay");
+    processes.shift_remove(relay).expect("a process").shut_down(|| {}).await;
+    sleep(Duration::from_secs(20)).await;
+    assert_invariants(&world, &ids, &ids);
+    assert!(
+        world.record().iter().all(|run| run.attempt == 1),
+        "an order's outcome became unknown during a graceful shutdown"
+    );
+}
+
+#[rstest]
+#[case::seed_1(1)]
+#[case::seed_2(2)]
+#[case::seed_3(3)]
+#[case::seed_4(4)]
+#[case::seed_5(5)]
+#[case::seed_6(6)]
+#[tokio::test(start_paused = true)]
+async fn invariants_hold_while_relays_fail(#[case] seed: u64) {
+    run_with_relay_faults(seed).await;
+}
+
+/// A longer search: `FLEET_SEEDS=200 cargo test -p masticfall-entry more_relay_seeds`.
+#[tokio::test(start_paused = true)]
+async fn invariants_hold_over_more_relay_seeds() {
+    let seeds = std::env::var("FLEET_SEEDS").ok().and_then(|text| text.parse().ok());
+    for seed in 100..100 + seeds.unwrap_or(4_u64) {
+        eprintln!("seed {seed}");
+        run_with_relay_faults(seed).await;
+    }
+}
+
+/// Owners and relays crash, are delayed and lose the store, alone and in pairs.
+async fn run_with_relay_faults(seed: u64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let world = World::new(WORKERS, "p");
+    let net = Arc::new(RelayNet::default());
+    let names = ["a", "b", "c", "d"];
+    let mut processes = start_relayed(&world, &net, &names).await;
+    world.set_delayed_starts(random.random_range(7..20));
+    let (mut submitted, mut accepted) = (Vec::new(), Vec::new());
+    for number in 0..60 {
+        let id = job(number + 1);
+        let name = names[random.random_range(0..names.len())];
+        // A refused job is never submitted again and must never run.
+        match submit(&world, &processes[name].fleet, &id).await {
+            Ok(()) => {
+                accepted.push(id.clone());
+                submitted.push(id);
+            }
+            Err(ErrorKind::PlatformUnknown) => submitted.push(id),
+            Err(_) => {}
+        }
+        sleep(Duration::from_millis(random.random_range(50..400))).await;
+        let other = names[random.random_range(0..names.len())];
+        match random.random_range(0..14) {
+            0 | 1 => {
+                let process = processes.insert(other, net.launch(&world, other));
+                net.crash(process.expect("a process"));
+            }
+            2 => {
+                let owner = processes.iter().find(|(_, process)| is_owner(process));
+                if let Some(owner) = owner.map(|(name, _)| *name) {
+                    for name in [owner, other] {
+                        let process = processes.insert(name, net.launch(&world, name));
+                        net.crash(process.expect("a process"));
+                    }
+                }
+            }
+            3 => net.set_delay_ms(&processes[other], 300),
+            4 => net.set_delay_ms(&processes[other], 3_000),
+            5 => names.iter().for_each(|name| net.set_delay_ms(&processes[name], 0)),
+            6 => world.set_store_for(name, StoreMode::Unavailable),
+            7 => world.set_store(StoreMode::LosesResponses),
+            8 => {
+                world.set_store(StoreMode::Up);
+                for name in names {
+                    world.set_store_for(name, StoreMode::Up);
+                }
+            }
+            9 => world.set_silent(random.random_range(0..WORKERS), true),
+            10 => (0..WORKERS).for_each(|worker| world.set_silent(worker, false)),
+            _ => {}
+        }
+    }
+    world.set_store(StoreMode::Up);
+    world.set_delayed_starts(0);
+    for name in names {
+        world.set_store_for(name, StoreMode::Up);
+        net.set_delay_ms(&processes[name], 0);
+    }
+    (0..WORKERS).for_each(|worker| world.set_silent(worker, false));
+    sleep(Duration::from_mins(1)).await;
+    assert_invariants(&world, &submitted, &accepted);
+    for id in &accepted {
+        assert_eq!(phase(&processes["b"].fleet, id).await, Ok(JobPhase::Completed), "{id}");
+    }
+}
--- a/crates/masticfall-entry/tests/suite/fleet_world.rs
+++ b/crates/masticfall-entry/tests/suite/fleet_world.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::future::BoxFuture;
 use indexmap::IndexMap;
 use masticfall_core::error::ErrorKind;
 use masticfall_core::fleet::config::{
@@ -16,9 +15,8 @@
 use masticfall_core::key::KeyHash;
 use masticfall_entry::fleet::jobs;
 use masticfall_entry::fleet::jobs::CallerRequest;
-use masticfall_entry::fleet::peers::PeerRow;
+use masticfall_entry::fleet::peers::PeerCalls;
 use masticfall_entry::fleet::{Fleet, FleetSettings, RunningFleet, start};
-use masticfall_platform::Result as PlatformResult;
 use masticfall_platform::error::UnavailableSnafu;
 use masticfall_standin::fleet::World;
 use masticfall_standin::fleet::check::{
@@ -69,15 +67,19 @@
 pub fn launch_with(world: &Arc<World>, settings: FleetSettings) -> RunningFleet {
     let clock = Arc::clone(world);
     let platform = world.platform(&settings.name);
-    start(settings, platform, Arc::new(move || clock.now_ms()), Arc::new(unreachable_peer))
+    start(settings, platform, Arc::new(move || clock.now_ms()), unreachable_peers())
 }
 
-/// Peer requests fail: no process reaches another one.
-pub fn unreachable_peer(
-    _: PeerRow,
-    _: u64,
-) -> BoxFuture<'static, PlatformResult<Option<FleetConfig>>> {
-    Box::pin(async { UnavailableSnafu { reason: "not reached" }.fail() })
+/// Calls to peers that all fail.
+pub fn unreachable_peers() -> PeerCalls {
+    PeerCalls {
+        fetch_config: Arc::new(|_, _| {
+            Box::pin(async { UnavailableSnafu { reason: "not reached" }.fail() })
+        }),
+        connect_relay: Arc::new(|_| {
+            Box::pin(async { UnavailableSnafu { reason: "not reached" }.fail() })
+        }),
+    }
 }
 
 /// Launches a process on an instance with a low fitness for dispatching.
--- a/crates/masticfall-platform/src/fleet.rs
+++ b/crates/masticfall-platform/src/fleet.rs
@@ -15,6 +15,7 @@
 use masticfall_core::fleet::worker::WorkerFacts;
 use masticfall_core::id::{DataCentre, InstanceName, Name, PoolName, WaveName, WorkerId};
 
+use crate::traffic::Traffic;
 use crate::{Operation, Result};
 
 /// Full key of a row.
@@ -70,6 +71,8 @@
     pub from: Name,
     /// End key, exclusive; empty for an unbounded range.
     pub to: Name,
+    /// Maximum number of rows to return.
+    pub limit: u32,
 }
 
 /// A consistent page of a range read.
@@ -83,8 +86,11 @@
     pub version: u64,
 }
 
-/// Reads all rows of a partition of a table and returns them with the version
-/// from which to follow the table.
+/// Maximum number of rows in a page, by the platform's contract.
+pub const MAX_PAGE_ROWS: u32 = 500;
+
+/// Reads all rows of a partition of a table, `page_rows` at a time, and returns them with
+/// the version from which to follow the table.
 ///
 /// This is the version of the first page: rows that change while later pages
 /// are read show up again in the feed.
@@ -95,6 +101,7 @@
     range: &Operation<RowRange, RowPage>,
     table: &'static str,
     part: &str,
+    page_rows: u32,
 ) -> Result<(Vec<FleetRow>, u64)> {
     let mut rows: Vec<FleetRow> = Vec::new();
     let mut version = None;
@@ -102,7 +109,8 @@
         // The smallest key greater than the last one read.
         let from = rows.last().map(|row| format!("{}\0", row.key)).unwrap_or_default();
         let (from, to) = (Name::from(from), Name::from(""));
-        let page = range(RowRange { table, part: Name::from(part), from, to }).await?;
+        let limit = page_rows;
+        let page = range(RowRange { table, part: Name::from(part), from, to, limit }).await?;
         let first_version = *version.get_or_insert(page.version);
         rows.extend(page.rows);
         if !page.has_more {
@@ -251,8 +259,11 @@
     pub worker: Option<WorkerId>,
 }
 
+/// Returns whether a call may still be sent.
+pub type SendCheck = Arc<dyn Fn() -> bool + Send + Sync>;
+
 /// Request to move an instance or to take it down for maintenance.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub struct MachineCall {
     /// The instance.
     pub instance: InstanceName,
@@ -264,6 +275,15 @@
     pub holder: Name,
     /// Fencing token.
     pub fencing_token: u32,
+    /// Checked right before the request leaves, when the call has waited for a connection:
+    /// some platforms don't fence these calls, so a late one must not be sent.
+    pub may_send: SendCheck,
+}
+
+impl fmt::Debug for MachineCall {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("MachineCall").field("instance", &self.instance).finish_non_exhaustive()
+    }
 }
 
 /// Outcome of a change to an instance.
@@ -282,6 +302,8 @@
     Invalid,
     /// Rate limit exceeded; nothing was done.
     Limited,
+    /// Not sent, since [`MachineCall::may_send`] forbade it.
+    NotSent,
     /// No response: the change may have begun.
     Unknown,
 }
@@ -339,6 +361,8 @@
     pub change_machine: Operation<MachineCall, MachineOutcome>,
     /// Requests placement permits from the policy service.
     pub advise: Operation<AdviceCall, Advice>,
+    /// Traffic of all operations.
+    pub traffic: Arc<Traffic>,
 }
 
 impl fmt::Debug for FleetPlatform {
--- a/crates/masticfall-platform/src/lib.rs
+++ b/crates/masticfall-platform/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod objects;
 pub mod serve;
 pub mod tables;
+pub mod traffic;
 pub mod workers;
 
 use std::sync::Arc;
--- a/crates/masticfall-standin/src/fleet.rs
+++ b/crates/masticfall-standin/src/fleet.rs
@@ -120,6 +120,11 @@
     /// Number of standby instances in addition to the workers' instances.
     standby: usize,
     is_provider_down: bool,
+    /// Time that opening a connection to the provider takes, in milliseconds.
+    provider_connect_ms: u64,
+    /// Bandwidth of the links of processes in bytes per millisecond, and the time at which
+    /// each link has carried all responses so far.
+    links: IndexMap<Name, (u64, u64)>,
     /// Time at which each partition finishes its pending transactions.
     part_free_ms: IndexMap<Name, u64>,
     /// Time that a partition takes for a transaction; 0 for no limit.
@@ -217,6 +222,16 @@
         self.state.lock().is_provider_down = is_down;
     }
 
+    /// Limits the link over which a process reads rows to `bytes_per_ms`.
+    pub fn set_link_bytes_per_ms(&self, process: &str, bytes_per_ms: u64) {
+        self.state.lock().links.insert(process.into(), (bytes_per_ms, 0));
+    }
+
+    /// Makes each change of an instance wait for a connection for `ms` milliseconds.
+    pub fn set_provider_connect_ms(&self, ms: u64) {
+        self.state.lock().provider_connect_ms = ms;
+    }
+
     /// Makes each partition of the store execute its transactions one at a time, each
     /// taking `ms` milliseconds; 0 removes the limit.
     pub fn set_part_write_ms(&self, ms: u64) {
@@ -287,6 +302,7 @@
             advise: operation(|_| async {
                 UnavailableSnafu { reason: "the simulated platform has no placement policy" }.fail()
             }),
+            traffic: Arc::default(),
         }
     }
 
@@ -300,8 +316,13 @@
         self: &Arc<Self>,
     ) -> masticfall_platform::Operation<MachineCall, MachineOutcome> {
         operation_on(self, move |world, call: MachineCall| async move {
+            let connect_ms = world.state.lock().provider_connect_ms;
+            sleep_ms(connect_ms).await;
+            let MachineCall { instance, holder, may_send, .. } = call;
+            if !may_send() {
+                return Ok(MachineOutcome::NotSent);
+            }
             sleep_ms(CALL_LATENCY_MS).await;
-            let MachineCall { instance, holder, .. } = call;
             let at_ms = world.now_ms();
             let record = MachineCallRecord { instance, holder, at_ms };
             world.state.lock().machine_calls.push(record);
--- a/crates/masticfall-standin/src/fleet/store.rs
+++ b/crates/masticfall-standin/src/fleet/store.rs
@@ -16,6 +16,9 @@
     CALL_LATENCY_MS, CALL_TIMEOUT_MS, StoreMode, WRITE_DELAY_MS, World, WorldState, sleep_ms,
 };
 
+/// Time that a process waits for a response to a read, in milliseconds.
+const READ_TIMEOUT_MS: u64 = 1_500;
+
 /// Maximum size of a row's value, in bytes; equal to the platform's limit.
 const MAX_VALUE_BYTES: usize = 65_536;
 
@@ -74,6 +77,22 @@
     })
 }
 
+/// Waits until a response has passed the process's link; fails if that takes longer than
+/// the process waits.
+async fn transfer(world: &World, process: &Name, bytes: usize) -> Result<()> {
+    let (now_ms, arrived_ms) = {
+        let mut state = world.state.lock();
+        let now_ms = world.now_ms();
+        (now_ms, state.occupy_link(process, bytes, now_ms))
+    };
+    if arrived_ms > now_ms + READ_TIMEOUT_MS {
+        sleep_ms(READ_TIMEOUT_MS).await;
+        return UnavailableSnafu { reason: "the response did not arrive in time" }.fail();
+    }
+    sleep_ms(arrived_ms - now_ms + CALL_LATENCY_MS).await;
+    Ok(())
+}
+
 /// Waits until a transaction's partition has executed the earlier transactions and this one.
 async fn wait_for_part(world: &World, transaction: &RowTransaction) {
     let now_ms = world.now_ms();
@@ -91,6 +110,14 @@
 }
 
 impl WorldState {
+    /// Adds a response to those that pass a process's link one after another; returns
+    /// when it has passed.
+    fn occupy_link(&mut self, process: &Name, bytes: usize, now_ms: u64) -> u64 {
+        let Some((bytes_per_ms, free_ms)) = self.links.get_mut(process) else { return now_ms };
+        *free_ms = (*free_ms).max(now_ms) + bytes as u64 / *bytes_per_ms;
+        *free_ms
+    }
+
     fn apply(&mut self, transaction: RowTransaction) -> RowCommit {
         let mut conflicts = Vec::new();
         let mut checks_hold = true;
@@ -135,15 +162,17 @@
                     && **key >= *range.from
                     && (range.to.is_empty() || **key < *range.to)
             });
-            let rows = rows.map(|((_, part, key), (value, version))| FleetRow {
+            let mut rows = rows.map(|((_, part, key), (value, version))| FleetRow {
                 part: Name::clone(part),
                 key: Name::clone(key),
                 value: Some(value.clone()),
                 version: *version,
             });
-            RowPage { rows: rows.collect(), has_more: false, version: state.version }
+            let page = rows.by_ref().take(range.limit as usize).collect();
+            RowPage { rows: page, has_more: rows.next().is_some(), version: state.version }
         };
-        sleep_ms(CALL_LATENCY_MS).await;
+        let bytes = page.rows.iter().map(|row| row.value.as_ref().map_or(0, Vec::len)).sum();
+        transfer(&world, &process, bytes).await?;
         Ok(page)
     })
 }
--- a/crates/masticfalld/src/fleet.rs
+++ b/crates/masticfalld/src/fleet.rs
@@ -59,8 +59,8 @@
         Ok(signals) => signals,
         Err(error) => return exit_with_error(&format!("cannot listen for signals: {error}")),
     };
-    let running =
-        start(settings, connect(services), Arc::new(boottime_ms), Arc::new(peers::fetch_config));
+    let platform = connect(services, settings.page_rows());
+    let running = start(settings, platform, Arc::new(boottime_ms), peers::PeerCalls::default());
     let listeners = match Listeners::bind(&running.fleet).await {
         Ok(listeners) => listeners,
         Err(error) => return exit_with_error(&format!("cannot listen: {error}")),
