--- a/crates/masticfall-entry/src/fleet/context.rs
+++ b/crates/masticfall-entry/src/fleet/context.rs
@@ -100,6 +100,8 @@
     pub(super) peer_calls: PeerCalls,
     /// Relays of the cell's owner.
     pub(super) relays: Relays,
+    /// Start orders without an outcome yet.
+    pub(super) starts_in_flight: InFlight,
     /// Token that a peer's request must carry.
     pub token: Name,
     operators_read_ms: AtomicU64,
@@ -138,6 +140,7 @@
             confirmed_ms: 0,
         };
         let metrics = FleetMetrics::new(Arc::clone(&platform.traffic));
+        let max_starts_in_flight = settings.max_starts_in_flight();
         Arc::new(Self {
             settings,
             platform,
@@ -152,6 +155,7 @@
             peers: Mutex::new(IndexMap::new()),
             peer_calls,
             relays: Relays::default(),
+            starts_in_flight: InFlight::new(max_starts_in_flight),
             token: Name::from(format!("{:032x}", rand::rng().random::<u128>())),
             operators_read_ms: AtomicU64::new(clock()),
             store_response_ms: AtomicU64::new(clock()),
@@ -279,6 +283,41 @@
     time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000
 }
 
+/// A number of calls in flight, with a limit. Beyond it, calls would only queue up on the
+/// link and time out there, each followed by another attempt.
+#[derive(Debug)]
+pub(super) struct InFlight {
+    count: Arc<AtomicUsize>,
+    limit: usize,
+}
+
+impl InFlight {
+    fn new(limit: usize) -> Self {
+        Self { count: Arc::default(), limit }
+    }
+
+    /// Returns whether the limit is reached.
+    pub(super) fn is_full(&self) -> bool {
+        self.count.load(Ordering::Relaxed) >= self.limit
+    }
+
+    /// Counts a call until the guard is dropped.
+    pub(super) fn track(&self) -> InFlightGuard {
+        self.count.fetch_add(1, Ordering::Relaxed);
+        InFlightGuard(Arc::clone(&self.count))
+    }
+}
+
+/// A call in flight.
+#[derive(Debug)]
+pub(super) struct InFlightGuard(Arc<AtomicUsize>);
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// A request in flight.
 #[derive(Debug)]
 pub struct RequestGuard {
--- a/crates/masticfall-entry/src/fleet/dispatch.rs
+++ b/crates/masticfall-entry/src/fleet/dispatch.rs
@@ -75,7 +75,9 @@
                 ticked_ms = now.steady_ms;
                 board.advance(now);
             }
-            board.place(now.steady_ms);
+            if !fleet.starts_in_flight.is_full() {
+                board.place(now.steady_ms);
+            }
             advice_requests.extend(board.take_advice_requests());
             (board.take_orders(), board.take_notices())
         });
@@ -102,7 +104,12 @@
     match order {
         Order::Start(order) => {
             fleet.metrics.starts.inc();
-            drop(tokio::spawn(send_start(fleet, epoch, order)));
+            let guard = fleet.starts_in_flight.track();
+            drop(tokio::spawn(async move {
+                send_start(Arc::clone(&fleet), epoch, order).await;
+                drop(guard);
+                fleet.board_changed.notify_one();
+            }));
         }
         Order::Stop(order) => drop(tokio::spawn(send_stop(fleet, epoch, order))),
         Order::Pace(order) => drop(tokio::spawn(send_pace(fleet, epoch, order))),
--- a/crates/masticfall-entry/src/fleet/leadership.rs
+++ b/crates/masticfall-entry/src/fleet/leadership.rs
@@ -334,8 +334,8 @@
 /// Writes heartbeats until the ownership is lost. Until the cell is loaded, they
 /// repeat the previous owner's last report.
 async fn send_heartbeats(fleet: Arc<Fleet>, ownership: Ownership, last: Option<HeartbeatRow>) {
-    let HeartbeatRow { waiting, loads, silent_ms, .. } = last.unwrap_or_default();
-    let initial = (waiting, loads, silent_ms);
+    let HeartbeatRow { waiting, loads, silent_ms, workers, .. } = last.unwrap_or_default();
+    let initial = (waiting, loads, silent_ms, workers);
     let mut sequence = WriteSequence::new(cell_row_key(LEAD_TABLE, HEARTBEAT_KEY));
     let mut number = 0;
     let mut failures = 0;
@@ -344,12 +344,13 @@
         let sent_ms = fleet.now_ms();
         let report = fleet.update_board(epoch, |board| {
             let loads = board.load_by_pool(sent_ms);
-            (board.waiting_by_queue(), loads, board.announce_unresponsive(sent_ms))
+            let workers = board.listed_workers().count() as u32;
+            (board.waiting_by_queue(), loads, board.announce_unresponsive(sent_ms), workers)
         });
-        let (waiting, loads, silent_ms) = report.unwrap_or_else(|| initial.clone());
+        let (waiting, loads, silent_ms, workers) = report.unwrap_or_else(|| initial.clone());
         number += 1;
         let calls_done = fleet.completed_call_round.load(Ordering::Acquire);
-        let row = HeartbeatRow { epoch, number, waiting, loads, silent_ms, calls_done };
+        let row = HeartbeatRow { epoch, number, waiting, loads, silent_ms, calls_done, workers };
         let bytes = encode_row(&row);
         let row_bytes = bytes.as_ref().map_or(0, Vec::len);
         let written = match bytes {
--- a/crates/masticfall-entry/src/fleet/leadership/load.rs
+++ b/crates/masticfall-entry/src/fleet/leadership/load.rs
@@ -36,6 +36,8 @@
     let Some(last) = retry_read(fleet, epoch, || read_heartbeat(fleet)).await else { return };
     // Loading a large cell takes longer than the failover timeout.
     tokio::spawn(send_heartbeats(Arc::clone(fleet), ownership, last.clone()));
+    let expected_workers = last.as_ref().map_or(0, |heartbeat| heartbeat.workers as usize);
+    tokio::spawn(relay::maintain(Arc::clone(fleet), epoch, expected_workers));
     let loaded = retry_read(fleet, epoch, || load(fleet, epoch, previous_timed_out)).await;
     let Some(LoadedCell { mut board, jobs_version, rows, archived }) = loaded else { return };
     // If an epoch lies in between, its owner may have reached these workers
@@ -55,7 +57,6 @@
     let took_ms = begun.elapsed().as_millis() as u64;
     tracing::info!(name: "cell.taken", process = %fleet.incarnation, epoch, jobs = count, rows, took_ms, fell_silent = previous_timed_out, "took over the cell; now dispatching");
     fleet.metrics.takeovers.inc();
-    tokio::spawn(relay::maintain(Arc::clone(fleet), epoch));
     for worker in workers {
         tokio::spawn(dispatch::poll_worker(Arc::clone(fleet), epoch, worker));
     }
--- a/crates/masticfall-entry/src/fleet/relay/link.rs
+++ b/crates/masticfall-entry/src/fleet/relay/link.rs
@@ -72,7 +72,7 @@
             let unanswered = receiver.waiting.lock().drain(..).count();
             if fleet.is_owner(epoch) {
                 tracing::info!(name: "relay.lost", epoch, relay = &*relay, reason, unanswered, "lost a relay; its workers get another one");
-                fleet.relays.link_lost.notify_one();
+                fleet.relays.relay_lost(&relay, fleet.now_ms());
             }
         });
         link
--- a/crates/masticfall-entry/src/fleet/rows.rs
+++ b/crates/masticfall-entry/src/fleet/rows.rs
@@ -96,6 +96,9 @@
     pub silent_ms: IndexMap<WorkerId, u64>,
     /// Last completed round of instance calls.
     pub calls_done: u64,
+    /// Number of listed workers.
+    #[serde(default)]
+    pub workers: u32,
 }
 
 /// Instances that an owner may have called recently.
--- a/crates/masticfall-entry/src/fleet/settings.rs
+++ b/crates/masticfall-entry/src/fleet/settings.rs
@@ -41,6 +41,13 @@
 /// Bandwidth for which one read at a time suffices, in Mbit/s.
 const LINK_MBPS_PER_READ: f64 = 10.0;
 
+/// Start orders in flight per Mbit/s of the link: with a payload each, 0.2 s of its
+/// bandwidth.
+const STARTS_IN_FLIGHT_PER_MBPS: f64 = 20.0;
+
+/// Minimum of the limit of start orders in flight.
+const MIN_STARTS_IN_FLIGHT: usize = 64;
+
 /// Default rate limit of the provider of instances, in calls a second: the lowest
 /// of all known deployments.
 const DEFAULT_MACHINE_CALLS_PER_S: f64 = 64.0;
@@ -151,6 +158,12 @@
         ((page_bytes / LARGE_ROW_BYTES) as u32).clamp(MIN_PAGE_ROWS, MAX_PAGE_ROWS)
     }
 
+    /// Returns how many start orders may be without an outcome before no more tasks are
+    /// placed: as many as the link carries in a fraction of their timeout.
+    pub fn max_starts_in_flight(&self) -> usize {
+        ((self.link_mbps * STARTS_IN_FLIGHT_PER_MBPS) as usize).max(MIN_STARTS_IN_FLIGHT)
+    }
+
     /// Returns how many partitions of a table are read at the same time.
     pub fn concurrent_reads(&self) -> usize {
         ((self.link_mbps / LINK_MBPS_PER_READ) as usize).max(1)
