Placements are stored first; relays drop calls that were late on their way; polls are supervised

Change: jobs whose placements wait to be ordered, or that have ended, are stored before other changes (fleet_order::placements_are_stored_before_other_changes; first 0 of 2 tasks ordered after a batch). A panic in a poll ends the ownership as well.

--- a/crates/masticfall-core/src/fleet/board.rs
+++ b/crates/masticfall-core/src/fleet/board.rs
@@ -252,7 +252,11 @@
     placed_elsewhere: IndexMap<WorkerId, IndexSet<TaskKey>>,
     /// Tasks whose last order has an unknown outcome.
     unknown_orders: IndexSet<TaskKey>,
+    /// Jobs with changes to be stored.
     dirty: IndexSet<JobId>,
+    /// Those of them whose placements wait to be ordered, or whose callers wait for their
+    /// end; they are stored first.
+    urgent: IndexSet<JobId>,
     /// Jobs that ended under this ownership, with the time of their end, so that a
     /// late announcement of their acceptance doesn't run them again.
     ended: IndexMap<JobId, u64>,
@@ -294,6 +298,7 @@
             placed_elsewhere: IndexMap::new(),
             unknown_orders: IndexSet::new(),
             dirty: IndexSet::new(),
+            urgent: IndexSet::new(),
             ended: IndexMap::new(),
             newly_ended: Vec::new(),
             orders: Vec::new(),
--- a/crates/masticfall-core/src/fleet/board/place.rs
+++ b/crates/masticfall-core/src/fleet/board/place.rs
@@ -112,6 +112,7 @@
         }
         if let Some(worker) = last {
             self.dirty.insert(id.clone());
+            self.urgent.insert(id.clone());
             let config_version = config.version;
             let job = id.clone();
             let is_late = rank.class == SchedulingClass::Late;
--- a/crates/masticfall-core/src/fleet/board/results.rs
+++ b/crates/masticfall-core/src/fleet/board/results.rs
@@ -131,5 +131,6 @@
         self.notices.push(Notice::JobEnded { job: id.clone(), phase, after_ms, late_by_ms });
         self.stop_placements(id, reason, now_ms);
         self.dirty.insert(id.clone());
+        self.urgent.insert(id.clone());
     }
 }
--- a/crates/masticfall-core/src/fleet/board/store.rs
+++ b/crates/masticfall-core/src/fleet/board/store.rs
@@ -36,8 +36,14 @@
         let mut batch = Batch::default();
         let workers = &self.workers;
         let address = |id: &WorkerId| workers.get(id).map(|worker| worker.facts.address);
-        let count = self.dirty.len().min(MAX_BATCH_JOBS);
-        let ids: Vec<JobId> = self.dirty.drain(..count).collect();
+        let urgent = self.urgent.len().min(MAX_BATCH_JOBS);
+        let mut ids: Vec<JobId> = self.urgent.drain(..urgent).collect();
+        ids.retain(|id| self.dirty.shift_remove(id));
+        let others = self.dirty.len().min(MAX_BATCH_JOBS - ids.len());
+        for id in self.dirty.drain(..others) {
+            self.urgent.swap_remove(&id);
+            ids.push(id);
+        }
         for id in ids {
             let Some(job) = self.jobs.get(&id) else { continue };
             for (key, _) in job.placements(&id) {
@@ -111,7 +117,8 @@
     pub fn batch_failed(&mut self, batch: Batch) {
         for write in batch.writes {
             let (BatchWrite::Progress(id, _) | BatchWrite::Ended(id, _)) = write;
-            self.dirty.insert(id);
+            self.dirty.insert(id.clone());
+            self.urgent.insert(id);
         }
     }
 
--- a/crates/masticfall-core/src/fleet/relays.rs
+++ b/crates/masticfall-core/src/fleet/relays.rs
@@ -17,6 +17,10 @@
 /// Workers that a relay can serve per Mbit/s of its link at a peak, at about 7 KB/s each.
 const WORKERS_PER_MBPS: f64 = 12.0;
 
+/// Rate at which the assumed difference of two processes' clocks may rise, in parts per
+/// thousand: their drift.
+const CLOCK_DRIFT_PER_MILLE: u64 = 20;
+
 /// A process that may relay.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RelayCandidate {
@@ -86,3 +90,28 @@
         (hash ^ (hash >> 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15)
     })
 }
+
+/// Estimates how long frames of one owner were on their way: a frame is late by as much as
+/// its clock difference exceeds the smallest one.
+#[derive(Debug, Default)]
+pub struct FrameAge {
+    /// Smallest difference between the clocks on arrival, and when it was seen.
+    smallest: Option<(u64, u64)>,
+}
+
+impl FrameAge {
+    /// Returns the age in milliseconds of a frame that was sent at `sent_ms` by the owner's
+    /// clock, and arrived at `received_ms`.
+    pub fn age_ms(&mut self, sent_ms: u64, received_ms: u64) -> u64 {
+        // The clocks have different origins; only differences of the result matter.
+        let difference = received_ms.wrapping_sub(sent_ms);
+        let (smallest, seen_ms) = *self.smallest.get_or_insert((difference, received_ms));
+        let elapsed_ms = received_ms.saturating_sub(seen_ms);
+        let allowed = smallest.wrapping_add(elapsed_ms * CLOCK_DRIFT_PER_MILLE / 1_000);
+        let age_ms = difference.wrapping_sub(allowed) as i64;
+        if age_ms <= 0 {
+            self.smallest = Some((difference, received_ms));
+        }
+        age_ms.max(0) as u64
+    }
+}
--- a/crates/masticfall-core/tests/suite/fleet_order.rs
+++ b/crates/masticfall-core/tests/suite/fleet_order.rs
@@ -104,6 +104,31 @@
     );
 }
 
+/// A slow store takes a quarter of a second for a batch of 96 jobs. New placements, which
+/// wait for it before they are ordered, must not queue behind ends of runs.
+#[test]
+fn placements_are_stored_before_other_changes() {
+    let names: Vec<String> = (0..200).map(|n| format!("w{n}")).collect();
+    let workers: Vec<(&str, u64)> = names.iter().map(|name| (name.as_str(), 2)).collect();
+    let mut rig = Rig::new(&workers);
+    // 200 jobs of two tasks on 400 cores; then one task of each ends.
+    for job in 0..200 {
+        rig.submit(&format!("{job:016x}"), vec![step(2, 1)]);
+    }
+    rig.settle();
+    for job in 0..200 {
+        rig.end(&format!("{job:016x}.0.0.0"), RunEnd::Done);
+    }
+    rig.poll_all();
+    rig.submit("00000000000000f0", vec![step(1, 1)]);
+    rig.submit("00000000000000f1", vec![step(1, 1)]);
+    rig.board.place(rig.now_ms);
+    let batch = rig.board.take_batch(0);
+    rig.board.batch_stored(batch, rig.now_ms);
+    let starts = rig.board.take_orders().len();
+    assert_eq!(starts, 2, "both new tasks are ordered after the first batch");
+}
+
 /// How jobs of 6.4 core-seconds fared that arrived for ten seconds on a pool of 16 cores.
 #[derive(Debug, Default)]
 struct OverloadOutcome {
--- a/crates/masticfall-entry/src/fleet/follow.rs
+++ b/crates/masticfall-entry/src/fleet/follow.rs
@@ -323,7 +323,8 @@
                 is_new
             });
             if is_new == Some(true) {
-                tokio::spawn(dispatch::poll_worker(Arc::clone(fleet), epoch, id));
+                let polling = dispatch::poll_worker(Arc::clone(fleet), epoch, id);
+                leadership::supervise(fleet, epoch, "poll", polling);
             }
         }
         WorkerUpdate::Unlisted(id) => {
--- a/crates/masticfall-entry/src/fleet/leadership.rs
+++ b/crates/masticfall-entry/src/fleet/leadership.rs
@@ -25,6 +25,8 @@
 use rand::Rng;
 use tokio::time::sleep;
 
+pub(super) use load::supervise;
+
 use super::context::{Fleet, FleetPhase, Ownership};
 use super::follow;
 use super::rows::{
--- a/crates/masticfall-entry/src/fleet/leadership/load.rs
+++ b/crates/masticfall-entry/src/fleet/leadership/load.rs
@@ -1,9 +1,11 @@
 //! Start of an ownership: loads the cell's rows, then starts the owner's tasks.
 
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use futures_util::FutureExt;
 use masticfall_core::fleet::board::{Board, BoardTimings};
 use masticfall_core::fleet::progress::ProgressRow;
 use masticfall_core::id::{JobId, WorkerId};
@@ -58,7 +60,7 @@
     tracing::info!(name: "cell.taken", process = %fleet.incarnation, epoch, jobs = count, rows, took_ms, fell_silent = previous_timed_out, "took over the cell; now dispatching");
     fleet.metrics.takeovers.inc();
     for worker in workers {
-        tokio::spawn(dispatch::poll_worker(Arc::clone(fleet), epoch, worker));
+        supervise(fleet, epoch, "poll", dispatch::poll_worker(Arc::clone(fleet), epoch, worker));
     }
     let progress = dispatch::store_progress(Arc::clone(fleet), ownership);
     supervise(fleet, epoch, "progress", progress);
@@ -71,19 +73,17 @@
 
 /// Runs a task of an owner. If it panics, the process steps down: its state is in doubt,
 /// and an owner of which a part has stopped would keep the cell from all others.
-fn supervise(
+pub(in crate::fleet) fn supervise(
     fleet: &Arc<Fleet>,
     epoch: u32,
     task: &'static str,
     work: impl Future<Output = ()> + Send + 'static,
 ) {
-    let (fleet, running) = (Arc::clone(fleet), tokio::spawn(work));
+    let fleet = Arc::clone(fleet);
     tokio::spawn(async move {
-        if let Err(error) = running.await
-            && error.is_panic()
-            && fleet.is_owner(epoch)
-        {
-            tracing::error!(name: "cell.task_failed", epoch, task, %error, "a task of the owner failed");
+        let has_panicked = AssertUnwindSafe(work).catch_unwind().await.is_err();
+        if has_panicked && fleet.is_owner(epoch) {
+            tracing::error!(name: "cell.task_failed", epoch, task, "a task of the owner failed");
             super::step_down(&fleet, "a task of the owner failed");
         }
     });
--- a/crates/masticfall-entry/src/fleet/relay.rs
+++ b/crates/masticfall-entry/src/fleet/relay.rs
@@ -3,10 +3,10 @@
 //! The owner of a large cell decides thousands of starts a second, and polls every worker
 //! several times a second. The HTTP calls for that exceed the processor share and the link
 //! of one process, so the owner sends them in batches to a few other processes, which make
-//! the calls and return the outcomes. A relay decides nothing and keeps no state: it extends
-//! a lease only when the owner's poll says so, and each call carries the owner's fencing
-//! token. A call whose relay is lost has an unknown outcome, like one whose worker doesn't
-//! answer.
+//! the calls and return the outcomes. A relay decides nothing, and keeps only payloads: it
+//! extends a lease only when the owner's poll says so, and each call carries the owner's
+//! fencing token. A call whose relay is lost has an unknown outcome, like one whose worker
+//! doesn't answer.
 
 mod link;
 mod messages;
--- a/crates/masticfall-entry/src/fleet/relay/link.rs
+++ b/crates/masticfall-entry/src/fleet/relay/link.rs
@@ -130,7 +130,7 @@
         // On a timeout an empty frame is sent, as a sign of life.
         drop(timeout(idle, calls.recv_many(&mut batch, MAX_FRAME_ENTRIES)).await);
         let payloads = sent_payloads.missing_for(&batch);
-        let frame = match encode_calls(epoch, payloads, batch.drain(..)) {
+        let frame = match encode_calls(epoch, fleet.now_ms(), payloads, batch.drain(..)) {
             Ok(frame) => frame,
             Err(error) => {
                 tracing::warn!(name: "relay.not_encoded", epoch, %error, "calls could not be encoded; their outcome counts as unknown");
--- a/crates/masticfall-entry/src/fleet/relay/messages.rs
+++ b/crates/masticfall-entry/src/fleet/relay/messages.rs
@@ -79,6 +79,9 @@
     /// Fencing token of all calls.
     #[serde(rename = "f")]
     fencing_token: u32,
+    /// When the frame was sent, by the owner's steady clock.
+    #[serde(rename = "m")]
+    sent_ms: u64,
     /// Payloads of jobs that the relay doesn't know yet.
     #[serde(rename = "p")]
     payloads: Vec<(JobId, Name)>,
@@ -141,17 +144,19 @@
 }
 
 /// Encodes calls of one owner, each with its number. The starts carry no payloads; those
-/// of jobs that the relay may not know are in `payloads`.
+/// of jobs that the relay may not know are in `payloads`. `sent_ms` is the time by the
+/// owner's steady clock.
 ///
 /// # Errors
 /// The codec's error.
 pub(super) fn encode_calls(
     fencing_token: u32,
+    sent_ms: u64,
     payloads: Vec<(JobId, Name)>,
     calls: impl Iterator<Item = (u64, RelayCall)>,
 ) -> codec::Result<Vec<u8>> {
     let calls = calls.map(|(number, call)| (number, encode_call(call)));
-    encode(&WireCalls { fencing_token, payloads, calls: calls.collect() })
+    encode(&WireCalls { fencing_token, sent_ms, payloads, calls: calls.collect() })
 }
 
 fn encode_call(call: RelayCall) -> WireCall {
@@ -183,6 +188,8 @@
 /// Calls as received by a relay.
 #[derive(Debug)]
 pub(super) struct ReceivedCalls {
+    /// When the frame was sent, by the owner's steady clock.
+    pub(super) sent_ms: u64,
     /// Payloads of jobs.
     pub(super) payloads: Vec<(JobId, Name)>,
     /// Calls with their numbers; the payloads of starts are empty.
@@ -194,9 +201,9 @@
 /// # Errors
 /// The codec's error, when the bytes are not a valid frame.
 pub(super) fn decode_calls(bytes: &[u8]) -> codec::Result<ReceivedCalls> {
-    let WireCalls { fencing_token, payloads, calls } = decode(bytes)?;
+    let WireCalls { fencing_token, sent_ms, payloads, calls } = decode(bytes)?;
     let calls = calls.into_iter().map(|(number, call)| (number, decode_call(call, fencing_token)));
-    Ok(ReceivedCalls { payloads, calls: calls.collect() })
+    Ok(ReceivedCalls { sent_ms, payloads, calls: calls.collect() })
 }
 
 fn decode_call(call: WireCall, fencing_token: u32) -> RelayCall {
--- a/crates/masticfall-entry/src/fleet/relay/session.rs
+++ b/crates/masticfall-entry/src/fleet/relay/session.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use masticfall_core::fleet::relays::FrameAge;
 use masticfall_wire::encode;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
@@ -27,7 +28,7 @@
 const SILENCE_TIMEOUT_MS: u64 = 2_000;
 
 /// Age at which a call is no longer made, in milliseconds: the owner has given it up. A
-/// relay that was suspended must not make the calls from before.
+/// relay that was suspended must not make the calls that arrived meanwhile.
 const MAX_CALL_AGE_MS: u64 = 700;
 
 /// Makes the calls of an owner until it disconnects or is lost.
@@ -37,9 +38,10 @@
     tokio::spawn(send_outcomes(Arc::clone(&fleet), finished, outgoing));
     let known = Arc::new(KnownPayloads::default());
     let silence = Duration::from_millis(SILENCE_TIMEOUT_MS);
+    let mut frame_age = FrameAge::default();
     while let Ok(Some(frame)) = timeout(silence, incoming.recv()).await {
         let received_ms = fleet.now_ms();
-        let ReceivedCalls { payloads, calls } = match decode_calls(&frame) {
+        let ReceivedCalls { sent_ms, payloads, calls } = match decode_calls(&frame) {
             Ok(received) => received,
             Err(error) => {
                 tracing::warn!(name: "relay.unreadable", %error, "malformed frame from an owner; closing its connection");
@@ -47,11 +49,13 @@
             }
         };
         known.add(payloads);
+        let made_by_ms =
+            (received_ms + MAX_CALL_AGE_MS).saturating_sub(frame_age.age_ms(sent_ms, received_ms));
         for (number, call) in calls {
             let (fleet, outcomes, known) =
                 (Arc::clone(&fleet), outcomes.clone(), Arc::clone(&known));
             tokio::spawn(async move {
-                let outcome = make_fresh_call(&fleet, &known, call, received_ms).await;
+                let outcome = make_fresh_call(&fleet, &known, call, made_by_ms).await;
                 // The owner may have disconnected; it then handles the outcome as unknown.
                 drop(outcomes.send((number, outcome)));
             });
@@ -63,7 +67,7 @@
     fleet: &Fleet,
     known: &KnownPayloads,
     mut call: RelayCall,
-    received_ms: u64,
+    made_by_ms: u64,
 ) -> RelayOutcome {
     if let RelayCall::Start(start) = &mut call {
         match known.get(fleet, &start.task.job).await {
@@ -71,9 +75,11 @@
             Err(error) => return RelayOutcome::Failed(error.to_string()),
         }
     }
-    let age_ms = fleet.now_ms().saturating_sub(received_ms);
-    if age_ms > MAX_CALL_AGE_MS {
-        return RelayOutcome::Failed(format!("the relay was suspended for {age_ms} ms"));
+    let late_by_ms = fleet.now_ms().saturating_sub(made_by_ms);
+    if late_by_ms > 0 {
+        return RelayOutcome::Failed(format!(
+            "the call reached its relay {late_by_ms} ms too late"
+        ));
     }
     make_call(&fleet.platform, call).await
 }
--- a/crates/masticfall-entry/tests/suite/fleet_faults.rs
+++ b/crates/masticfall-entry/tests/suite/fleet_faults.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use masticfall_core::error::ErrorKind;
 use masticfall_core::fleet::progress::JobPhase;
 use masticfall_entry::fleet::RunningFleet;
 use masticfall_standin::fleet::{StoreMode, World};
@@ -12,7 +11,9 @@
 use rstest::rstest;
 use tokio::time::sleep;
 
-use crate::fleet_world::{WORKERS, assert_invariants, job, launch, phase, start_settled, submit};
+use crate::fleet_world::{
+    Submissions, WORKERS, assert_invariants, job, launch, phase, start_settled,
+};
 
 #[rstest]
 #[case::seed_1(1)]
@@ -45,19 +46,11 @@
     let mut processes: IndexMap<&str, RunningFleet> =
         names.iter().copied().zip(start_settled(&world, &names).await).collect();
     world.set_delayed_starts(random.random_range(7..20));
-    let (mut submitted, mut accepted) = (Vec::new(), Vec::new());
+    let mut jobs = Submissions::default();
     for number in 0..60 {
         let id = job(number + 1);
         let name = names[random.random_range(0..names.len())];
-        // A refused job is never submitted again and must never run.
-        match submit(&world, &processes[name].fleet, &id).await {
-            Ok(()) => {
-                accepted.push(id.clone());
-                submitted.push(id);
-            }
-            Err(ErrorKind::PlatformUnknown) => submitted.push(id),
-            Err(_) => {}
-        }
+        jobs.submit(&world, &processes[name].fleet, &id).await;
         sleep(Duration::from_millis(random.random_range(50..400))).await;
         match random.random_range(0..12) {
             0 => {
@@ -91,9 +84,9 @@
     }
     (0..WORKERS).for_each(|worker| world.set_silent(worker, false));
     sleep(Duration::from_mins(1)).await;
-    assert_invariants(&world, &submitted, &accepted);
+    assert_invariants(&world, &jobs.submitted, &jobs.accepted);
     let fleet = &processes["b"].fleet;
-    for id in &accepted {
+    for id in &jobs.accepted {
         assert_eq!(phase(fleet, id).await, Ok(JobPhase::Completed), "{id}");
     }
 }
--- a/crates/masticfall-entry/tests/suite/fleet_relays.rs
+++ b/crates/masticfall-entry/tests/suite/fleet_relays.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
-use masticfall_core::error::ErrorKind;
 use masticfall_core::fleet::progress::JobPhase;
 use masticfall_core::id::{JobId, Name};
 use masticfall_entry::fleet::peers::{PeerCalls, PeerRow};
@@ -21,7 +20,8 @@
 use tokio::time::sleep;
 
 use crate::fleet_world::{
-    WORKERS, assert_invariants, config, is_owner, job, phase, submit, unreachable_peers,
+    Submissions, WORKERS, assert_invariants, config, is_owner, job, phase, submit,
+    unreachable_peers,
 };
 
 /// Connections between processes, with injected faults.
@@ -227,19 +227,11 @@
     let names = ["a", "b", "c", "d"];
     let mut processes = start_relayed(&world, &net, &names).await;
     world.set_delayed_starts(random.random_range(7..20));
-    let (mut submitted, mut accepted) = (Vec::new(), Vec::new());
+    let mut jobs = Submissions::default();
     for number in 0..60 {
         let id = job(number + 1);
         let name = names[random.random_range(0..names.len())];
-        // A refused job is never submitted again and must never run.
-        match submit(&world, &processes[name].fleet, &id).await {
-            Ok(()) => {
-                accepted.push(id.clone());
-                submitted.push(id);
-            }
-            Err(ErrorKind::PlatformUnknown) => submitted.push(id),
-            Err(_) => {}
-        }
+        jobs.submit(&world, &processes[name].fleet, &id).await;
         sleep(Duration::from_millis(random.random_range(50..400))).await;
         let other = names[random.random_range(0..names.len())];
         match random.random_range(0..14) {
@@ -280,8 +272,8 @@
     }
     (0..WORKERS).for_each(|worker| world.set_silent(worker, false));
     sleep(Duration::from_mins(1)).await;
-    assert_invariants(&world, &submitted, &accepted);
-    for id in &accepted {
+    assert_invariants(&world, &jobs.submitted, &jobs.accepted);
+    for id in &jobs.accepted {
         assert_eq!(phase(&processes["b"].fleet, id).await, Ok(JobPhase::Completed), "{id}");
     }
 }
--- a/crates/masticfall-entry/tests/suite/fleet_world.rs
+++ b/crates/masticfall-entry/tests/suite/fleet_world.rs
@@ -132,6 +132,28 @@
     jobs::submit(fleet, &admitted, spec).await.map_err(|refusal| refusal.kind)
 }
 
+/// Jobs that a test has handed in.
+#[derive(Debug, Default)]
+pub struct Submissions {
+    /// Accepted, or of unknown outcome; a refused job is never submitted again and must
+    /// never run.
+    pub submitted: Vec<JobId>,
+    pub accepted: Vec<JobId>,
+}
+
+impl Submissions {
+    pub async fn submit(&mut self, world: &World, fleet: &Arc<Fleet>, id: &JobId) {
+        match submit(world, fleet, id).await {
+            Ok(()) => {
+                self.accepted.push(id.clone());
+                self.submitted.push(id.clone());
+            }
+            Err(ErrorKind::PlatformUnknown) => self.submitted.push(id.clone()),
+            Err(_) => {}
+        }
+    }
+}
+
 pub async fn phase(fleet: &Arc<Fleet>, id: &JobId) -> Result<JobPhase, ErrorKind> {
     let admitted = jobs::admit(fleet, &caller(id.as_str())).map_err(|refusal| refusal.kind)?;
     jobs::show(fleet, &admitted).await.map_err(|refusal| refusal.kind)
