--- a/crates/masticfall-entry/src/fleet/leadership.rs
+++ b/crates/masticfall-entry/src/fleet/leadership.rs
@@ -12,6 +12,7 @@
 
 mod bid;
 mod load;
+mod writes;
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -19,13 +20,14 @@
 use std::time::Duration;
 
 use masticfall_core::id::Incarnation;
-use masticfall_platform::fleet::{FleetRow, RowCommit, RowKey, RowTransaction};
+use masticfall_platform::fleet::{FleetRow, RowCommit, RowTransaction};
 use masticfall_platform::{PlatformError, Result};
 use parking_lot::Mutex;
 use rand::Rng;
 use tokio::time::sleep;
 
 pub(super) use load::supervise;
+pub use writes::{WriteSequence, write_as_owner, write_ordered};
 
 use super::context::{Fleet, FleetPhase, Ownership};
 use super::follow;
@@ -385,87 +387,6 @@
     }
 }
 
-/// A row whose version orders the writes of one kind. A write that got no reply
-/// may still take effect seconds later, and must not overwrite a newer one.
-#[derive(Debug, Clone)]
-pub struct WriteSequence {
-    row_key: RowKey,
-    version: u64,
-}
-
-impl WriteSequence {
-    /// Starts a sequence whose row may exist already.
-    pub fn new(row_key: RowKey) -> Self {
-        Self { row_key, version: 0 }
-    }
-}
-
-/// Writes rows as [`write_as_owner`] does, after all earlier writes of the sequence or not
-/// at all; `row` is the new value of the sequence's own row. Returns `false` when
-/// the ownership was lost.
-///
-/// # Errors
-/// The platform's failure.
-pub async fn write_ordered(
-    fleet: &Fleet,
-    ownership: Ownership,
-    sequence: &mut WriteSequence,
-    row: Vec<u8>,
-    mut writes: Vec<(RowKey, Option<Vec<u8>>)>,
-) -> Result<bool> {
-    writes.push((sequence.row_key.clone(), Some(row)));
-    loop {
-        let checks = vec![
-            (cell_row_key(LEAD_TABLE, OWNER_KEY), ownership.version),
-            (sequence.row_key.clone(), sequence.version),
-        ];
-        let transaction = RowTransaction { checks, writes: writes.clone() };
-        let rows = match (fleet.platform.transact)(transaction).await? {
-            RowCommit::Done(version) => {
-                sequence.version = version;
-                return Ok(true);
-            }
-            RowCommit::Conflict(rows) => rows,
-        };
-        let version_of =
-            |key: &str| rows.iter().find(|row| &*row.key == key).map_or(0, |row| row.version);
-        if version_of(OWNER_KEY) != ownership.version {
-            step_down_on_conflict(fleet, ownership, &rows);
-            return Ok(false);
-        }
-        let version = version_of(&sequence.row_key.key);
-        tracing::debug!(name: "row.behind", row = %sequence.row_key.key, known = sequence.version, version, "an earlier write took effect late; retrying with the row's new version");
-        sequence.version = version;
-    }
-}
-
-/// Writes rows on the condition that this process owns the cell; steps down and
-/// returns `false` when it no longer does.
-///
-/// # Errors
-/// The platform's failure.
-pub async fn write_as_owner(
-    fleet: &Fleet,
-    ownership: Ownership,
-    writes: Vec<(RowKey, Option<Vec<u8>>)>,
-) -> Result<bool> {
-    let checks = vec![(cell_row_key(LEAD_TABLE, OWNER_KEY), ownership.version)];
-    match (fleet.platform.transact)(RowTransaction { checks, writes }).await? {
-        RowCommit::Done(_) => Ok(true),
-        RowCommit::Conflict(rows) => {
-            step_down_on_conflict(fleet, ownership, &rows);
-            Ok(false)
-        }
-    }
-}
-
-fn step_down_on_conflict(fleet: &Fleet, ownership: Ownership, rows: &[FleetRow]) {
-    observe_rows(fleet, rows);
-    if fleet.is_owner(ownership.epoch) {
-        step_down(fleet, "the owner row has changed");
-    }
-}
-
 /// Steps down and releases the cell, to `successor` if given, else to the first
 /// process that claims it. Retries while the store is unavailable.
 pub async fn hand_over(fleet: &Fleet, successor: Option<Incarnation>) {
