Calls that wait for a relay end with the ownership; first calls don't wait for a review

Found by reading the diff: calls of a new owner wait for its first relays, and were made directly once the ownership had ended, or could have gone out under a later epoch's token. They carry their epoch now, and the ownership is checked after the wait (fleet_relays::calls_that_wait_for_a_relay_end_with_the_ownership: 6 polls after the end before, none now). While the first relays are chosen the review runs each 10 ms, not each 250 ms, which would have delayed the first polls of every take-over, also without relays.

--- a/crates/masticfall-entry/src/fleet/relay.rs
+++ b/crates/masticfall-entry/src/fleet/relay.rs
@@ -76,20 +76,28 @@
     Unresponsive(String),
 }
 
-/// Makes a call through the worker's relay, or directly if it has none.
+/// Makes a call through the worker's relay, or directly if it has none. The call is not made
+/// if the ownership ends while it waits for a relay; its outcome then concerns nobody.
 async fn call(
     fleet: &Fleet,
     target: &CallTarget,
     mut call: RelayCall,
     limit_ms: u64,
 ) -> Result<RelayOutcome, LinkError> {
-    while let Some(link) = fleet.relays.link_of(target).await {
+    let epoch = call.fencing_token();
+    loop {
+        let link = fleet.relays.link_of(target, epoch).await;
+        if !fleet.is_owner(epoch) {
+            return Err(LinkError::OutcomeUnknown);
+        }
+        let Some(link) = link else {
+            return Ok(messages::make_call(&fleet.platform, call).await);
+        };
         match link.call(call, limit_ms + RELAY_MARGIN_MS).await {
             Err(LinkError::NotSent(unsent)) => call = *unsent,
             result => return result,
         }
     }
-    Ok(messages::make_call(&fleet.platform, call).await)
 }
 
 /// Starts a run on a worker.
--- a/crates/masticfall-entry/src/fleet/relay/messages.rs
+++ b/crates/masticfall-entry/src/fleet/relay/messages.rs
@@ -25,6 +25,17 @@
     Poll(PollCall),
 }
 
+impl RelayCall {
+    /// Returns the epoch of the ownership under which the call was decided.
+    pub(super) fn fencing_token(&self) -> u32 {
+        match self {
+            Self::Start(call) => call.fencing_token,
+            Self::Stop(call) | Self::Pace(call) => call.fencing_token,
+            Self::Poll(call) => call.fencing_token,
+        }
+    }
+}
+
 /// Outcome of a call.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(super) enum RelayOutcome {
--- a/crates/masticfall-entry/src/fleet/relay/routing.rs
+++ b/crates/masticfall-entry/src/fleet/relay/routing.rs
@@ -20,6 +20,9 @@
 /// Interval at which the owner reviews its relays, in milliseconds.
 const REVIEW_INTERVAL_MS: u64 = 250;
 
+/// The same while calls wait for the first review with all workers listed.
+const UNSETTLED_REVIEW_INTERVAL_MS: u64 = 10;
+
 /// Timeout of connecting to a relay, in milliseconds: the handshake may have to wait behind
 /// the rows of a cell that is being loaded over a thin link.
 const CONNECT_TIMEOUT_MS: u64 = 1_500;
@@ -38,6 +41,8 @@
 /// The open relays of each data centre.
 #[derive(Debug, Default)]
 struct Routes {
+    /// Epoch of the ownership.
+    epoch: u32,
     /// Whether the first relays are connected, or none is needed.
     is_settled: bool,
     by_data_centre: ByDataCentre<Arc<Link>>,
@@ -72,17 +77,23 @@
 }
 
 impl Relays {
-    /// Returns the open relay for a call, if there is one.
-    pub(super) async fn link_of(&self, target: &CallTarget) -> Option<Arc<Link>> {
+    /// Returns the open relay for a call of an epoch, if there is one.
+    pub(super) async fn link_of(&self, target: &CallTarget, epoch: u32) -> Option<Arc<Link>> {
         if target.avoids_relay {
             return None;
         }
-        if !self.routes.borrow().is_settled {
+        let is_usable = |routes: &Arc<Routes>| {
+            routes.epoch > epoch || (routes.epoch == epoch && routes.is_settled)
+        };
+        if !is_usable(&self.routes.borrow()) {
             let mut routes = self.routes.subscribe();
             // Fails only when the process ends.
-            drop(routes.wait_for(|routes| routes.is_settled).await);
+            drop(routes.wait_for(is_usable).await);
         }
         let routes = Arc::clone(&self.routes.borrow());
+        if routes.epoch != epoch {
+            return None;
+        }
         let local = routes.by_data_centre.get(&target.data_centre)?;
         let elsewhere = || routes.by_data_centre.values().flatten();
         link_among(target, local.iter()).or_else(|| link_among(target, elsewhere()))
@@ -112,7 +123,7 @@
 /// loaded.
 pub(in crate::fleet) async fn maintain(fleet: Arc<Fleet>, epoch: u32, expected_workers: usize) {
     let relays = &fleet.relays;
-    relays.routes.send_replace(Arc::default());
+    relays.routes.send_replace(Arc::new(Routes { epoch, ..Routes::default() }));
     *relays.connections.lock() = Connections { epoch, ..Connections::default() };
     let mut peers_read_ms = 0;
     let mut loaded_ms = None;
@@ -143,8 +154,9 @@
         let is_connected = by_data_centre.values().all(|links| !links.is_empty());
         let is_overdue = loaded_ms.is_some_and(|at_ms| now_ms > at_ms + FIRST_RELAYS_TIMEOUT_MS);
         let is_settled = loaded_ms.is_some() && (is_direct || is_connected || is_overdue);
-        relays.routes.send_replace(Arc::new(Routes { is_settled, by_data_centre }));
-        let review = Duration::from_millis(REVIEW_INTERVAL_MS);
+        relays.routes.send_replace(Arc::new(Routes { epoch, is_settled, by_data_centre }));
+        let review_ms = if is_settled { REVIEW_INTERVAL_MS } else { UNSETTLED_REVIEW_INTERVAL_MS };
+        let review = Duration::from_millis(review_ms);
         // A timeout only means that the next review is due.
         drop(timeout(review, relays.changed.notified()).await);
     }
@@ -153,7 +165,8 @@
     if connections.epoch == epoch {
         *connections = Connections::default();
         // Calls that still wait end with the ownership.
-        relays.routes.send_replace(Arc::new(Routes { is_settled: true, ..Routes::default() }));
+        let ended = Routes { epoch, is_settled: true, ..Routes::default() };
+        relays.routes.send_replace(Arc::new(ended));
     }
 }
 
--- a/crates/masticfall-entry/tests/suite/fleet_relays.rs
+++ b/crates/masticfall-entry/tests/suite/fleet_relays.rs
@@ -2,8 +2,10 @@
 //! owner that is replaced while its calls are on their way.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use futures_util::future::BoxFuture;
 use indexmap::{IndexMap, IndexSet};
 use masticfall_core::fleet::progress::JobPhase;
 use masticfall_core::id::{JobId, Name};
@@ -11,6 +13,7 @@
 use masticfall_entry::fleet::relay::{self, FrameChannel};
 use masticfall_entry::fleet::{Fleet, FleetSettings, RunningFleet, start};
 use masticfall_platform::error::{Result, UnavailableSnafu};
+use masticfall_platform::operation;
 use masticfall_standin::fleet::{StoreMode, World};
 use parking_lot::Mutex;
 use rand::rngs::StdRng;
@@ -42,7 +45,7 @@
         let net = Arc::clone(self);
         let connect_relay = move |peer: PeerRow| {
             let connected = net.connect(&peer.token);
-            Box::pin(async move { connected }) as futures_util::future::BoxFuture<'static, _>
+            Box::pin(async move { connected }) as BoxFuture<'static, _>
         };
         let peer_calls =
             PeerCalls { connect_relay: Arc::new(connect_relay), ..unreachable_peers() };
@@ -170,6 +173,38 @@
     );
 }
 
+/// Calls of a new owner wait for its first relays. If the ownership ends meanwhile, they
+/// must not be made any more, neither directly nor under a later epoch.
+#[tokio::test(start_paused = true)]
+async fn calls_that_wait_for_a_relay_end_with_the_ownership() {
+    let world = World::new(WORKERS, "p");
+    world.set_config(config(1, &["key"]));
+    let polls: Arc<AtomicUsize> = Arc::default();
+    let processes = ["a", "b"].map(|name| {
+        let settings = FleetSettings { max_direct_workers: 0, ..FleetSettings::local(name, "dc") };
+        let (clock, polls) = (Arc::clone(&world), Arc::clone(&polls));
+        let mut platform = world.platform(name);
+        let poll = Arc::clone(&platform.poll);
+        platform.poll = operation(move |call| {
+            polls.fetch_add(1, Ordering::Relaxed);
+            poll(call)
+        });
+        let connect_relay =
+            |_| -> BoxFuture<'static, Result<FrameChannel>> { Box::pin(std::future::pending()) };
+        let peer_calls =
+            PeerCalls { connect_relay: Arc::new(connect_relay), ..unreachable_peers() };
+        start(settings, platform, Arc::new(move || clock.now_ms()), peer_calls)
+    });
+    while !processes.iter().any(is_owner) {
+        sleep(Duration::from_millis(10)).await;
+    }
+    sleep(Duration::from_millis(400)).await;
+    assert_eq!(polls.load(Ordering::Relaxed), 0, "the polls wait for a relay");
+    processes.into_iter().for_each(RunningFleet::crash);
+    sleep(Duration::from_secs(10)).await;
+    assert_eq!(polls.load(Ordering::Relaxed), 0, "polls were made after the ownership ended");
+}
+
 /// A relay closes the connection on which it received bytes that are no frame, and serves
 /// the others on; an owner that receives such bytes gets another relay.
 #[tokio::test(start_paused = true)]
