--- a/crates/masticfall-core/src/fleet/relays.rs
+++ b/crates/masticfall-core/src/fleet/relays.rs
@@ -10,11 +10,11 @@
 use crate::hash::fnv_1a;
 use crate::id::{DataCentre, Name, WorkerId};
 
-/// Workers that a relay with a whole core can serve at a peak: about four starts and
-/// four polls a second each, with most of the core left for the relay's own callers.
+/// Workers that a relay with a whole core can serve; leaves most of the core to the
+/// relay's own callers.
 const WORKERS_PER_CORE: f64 = 250.0;
 
-/// Workers that a relay can serve per Mbit/s of its link at a peak, at about 7 KB/s each.
+/// Workers that a relay can serve per Mbit/s of its link: 10 KB/s for each.
 const WORKERS_PER_MBPS: f64 = 12.0;
 
 /// Rate at which the assumed difference of two processes' clocks may rise, in parts per
--- a/crates/masticfall-entry/src/fleet/machines.rs
+++ b/crates/masticfall-entry/src/fleet/machines.rs
@@ -44,8 +44,7 @@
 const LISTED_MACHINE_BYTES: f64 = 160.0;
 
 /// Maximum share of the link for reading the list of instances. At 1,100 instances and
-/// 200 Mbit/s the list is then read every 0.2 s, and decoding it takes about a hundredth
-/// of a core.
+/// 200 Mbit/s the list is then read every 0.2 s.
 const MAX_LIST_LINK_SHARE: f64 = 0.035;
 
 /// Maximum interval between two reads of the list of instances, in milliseconds.
--- a/crates/masticfall-entry/src/fleet/relay/session.rs
+++ b/crates/masticfall-entry/src/fleet/relay/session.rs
@@ -21,7 +21,7 @@
 /// Interval of empty frames while there is nothing to send, in milliseconds.
 pub(super) const IDLE_FRAME_INTERVAL_MS: u64 = 250;
 
-/// Maximum number of calls or outcomes in a frame; bounds its size to about 100 KB.
+/// Maximum number of calls or outcomes in a frame; bounds its size.
 pub(super) const MAX_FRAME_ENTRIES: usize = 256;
 
 /// Time without a frame after which an owner counts as lost, in milliseconds.
@@ -49,13 +49,13 @@
             }
         };
         known.add(payloads);
-        let made_by_ms =
+        let deadline_ms =
             (received_ms + MAX_CALL_AGE_MS).saturating_sub(frame_age.age_ms(sent_ms, received_ms));
         for (number, call) in calls {
             let (fleet, outcomes, known) =
                 (Arc::clone(&fleet), outcomes.clone(), Arc::clone(&known));
             tokio::spawn(async move {
-                let outcome = make_fresh_call(&fleet, &known, call, made_by_ms).await;
+                let outcome = make_fresh_call(&fleet, &known, call, deadline_ms).await;
                 // The owner may have disconnected; it then handles the outcome as unknown.
                 drop(outcomes.send((number, outcome)));
             });
@@ -67,7 +67,7 @@
     fleet: &Fleet,
     known: &KnownPayloads,
     mut call: RelayCall,
-    made_by_ms: u64,
+    deadline_ms: u64,
 ) -> RelayOutcome {
     if let RelayCall::Start(start) = &mut call {
         match known.get(fleet, &start.task.job).await {
@@ -75,7 +75,7 @@
             Err(error) => return RelayOutcome::Failed(error.to_string()),
         }
     }
-    let late_by_ms = fleet.now_ms().saturating_sub(made_by_ms);
+    let late_by_ms = fleet.now_ms().saturating_sub(deadline_ms);
     if late_by_ms > 0 {
         return RelayOutcome::Failed(format!(
             "the call reached its relay {late_by_ms} ms too late"
--- a/crates/masticfall-entry/src/fleet/settings.rs
+++ b/crates/masticfall-entry/src/fleet/settings.rs
@@ -52,8 +52,8 @@
 /// of all known deployments.
 const DEFAULT_MACHINE_CALLS_PER_S: f64 = 64.0;
 
-/// Default of the number of workers that the owner calls itself; a process with a quarter
-/// of a core keeps up with that many at a peak.
+/// Default of the number of workers that the owner calls itself. Small deployments, of
+/// about 50 workers, need no relays.
 const DEFAULT_MAX_DIRECT_WORKERS: u64 = 64;
 
 /// Maximum of the number of workers that the owner calls itself.
