Logs and metrics tell why a worker's runs were lost, how old they were and what ran beside

The log had one line for a worker that crashed, was replaced or was cut off until its lease ran out, and no age of the runs. It now says the cause (lease_expired, replaced, unlisted), how long the worker was silent, whether it was leaving, and the tasks on it; the metric lost_workers counts by cause. No decision changes.

--- a/crates/masticfall-core/src/fleet.rs
+++ b/crates/masticfall-core/src/fleet.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod board;
 pub mod config;
+pub mod crashes;
 pub mod machines;
 pub mod pacing;
 pub mod placing;
--- a/crates/masticfall-core/src/fleet/board.rs
+++ b/crates/masticfall-core/src/fleet/board.rs
@@ -6,6 +6,7 @@
 //! the worker reports otherwise or its lease expires.
 
 mod cordon;
+mod crash;
 mod demand;
 mod job;
 mod pace;
@@ -27,6 +28,7 @@
 pub use store::{Batch, BatchWrite};
 
 use super::config::FleetConfig;
+use super::crashes::LossCause;
 use super::progress::{EndedRow, JobPhase, ProgressRow};
 use super::report::RunEnd;
 use super::spec::{JobRecord, Resources, TaskKey};
@@ -168,6 +170,9 @@
         /// Whether the end was inferred, from an expired lease or the run's
         /// absence from a report, instead of reported by the worker.
         is_inferred: bool,
+        /// Time from its start order to its end, or to the worker's last answer if the
+        /// worker was lost, in milliseconds; `None` if an earlier owner ordered it.
+        age_ms: Option<u64>,
     },
     /// A run is being stopped.
     Stopping {
@@ -205,12 +210,18 @@
         /// Whether it answers.
         is_reached: bool,
     },
-    /// The leases of a worker expired, or another incarnation of it answers.
-    WorkerLeasesExpired {
+    /// The runs on a worker are lost.
+    WorkerLost {
         /// The worker.
         worker: WorkerId,
-        /// Number of tasks that were placed there.
-        tasks: usize,
+        /// How that became known.
+        cause: LossCause,
+        /// Time since it last stopped answering, in milliseconds; 0 if it answered.
+        silent_ms: u64,
+        /// Whether it was about to leave.
+        is_leaving: bool,
+        /// Tasks whose runs were ordered there.
+        tasks: Vec<TaskKey>,
     },
     /// A worker on which different jobs failed is quarantined.
     Quarantined {
@@ -398,11 +409,7 @@
     pub fn remove_worker(&mut self, id: &WorkerId, now_ms: u64) {
         let Some(worker) = self.workers.get(id) else { return };
         let keys: Vec<TaskKey> = worker.placements.iter().cloned().collect();
-        let (worker, tasks) = (id.clone(), keys.len());
-        self.notices.push(Notice::WorkerLeasesExpired { worker, tasks });
-        for key in keys {
-            self.end_run(&key, RunEnd::Lapsed, None, true, now_ms);
-        }
+        self.lose_runs(id, keys, LossCause::Replaced, now_ms);
         self.workers.swap_remove(id);
     }
 
--- a/crates/masticfall-core/src/fleet/board/job.rs
+++ b/crates/masticfall-core/src/fleet/board/job.rs
@@ -36,6 +36,8 @@
     pub order: OrderState,
     /// Whether an earlier start order of this run had an unknown outcome.
     pub had_unknown_outcome: bool,
+    /// When its start was first ordered; `None` if an earlier owner ordered it.
+    pub ordered_ms: Option<u64>,
     /// When a stop order was last issued.
     pub stop_sent_ms: Option<u64>,
     /// Progress, in percent.
@@ -240,6 +242,14 @@
         steps.get_mut(key.step as usize)?.tasks.get_mut(key.index as usize)
     }
 
+    /// Returns the current run of a task, if it is placed.
+    pub fn run(&self, key: &TaskKey) -> Option<&Placement> {
+        match self.task(key)?.state() {
+            TaskState::Placed(run) => Some(run),
+            TaskState::Waiting | TaskState::Done => None,
+        }
+    }
+
     /// Sets the state of a task; returns the previous one.
     pub fn set_state(&mut self, key: &TaskKey, state: TaskState) -> Option<TaskState> {
         let steps = &mut self.occurrences.get_mut(&key.occurrence)?.steps;
@@ -441,6 +451,7 @@
             attempt,
             order: OrderState::Unstored,
             had_unknown_outcome: false,
+            ordered_ms: None,
             stop_sent_ms: None,
             percent: 0,
             load: 0,
--- a/crates/masticfall-core/src/fleet/board/reports.rs
+++ b/crates/masticfall-core/src/fleet/board/reports.rs
@@ -82,9 +82,10 @@
     }
 
     /// Records that a worker didn't answer.
-    pub fn poll_failed(&mut self, id: &WorkerId) {
+    pub fn poll_failed(&mut self, id: &WorkerId, now_ms: u64) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         if !std::mem::replace(&mut worker.is_unresponsive, true) {
+            worker.unresponsive_since_ms = Some(now_ms);
             self.notices.push(Notice::WorkerReachability { worker: id.clone(), is_reached: false });
         }
     }
@@ -93,6 +94,7 @@
     pub fn report(&mut self, id: &WorkerId, sent_ms: u64, report: WorkerReport, now_ms: u64) {
         let lease_ms = self.timings.lease_ms;
         let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.unresponsive_since_ms = None;
         if std::mem::replace(&mut worker.is_unresponsive, false) {
             self.notices.push(Notice::WorkerReachability { worker: id.clone(), is_reached: true });
         }
@@ -141,6 +143,7 @@
         is_inferred: bool,
         now_ms: u64,
     ) {
+        let age_ms = self.run_age_ms(key, now_ms);
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let Some(task) = job.task_mut(key) else { return };
         let attempt = task.attempt;
@@ -156,7 +159,7 @@
             self.complete_task(key, now_ms);
         } else {
             let task = key.clone();
-            self.notices.push(Notice::RunEnded { task, attempt, worker, end, is_inferred });
+            self.notices.push(Notice::RunEnded { task, attempt, worker, end, is_inferred, age_ms });
             self.count_failure(key, end, now_ms);
         }
     }
--- a/crates/masticfall-core/src/fleet/board/store.rs
+++ b/crates/masticfall-core/src/fleet/board/store.rs
@@ -138,6 +138,7 @@
             return;
         };
         run.order = OrderState::Sent(now_ms);
+        run.ordered_ms.get_or_insert(now_ms);
         let checkpoint = job.task(key).and_then(|task| task.checkpoint.clone());
         let permit = self.permit(key, &worker_id, now_ms);
         let Some(job) = self.jobs.get(&key.job) else { return };
--- a/crates/masticfall-core/src/fleet/board/time.rs
+++ b/crates/masticfall-core/src/fleet/board/time.rs
@@ -1,7 +1,7 @@
 //! Changes driven by time: lease expiry, resent orders, due occurrences.
 
-use super::{Board, Notice, Now, OrderState, StopReason, Task, TaskState};
-use crate::fleet::report::RunEnd;
+use super::{Board, Now, OrderState, StopReason, Task, TaskState};
+use crate::fleet::crashes::LossCause;
 use crate::fleet::spec::TaskKey;
 use crate::fleet::worker::Worker;
 use crate::id::WorkerId;
@@ -89,13 +89,7 @@
             .collect();
         for id in expired {
             let keys: Vec<TaskKey> = self.workers[&id].placements.iter().cloned().collect();
-            if !keys.is_empty() {
-                let (worker, tasks) = (id.clone(), keys.len());
-                self.notices.push(Notice::WorkerLeasesExpired { worker, tasks });
-            }
-            for key in keys {
-                self.end_run(&key, RunEnd::Lapsed, None, true, now_ms);
-            }
+            self.lose_runs(&id, keys, LossCause::LeaseExpired, now_ms);
             if self.workers.get(&id).is_some_and(|worker| !worker.is_listed) {
                 self.workers.swap_remove(&id);
             }
@@ -109,9 +103,13 @@
         if now_ms <= self.previous_lease_until_ms {
             return;
         }
-        let lost: Vec<TaskKey> = self.placed_elsewhere.values().flatten().cloned().collect();
-        for key in lost {
-            self.end_run(&key, RunEnd::Lapsed, None, true, now_ms);
+        let lost: Vec<(WorkerId, Vec<TaskKey>)> = self
+            .placed_elsewhere
+            .iter()
+            .map(|(worker, keys)| (worker.clone(), keys.iter().cloned().collect()))
+            .collect();
+        for (worker, keys) in lost {
+            self.lose_runs(&worker, keys, LossCause::Unlisted, now_ms);
         }
     }
 }
--- a/crates/masticfall-core/src/fleet/worker.rs
+++ b/crates/masticfall-core/src/fleet/worker.rs
@@ -96,6 +96,8 @@
     pub is_maintenance_due: bool,
     /// Whether the last poll of it failed.
     pub is_unresponsive: bool,
+    /// Since when it has been unresponsive.
+    pub unresponsive_since_ms: Option<u64>,
     /// Whether it may have been announced as unresponsive to the next owner, in which case
     /// it gets no lease.
     pub is_announced_unresponsive: bool,
@@ -137,6 +139,7 @@
             is_cordoned: false,
             is_maintenance_due: false,
             is_unresponsive: false,
+            unresponsive_since_ms: None,
             is_announced_unresponsive: false,
             born_wall_ms: None,
             clock: None,
--- a/crates/masticfall-core/tests/suite/fleet_leases.rs
+++ b/crates/masticfall-core/tests/suite/fleet_leases.rs
@@ -16,7 +16,7 @@
         rig.advance(200);
         let now_ms = rig.now_ms;
         rig.board.poll(&id.into(), now_ms);
-        rig.board.poll_failed(&id.into());
+        rig.board.poll_failed(&id.into(), now_ms);
         let other = if id == "w1" { "w2" } else { "w1" };
         rig.poll(&other.into());
         rig.settle();
@@ -94,7 +94,7 @@
 fn worker_announced_as_silent_gets_a_lease_only_after_the_announcement_is_withdrawn() {
     let mut rig = Rig::new(WORKERS);
     let now_ms = rig.now_ms;
-    rig.board.poll_failed(&"w1".into());
+    rig.board.poll_failed(&"w1".into(), now_ms);
     let unresponsive = rig.board.announce_unresponsive(now_ms);
     // It answers again, but the stored announcement still names it.
     rig.poll(&"w1".into());
--- a/crates/masticfall-entry/src/fleet/dispatch.rs
+++ b/crates/masticfall-entry/src/fleet/dispatch.rs
@@ -352,5 +352,6 @@
 
 fn record_poll_failure(fleet: &Fleet, epoch: u32, id: &WorkerId, reason: &str) {
     tracing::debug!(name: "worker.silent", worker = %id, error = reason, "worker did not respond; retrying");
-    fleet.update_board(epoch, |board| board.poll_failed(id));
+    let now_ms = fleet.now_ms();
+    fleet.update_board(epoch, |board| board.poll_failed(id, now_ms));
 }
--- a/crates/masticfall-entry/src/fleet/metrics.rs
+++ b/crates/masticfall-entry/src/fleet/metrics.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use masticfall_core::error::ErrorKind;
+use masticfall_core::fleet::crashes::LossCause;
 use masticfall_platform::traffic::{Traffic, TrafficCount};
 use prometheus_client::collector::Collector;
 use prometheus_client::encoding::text::encode;
@@ -29,6 +30,12 @@
     pub end: &'static str,
 }
 
+/// Labels of the counter of lost workers.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct LossLabels {
+    cause: &'static str,
+}
+
 /// Exposes the traffic with the platform by kind of call.
 #[derive(Debug)]
 struct TrafficCollector(Arc<Traffic>);
@@ -79,6 +86,7 @@
     pub starts: Counter,
     /// Takeovers of the cell by this process.
     pub takeovers: Counter,
+    lost_workers: Family<LossLabels, Counter>,
 }
 
 impl FleetMetrics {
@@ -94,6 +102,7 @@
             jobs: Gauge::default(),
             starts: Counter::default(),
             takeovers: Counter::default(),
+            lost_workers: Family::default(),
         };
         let mut registry = Registry::with_prefix("masticfall");
         registry.register_collector(Box::new(TrafficCollector(traffic)));
@@ -106,9 +115,16 @@
         registry.register("jobs", "Jobs dispatched by this process", m.jobs.clone());
         registry.register("starts", "Starts ordered from workers", m.starts.clone());
         registry.register("takeovers", "Take-overs of the cell", m.takeovers.clone());
+        let help = "Workers lost with tasks on them, by how that became known";
+        registry.register("lost_workers", help, m.lost_workers.clone());
         Self { registry, ..metrics }
     }
 
+    /// Records that a worker was lost with tasks on it.
+    pub fn record_lost_worker(&self, cause: LossCause) {
+        self.lost_workers.get_or_create(&LossLabels { cause: cause.into() }).inc();
+    }
+
     /// Records a request that was answered or refused.
     pub fn record_request(&self, method: &str, refused: Option<ErrorKind>, latency: Duration) {
         let end = refused.map_or("answered", Into::into);
--- a/crates/masticfall-entry/src/fleet/notices.rs
+++ b/crates/masticfall-entry/src/fleet/notices.rs
@@ -1,10 +1,21 @@
 //! Log lines for the board's notices.
 
 use masticfall_core::fleet::board::Notice;
+use masticfall_core::fleet::crashes::LossCause;
+use masticfall_core::fleet::spec::TaskKey;
 
 use super::context::Fleet;
 
-/// Logs a notice.
+/// Maximum number of tasks named in one line.
+const MAX_LISTED_TASKS: usize = 64;
+
+/// Returns the names of tasks, separated by spaces.
+fn list_tasks(tasks: &[TaskKey]) -> String {
+    let names: Vec<String> = tasks.iter().take(MAX_LISTED_TASKS).map(TaskKey::to_string).collect();
+    names.join(" ")
+}
+
+/// Logs a notice, and counts it where a metric does.
 pub fn log(fleet: &Fleet, epoch: u32, notice: &Notice) {
     let process = &fleet.incarnation;
     match notice {
@@ -17,8 +28,8 @@
         Notice::NotStarted { task, attempt, worker, outcome } => {
             tracing::info!(name: "task.not_started", epoch, %task, attempt, %worker, %outcome, "run not started");
         }
-        Notice::RunEnded { task, attempt, worker, end, is_inferred } => {
-            tracing::info!(name: "task.ended", epoch, %task, attempt, %worker, %end, is_concluded = is_inferred, "run ended without completing its task");
+        Notice::RunEnded { task, attempt, worker, end, is_inferred, age_ms } => {
+            tracing::info!(name: "task.ended", epoch, %task, attempt, %worker, %end, is_concluded = is_inferred, age_ms, "run ended without completing its task");
         }
         Notice::Stopping { task, attempt, worker, reason } => {
             tracing::info!(name: "task.stopping", epoch, %task, attempt, %worker, %reason, "stopping a run");
@@ -32,8 +43,14 @@
         Notice::WorkerReachability { worker, is_reached } => {
             tracing::info!(name: "worker.reach", epoch, %worker, is_reached, "reachability of a worker changed");
         }
-        Notice::WorkerLeasesExpired { worker, tasks } => {
-            tracing::warn!(name: "worker.lapsed", epoch, %worker, tasks, "leases of an unresponsive worker expired");
+        Notice::WorkerLost { worker, cause, silent_ms, is_leaving, tasks } => {
+            fleet.metrics.record_lost_worker(*cause);
+            let (count, lost) = (tasks.len(), list_tasks(tasks));
+            if *cause == LossCause::LeaseExpired {
+                tracing::warn!(name: "worker.lapsed", epoch, %worker, %cause, silent_ms, is_leaving, tasks = count, lost, "leases of an unresponsive worker expired");
+            } else {
+                tracing::warn!(name: "worker.lost", epoch, %worker, %cause, silent_ms, is_leaving, tasks = count, lost, "runs were lost with their worker");
+            }
         }
         Notice::Quarantined { worker, length_ms } => {
             tracing::warn!(name: "worker.quarantined", epoch, %worker, length_ms, "worker fails different jobs; gets no work during the quarantine");
