--- a/crates/masticfall-entry/tests/suite/main.rs
+++ b/crates/masticfall-entry/tests/suite/main.rs
@@ -10,6 +10,7 @@
 mod eject;
 mod fleet;
 mod fleet_checks;
+mod fleet_crashes;
 mod fleet_faults;
 mod fleet_owners;
 mod fleet_relays;
--- a/crates/masticfall-standin/src/fleet.rs
+++ b/crates/masticfall-standin/src/fleet.rs
@@ -5,6 +5,7 @@
 //! process or loses responses, unresponsive workers, and delayed starts.
 
 pub mod check;
+pub mod crash;
 mod store;
 mod workers;
 
@@ -12,6 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crash::{CrashPlan, CrashRecord, CrashingTask};
 use indexmap::{IndexMap, IndexSet};
 use masticfall_core::fleet::config::FleetConfig;
 use masticfall_core::fleet::report::{EndedRun, RunEnd};
@@ -95,7 +97,8 @@
     ended_count: u64,
     /// Highest attempt of each task that was stopped or ended on the worker.
     highest_closed_attempts: IndexMap<TaskKey, u32>,
-    is_alive: bool,
+    /// How it crashed, while it is down.
+    crashed: Option<CrashPlan>,
     is_unresponsive: bool,
     is_listed: bool,
 }
@@ -117,6 +120,9 @@
     delayed_start_every: u64,
     starts: u64,
     machine_calls: Vec<MachineCallRecord>,
+    /// Tasks that crash each worker that starts them.
+    crashing_tasks: IndexMap<TaskKey, CrashingTask>,
+    crashes: Vec<CrashRecord>,
     /// Number of standby instances in addition to the workers' instances.
     standby: usize,
     is_provider_down: bool,
@@ -373,7 +379,7 @@
             ended: Vec::new(),
             ended_count: 0,
             highest_closed_attempts: IndexMap::new(),
-            is_alive: true,
+            crashed: None,
             is_unresponsive: false,
             is_listed: true,
         }
--- a/crates/masticfall-standin/src/fleet/check.rs
+++ b/crates/masticfall-standin/src/fleet/check.rs
@@ -5,6 +5,7 @@
 use masticfall_core::fleet::spec::{JobSpec, Resources, TaskKey};
 use masticfall_core::id::{InstanceName, JobId, WorkerId};
 
+use super::crash::CrashRecord;
 use super::{MachineCallRecord, RunRecord};
 
 /// Description of a violated invariant.
@@ -122,6 +123,27 @@
     violations
 }
 
+/// Returns tasks that were started three times or more after three workers had crashed
+/// because of them.
+pub fn starts_after_crashes(record: &[RunRecord], crashes: &[CrashRecord]) -> Vec<Violation> {
+    let mut by_task: IndexMap<&TaskKey, Vec<u64>> = IndexMap::new();
+    for crash in crashes {
+        if let Some(task) = &crash.cause {
+            by_task.entry(task).or_default().push(crash.at_ms);
+        }
+    }
+    let mut violations = Vec::new();
+    for (task, crashed_ms) in by_task {
+        let Some(third_ms) = crashed_ms.get(2) else { continue };
+        let starts = record.iter().filter(|run| run.task == *task && run.started_ms > *third_ms);
+        let starts = starts.count();
+        if starts >= 3 {
+            violations.push(format!("{task}: {starts} starts after three crashes"));
+        }
+    }
+    violations
+}
+
 /// Returns calls about an instance within `lease_ms` of a call by another holder.
 pub fn calls_within_lease(calls: &[MachineCallRecord], lease_ms: u64) -> Vec<Violation> {
     let mut last: IndexMap<&InstanceName, &MachineCallRecord> = IndexMap::new();
--- a/crates/masticfall-standin/src/fleet/workers.rs
+++ b/crates/masticfall-standin/src/fleet/workers.rs
@@ -5,6 +5,7 @@
 
 use masticfall_core::fleet::report::{ActiveRun, RunEnd, StartOutcome, StopOutcome, WorkerReport};
 use masticfall_core::fleet::spec::Resources;
+use masticfall_core::id::WorkerId;
 use masticfall_platform::error::UnavailableSnafu;
 use masticfall_platform::fleet::{PollCall, PollOutcome, RunCall, StartCall};
 use masticfall_platform::{Operation, operation_on};
@@ -28,6 +29,9 @@
         let Some(worker) = self.workers.get_mut(&call.worker) else {
             return StartOutcome::WrongWorker;
         };
+        if worker.crashed.is_some() {
+            return StartOutcome::Unreached;
+        }
         if call.fencing_token < worker.fencing_token {
             return StartOutcome::Fenced;
         }
@@ -81,8 +85,18 @@
         StopOutcome::Accepted
     }
 
-    fn is_unresponsive(&self, worker: &masticfall_core::id::WorkerId) -> bool {
-        self.workers.get(worker).is_none_or(|worker| worker.is_unresponsive || !worker.is_alive)
+    /// Returns whether a worker gives no response. An unknown one was replaced by another
+    /// worker, which answers at its address.
+    fn is_unresponsive(&self, worker: &WorkerId) -> bool {
+        self.workers
+            .get(worker)
+            .is_some_and(|worker| worker.is_unresponsive || worker.crashed.is_some())
+    }
+
+    /// Returns whether calls to a worker fail at once.
+    fn refuses(&self, worker: &WorkerId) -> bool {
+        let worker = self.workers.get(worker);
+        worker.is_some_and(|worker| worker.crashed.is_some_and(|plan| !plan.is_dark))
     }
 }
 
@@ -94,6 +108,9 @@
             state.starts += 1;
             state.delayed_start_every > 0 && state.starts.is_multiple_of(state.delayed_start_every)
         };
+        if world.state.lock().refuses(&call.worker) {
+            return Ok(StartOutcome::Unreached);
+        }
         if world.state.lock().is_unresponsive(&call.worker) {
             sleep_ms(CALL_TIMEOUT_MS).await;
             return Ok(StartOutcome::Unknown);
@@ -103,18 +120,40 @@
             tokio::spawn(async move {
                 sleep_ms(START_DELAY_MS).await;
                 let now_ms = delayed_world.now_ms();
-                delayed_world.state.lock().start(&call, now_ms);
+                let outcome = delayed_world.state.lock().start(&call, now_ms);
+                crash_if_due(&delayed_world, &call, outcome);
             });
             sleep_ms(CALL_TIMEOUT_MS).await;
             return Ok(StartOutcome::Unknown);
         }
         let now_ms = world.now_ms();
         let outcome = world.state.lock().start(&call, now_ms);
+        if crash_if_due(&world, &call, outcome) {
+            return Ok(StartOutcome::Unknown);
+        }
         sleep_ms(CALL_LATENCY_MS).await;
         Ok(outcome)
     })
 }
 
+/// Crashes the worker of a task that does so; returns whether the response is lost.
+fn crash_if_due(world: &Arc<World>, call: &StartCall, outcome: StartOutcome) -> bool {
+    let crashing = world.state.lock().crashing_tasks.get(&call.task).copied();
+    let Some(crashing) = crashing.filter(|_| outcome == StartOutcome::Started) else {
+        return false;
+    };
+    let (world, task, worker) = (Arc::clone(world), call.task.clone(), call.worker.clone());
+    if crashing.loses_response {
+        world.crash(worker, Some(task), crashing.plan);
+        return true;
+    }
+    tokio::spawn(async move {
+        sleep_ms(crashing.after_ms).await;
+        world.crash(worker, Some(task), crashing.plan);
+    });
+    false
+}
+
 pub(super) fn stop(world: &Arc<World>) -> Operation<RunCall, StopOutcome> {
     operation_on(world, move |world, call: RunCall| async move {
         sleep_ms(CALL_LATENCY_MS).await;
@@ -147,6 +186,9 @@
         sleep_ms(CALL_LATENCY_MS).await;
         let until = Instant::now() + Duration::from_millis(call.wait_ms);
         loop {
+            if world.state.lock().refuses(&call.worker) {
+                return UnavailableSnafu { reason: "the connection was reset" }.fail();
+            }
             if world.state.lock().is_unresponsive(&call.worker) {
                 sleep_ms(CALL_TIMEOUT_MS).await;
                 return UnavailableSnafu { reason: "the worker does not respond" }.fail();
