A job of many tasks no longer stops the cell and each next owner

Found while looking for the same class of fault (one input that takes down process after process): a job of 3,000 accepted tasks has more progress than a row of the store may hold (65,536 bytes). The transaction that stores the progress of all jobs was refused, again and again; nothing was stored, so nothing was started, for any caller, and each next owner loaded the same job.

The model enforces the platform's limit of a transaction.

Tests: fleet_hostile; failed before: another job stayed queued; a row of 84,925 bytes (277,184 after its workers were lost), a transaction of 5,999,520 bytes.

--- a/crates/masticfall-core/src/fleet/board/place.rs
+++ b/crates/masticfall-core/src/fleet/board/place.rs
@@ -127,7 +127,10 @@
                 continue;
             }
             let is_gang = self.jobs[id].record.spec.steps[step as usize].is_gang;
-            let keys = waiting_tasks(&self.jobs[id], id, occurrence, step, now_ms);
+            let mut keys = waiting_tasks(&self.jobs[id], id, occurrence, step, now_ms);
+            if !is_gang {
+                self.jobs[id].retain_storable(id, &mut keys);
+            }
             let chosen = self.place_step(&keys, is_gang, workers, config, unplaceable, now_ms);
             if chosen.len() < keys.len() {
                 self.request_permits(&keys[chosen.len()..], workers, config);
--- a/crates/masticfall-core/src/fleet/board/store.rs
+++ b/crates/masticfall-core/src/fleet/board/store.rs
@@ -9,6 +9,10 @@
 /// condition, within the store's limit of 100 entries per transaction.
 const MAX_BATCH_JOBS: usize = 96;
 
+/// Size of the rows of progress in a batch at which it gets no more of them, in bytes: with
+/// one more row, encoded as text, within the store's limit of 1 MB per transaction.
+const MAX_BATCH_BYTES: usize = 600_000;
+
 /// A write of one job's row.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum BatchWrite {
@@ -44,8 +48,14 @@
             self.urgent.swap_remove(&id);
             ids.push(id);
         }
+        let mut bytes = 0;
         for id in ids {
             let Some(job) = self.jobs.get(&id) else { continue };
+            if bytes > MAX_BATCH_BYTES {
+                self.dirty.insert(id.clone());
+                self.urgent.insert(id);
+                continue;
+            }
             for (key, _) in job.placements(&id) {
                 if let Some(TaskState::Placed(run)) = job.task(&key).map(Task::state)
                     && run.order == OrderState::Unstored
@@ -62,7 +72,9 @@
                 };
                 batch.writes.push(BatchWrite::Ended(id, row));
             } else {
-                batch.writes.push(BatchWrite::Progress(id.clone(), job.progress(&id, address)));
+                let row = job.progress(&id, address);
+                bytes += row.size().max_bytes();
+                batch.writes.push(BatchWrite::Progress(id.clone(), row));
             }
         }
         if self.dirty.is_empty() {
--- a/crates/masticfall-standin/src/fleet/store.rs
+++ b/crates/masticfall-standin/src/fleet/store.rs
@@ -22,6 +22,10 @@
 /// Maximum size of a row's value, in bytes; equal to the platform's limit.
 const MAX_VALUE_BYTES: usize = 65_536;
 
+/// Maximum size of a transaction, in bytes, with values in base64; equal to the platform's
+/// limit.
+const MAX_TRANSACTION_BYTES: usize = 1_000_000;
+
 /// Applies the call latency, and fails according to the store mode.
 async fn call_store(world: &World, process: &Name) -> Result<()> {
     sleep_ms(CALL_LATENCY_MS).await;
@@ -48,6 +52,11 @@
         if values.map(Vec::len).max().unwrap_or_default() > MAX_VALUE_BYTES {
             return UnknownSnafu { reason: "a row value exceeds the size limit" }.fail();
         }
+        let values = transaction.writes.iter().filter_map(|(_, value)| value.as_ref());
+        let encoded_bytes: usize = values.map(|value| value.len().div_ceil(3) * 4).sum();
+        if encoded_bytes > MAX_TRANSACTION_BYTES {
+            return UnknownSnafu { reason: "the transaction exceeds the size limit" }.fail();
+        }
         wait_for_part(&world, &transaction).await;
         let (mode, loses_response) = {
             let mut state = world.state.lock();
