Jobs with absurd figures or endless occurrences are refused, not loaded by owner after owner

The same class of fault: a job with repeat was accepted and made each owner in turn scan and begin all of its occurrences ten times a second; one with interval_ms or estimate_ms near the end of the range overflowed sums over all jobs, which stops a debug build and turns backlogs and shares wrong in a release build.

A job is now refused with a clear error beyond 5,000 occurrences, a million cores a task, four months a task or gangs of 250 (whose placements could not be stored); due occurrences are found without a scan, and begin in turn while their tasks fit into memory; sums saturate.

--- a/crates/masticfall-core/src/fleet/admission.rs
+++ b/crates/masticfall-core/src/fleet/admission.rs
@@ -62,7 +62,8 @@
 
 /// Returns a job's completion-time objective, in milliseconds from its acceptance.
 pub fn objective_ms(queue: &QueueConfig, spec: &JobSpec) -> u64 {
-    (queue.stretch * spec.critical_path_ms() as f64) as u64 + queue.target_ms
+    let stretched_ms = (queue.stretch * spec.critical_path_ms() as f64) as u64;
+    stretched_ms.saturating_add(queue.target_ms)
 }
 
 /// Multiple of its objective within which a job must be expected to end to be
--- a/crates/masticfall-core/src/fleet/board/job.rs
+++ b/crates/masticfall-core/src/fleet/board/job.rs
@@ -12,7 +12,7 @@
     CrashTable, JobPhase, ProgressRow, RowSize, TaskRow, TaskStage, WIDE_JOB_TASKS,
     max_placed_bytes,
 };
-use crate::fleet::spec::{JobRecord, Resources, TaskKey};
+use crate::fleet::spec::{JobRecord, MAX_TASKS, Resources, TaskKey};
 use crate::id::{JobId, Name, WorkerId};
 
 /// State of a start order.
@@ -202,6 +202,8 @@
     pub attempt_floor: u32,
     /// Why it failed.
     pub reason: Option<Name>,
+    /// Occurrence from which on none has been begun because it was due.
+    pub next_occurrence: u32,
 }
 
 /// Limit on the age derived from a job's row, in milliseconds: the wall clocks of
@@ -223,6 +225,7 @@
             occurrences_done: IndexSet::new(),
             attempt_floor: 0,
             reason: None,
+            next_occurrence: 0,
             record,
         };
         if job.record.spec.repeat == 0 {
@@ -255,6 +258,13 @@
         self.occurrences.insert(number, Occurrence { steps });
     }
 
+    /// Returns whether one more occurrence may begin: those in progress are kept in memory
+    /// with all their tasks.
+    pub fn has_room_for_occurrence(&self) -> bool {
+        let tasks: u64 = self.record.spec.steps.iter().map(|step| u64::from(step.tasks)).sum();
+        self.occurrences.is_empty() || (self.occurrences.len() as u64 + 1) * tasks <= MAX_TASKS
+    }
+
     /// Returns the step of a task, whose occurrence has to be in progress.
     pub fn step(&self, key: &TaskKey) -> &Step {
         &self.occurrences[&key.occurrence].steps[key.step as usize]
--- a/crates/masticfall-core/src/fleet/board/time.rs
+++ b/crates/masticfall-core/src/fleet/board/time.rs
@@ -33,12 +33,17 @@
                 continue;
             }
             let (first_ms, interval_ms) = (spec.first_due_wall_ms, spec.interval_ms);
-            for number in 0..spec.repeat {
-                let due_wall_ms = first_ms + u64::from(number) * interval_ms;
-                if due_wall_ms > now.wall_ms + EARLY_START_MS {
+            let is_due = |number: u32| {
+                let offset_ms = u64::from(number).saturating_mul(interval_ms);
+                first_ms.saturating_add(offset_ms) <= now.wall_ms + EARLY_START_MS
+            };
+            let repeat = spec.repeat;
+            while job.next_occurrence < repeat && is_due(job.next_occurrence) {
+                if !job.has_room_for_occurrence() {
                     break;
                 }
-                job.begin_occurrence(number);
+                job.begin_occurrence(job.next_occurrence);
+                job.next_occurrence += 1;
             }
         }
     }
--- a/crates/masticfall-core/src/fleet/spec.rs
+++ b/crates/masticfall-core/src/fleet/spec.rs
@@ -14,6 +14,20 @@
 /// Maximum number of steps per job; bounds the search for its critical path.
 pub const MAX_STEPS: usize = 256;
 
+/// Maximum number of occurrences per job. The completed ones are listed in the job's row of
+/// progress.
+pub const MAX_OCCURRENCES: u32 = 5_000;
+
+/// Maximum amount of each resource per task: a million cores, in thousandths.
+pub const MAX_NEEDS: u64 = 1_000_000_000;
+
+/// Maximum estimated run time of a task, in milliseconds: about four months.
+pub const MAX_ESTIMATE_MS: u64 = 10_000_000_000;
+
+/// Maximum number of members of a gang, which are placed together, each with its worker in
+/// the job's row of progress.
+pub const MAX_GANG_TASKS: u32 = 250;
+
 /// Processor, memory and accelerators, as needed by a task or provided by a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Resources {
@@ -33,21 +47,26 @@
             && self.accelerators <= capacity.accelerators
     }
 
-    /// Returns the sum.
+    /// Returns the largest of the amounts.
+    fn largest(&self) -> u64 {
+        self.cpu_millis.max(self.memory_mib).max(self.accelerators)
+    }
+
+    /// Returns the sum, at most the largest number for each resource.
     pub fn plus(&self, other: &Self) -> Self {
         Self {
-            cpu_millis: self.cpu_millis + other.cpu_millis,
-            memory_mib: self.memory_mib + other.memory_mib,
-            accelerators: self.accelerators + other.accelerators,
+            cpu_millis: self.cpu_millis.saturating_add(other.cpu_millis),
+            memory_mib: self.memory_mib.saturating_add(other.memory_mib),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
         }
     }
 
-    /// Returns the product with `factor`.
+    /// Returns the product with `factor`, at most the largest number for each resource.
     pub fn times(&self, factor: u64) -> Self {
         Self {
-            cpu_millis: self.cpu_millis * factor,
-            memory_mib: self.memory_mib * factor,
-            accelerators: self.accelerators * factor,
+            cpu_millis: self.cpu_millis.saturating_mul(factor),
+            memory_mib: self.memory_mib.saturating_mul(factor),
+            accelerators: self.accelerators.saturating_mul(factor),
         }
     }
 
@@ -58,7 +77,8 @@
             if available == 0 {
                 0
             } else {
-                (u128::from(needs) * u128::from(worker.cpu_millis) / u128::from(available)) as u64
+                let millis = u128::from(needs) * u128::from(worker.cpu_millis);
+                u64::try_from(millis / u128::from(available)).unwrap_or(u64::MAX)
             }
         };
         let memory = share(self.memory_mib, worker.memory_mib);
@@ -71,7 +91,8 @@
     pub fn equivalent_millis(&self, worker: &Self) -> u64 {
         let share = |capacity: u64, available: u64| {
             let millis = u128::from(capacity) * u128::from(worker.cpu_millis);
-            millis.checked_div(u128::from(available)).map(|millis| millis as u64)
+            let millis = millis.checked_div(u128::from(available))?;
+            Some(u64::try_from(millis).unwrap_or(u64::MAX))
         };
         let shares = [
             share(self.cpu_millis, worker.cpu_millis),
@@ -175,6 +196,23 @@
         /// The step that it depends on.
         dependency: u32,
     },
+    /// The job has too many occurrences.
+    #[snafu(display("the job has more than {MAX_OCCURRENCES} occurrences"))]
+    TooManyOccurrences,
+    /// A step needs more of a resource, or more time, than any fleet has.
+    #[snafu(display(
+        "a task of step {step} needs more than {MAX_NEEDS} of a resource or {MAX_ESTIMATE_MS} ms"
+    ))]
+    FigureTooLarge {
+        /// The step, from 0.
+        step: usize,
+    },
+    /// A gang has too many members.
+    #[snafu(display("the gang of step {step} has more than {MAX_GANG_TASKS} tasks"))]
+    GangTooLarge {
+        /// The step, from 0.
+        step: usize,
+    },
     /// The job exceeds the limits of steps or tasks.
     #[snafu(display("the job has more than {MAX_STEPS} steps or {MAX_TASKS} tasks"))]
     TooLarge,
@@ -196,10 +234,19 @@
         if self.steps.len() > MAX_STEPS || tasks > MAX_TASKS {
             return Err(SpecError::TooLarge);
         }
+        if self.repeat > MAX_OCCURRENCES {
+            return Err(SpecError::TooManyOccurrences);
+        }
         for (number, step) in self.steps.iter().enumerate() {
             if step.tasks == 0 {
                 return Err(SpecError::NoTasks { step: number });
             }
+            if step.is_gang && step.tasks > MAX_GANG_TASKS {
+                return Err(SpecError::GangTooLarge { step: number });
+            }
+            if step.needs.largest() > MAX_NEEDS || step.estimate_ms > MAX_ESTIMATE_MS {
+                return Err(SpecError::FigureTooLarge { step: number });
+            }
             if let Some(dependency) =
                 step.after.iter().find(|dependency| **dependency as usize >= number)
             {
--- a/crates/masticfall-entry/tests/suite/fleet_hostile.rs
+++ b/crates/masticfall-entry/tests/suite/fleet_hostile.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use masticfall_core::error::ErrorKind;
 use masticfall_core::fleet::board::{BatchWrite, Board, BoardTimings, Now, Order};
 use masticfall_core::fleet::progress::JobPhase;
 use masticfall_core::fleet::report::{StartOutcome, WorkerReport};
@@ -120,3 +121,15 @@
         }
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn job_of_endless_occurrences_is_refused() {
+    let world = World::new(2, "p");
+    let processes = start_settled(&world, &["a"]).await;
+    let spec = JobSpec { repeat: u32::MAX, first_due_wall_ms: 1, ..two_step_spec() };
+    let refused = submit_spec(&world, &processes[0].fleet, &job(1), spec).await;
+    assert_eq!(refused, Err(ErrorKind::BadRequest));
+    submit(&world, &processes[0].fleet, &job(2)).await.expect("accepted");
+    sleep(Duration::from_secs(8)).await;
+    assert_eq!(phase(&processes[0].fleet, &job(2)).await, Ok(JobPhase::Completed));
+}
