An idempotent request that breaks its targets is sent to two of them at most

One request that makes its target drop the connection went to 11 targets.

Now a request that two targets have broken off after it was sent is answered as lost; the log names the request. Requests whose connection could not be made are retried as before: they never ran.

--- a/crates/masticfall-entry/src/dispatch.rs
+++ b/crates/masticfall-entry/src/dispatch.rs
@@ -32,6 +32,10 @@
 /// Maximum random delay before a retry, in milliseconds.
 const MAX_RETRY_JITTER_MS: u64 = 20;
 
+/// Number of targets that may break off one request. A request that crashes its targets must
+/// not be passed from one to the next.
+const MAX_BROKEN_TARGETS: u32 = 2;
+
 /// Team under which requests without a key are queued.
 const NO_TEAM: &str = "-";
 
@@ -272,6 +276,7 @@
 pub async fn run(node: &Arc<Node>, call: &Call, admitted: Admitted) -> Result<Response> {
     let mut avoid: Option<InstanceName> = None;
     let mut may_have_run = false;
+    let mut broken_targets = 0;
     earn_retry(node, &admitted.service);
     loop {
         let slot = match acquire_slot(node, &admitted, avoid.as_ref()).await {
@@ -291,7 +296,12 @@
             Err(failure) => failure,
         };
         may_have_run |= failure.kind != ErrorKind::TargetUnreachable;
-        let may_retry = !may_have_run || call.is_idempotent();
+        broken_targets += u32::from(failure.kind == ErrorKind::AnswerLost);
+        if broken_targets == MAX_BROKEN_TARGETS {
+            tracing::warn!(name: "request.breaks_targets", request = &*call.request_id, %target, broken_targets, "targets broke off a request; not retried");
+        }
+        let may_retry =
+            (!may_have_run || call.is_idempotent()) && broken_targets < MAX_BROKEN_TARGETS;
         let has_time = node.now_ms() + MAX_RETRY_JITTER_MS < admitted.deadline_ms;
         if !(may_retry && has_time && spend_retry(node, &admitted.service)) {
             let kind = if may_have_run && failure.kind == ErrorKind::TargetUnreachable {
--- a/crates/masticfalld/tests/suite/orders.rs
+++ b/crates/masticfalld/tests/suite/orders.rs
@@ -111,3 +111,16 @@
     assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
     assert_eq!((run_state(&answer), fleet.run_count("p1")), ("unknown", 1));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_breaks_its_targets_is_sent_to_two_of_them_at_most() {
+    let fleet = Fleet::start().await;
+    for (_, target) in &fleet.backends.targets {
+        target.record.lock().dropping_connections = true;
+    }
+    let headers = [("x-request-id", "g1")];
+    let answer = fleet.red_client(0).send(Method::GET, ECHO_PATH, &headers, "").await.unwrap();
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+    let runs = fleet.run_count("g1");
+    assert_eq!((run_state(&answer), runs), ("unknown", 2));
+}
