Jobs of whole payloads: one that takes its workers down is parked after three

A job now remembers the workers that were lost under it (stored in its row; rows of earlier versions read as none), is placed apart from other jobs that have lost one, and is parked for an operator after three, with a reason that names them. A job whose task the worker doesn't know is queued as before.

--- a/crates/masticfall-core/src/job.rs
+++ b/crates/masticfall-core/src/job.rs
@@ -8,6 +8,10 @@
 
 use crate::id::{DataCentre, InstanceName, Name, QueueName, TeamName};
 
+/// Number of workers that a job may lose before it is parked. Workers are lost for other
+/// reasons, too, and with several jobs each.
+const MAX_LOST_WORKERS: usize = 3;
+
 /// The state of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Display, EnumString)]
 #[serde(rename_all = "snake_case")]
@@ -68,6 +72,9 @@
     pub result: Option<Name>,
     /// Workers on which the job failed.
     pub failed_on: Vec<InstanceName>,
+    /// Workers that were lost while the job ran there.
+    #[serde(default)]
+    pub lost_workers: Vec<InstanceName>,
     /// Why the job is parked.
     pub reason: Option<Name>,
     /// Wall-clock time of submission, in milliseconds since the Unix epoch.
@@ -85,8 +92,10 @@
     JobAtFault,
     /// The task is known not to have started.
     NotStarted,
-    /// The worker's lease lapsed without a report.
+    /// The worker knows nothing of the task, or has stopped it.
     Lapsed,
+    /// The worker was lost: its lease lapsed without a report.
+    WorkerLost,
 }
 
 impl JobRow {
@@ -112,8 +121,11 @@
             AttemptEnd::NotStarted => self.state = JobState::Queued,
             AttemptEnd::Failed => self.failed(worker, false),
             AttemptEnd::JobAtFault => self.failed(worker, true),
+            AttemptEnd::WorkerLost if self.idempotent => self.lose_worker(worker),
             AttemptEnd::Lapsed if self.idempotent => self.state = JobState::Queued,
-            AttemptEnd::Lapsed => self.park("may have run: its worker's lease lapsed"),
+            AttemptEnd::Lapsed | AttemptEnd::WorkerLost => {
+                self.park("may have run: its worker's lease lapsed");
+            }
         }
         true
     }
@@ -130,6 +142,24 @@
         }
     }
 
+    /// Queues the job again, unless it has lost so many workers that it may be the cause.
+    fn lose_worker(&mut self, worker: Option<InstanceName>) {
+        let newly_lost = worker.filter(|worker| !self.lost_workers.contains(worker));
+        self.lost_workers.extend(newly_lost);
+        if self.lost_workers.len() < MAX_LOST_WORKERS {
+            self.state = JobState::Queued;
+            return;
+        }
+        let workers: Vec<&str> = self.lost_workers.iter().map(InstanceName::as_str).collect();
+        let reason = format!("its workers were lost one after the other: {}", workers.join(", "));
+        self.park(&reason);
+    }
+
+    /// Returns whether the job may be what its workers were lost by.
+    pub fn is_suspect(&self) -> bool {
+        !self.lost_workers.is_empty()
+    }
+
     /// Parks the job until an operator acts on it.
     pub fn park(&mut self, reason: &str) {
         self.state = JobState::Parked;
--- a/crates/masticfall-core/src/placement.rs
+++ b/crates/masticfall-core/src/placement.rs
@@ -1,6 +1,6 @@
 //! Placement of jobs on workers: best fit over cores, memory and accelerators.
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::id::InstanceName;
 use crate::instance::{InstanceFacts, InstanceKind};
@@ -48,15 +48,18 @@
     }
 }
 
-/// Returns the worker that fits the needs best, preferring workers not in `avoid`.
+/// Returns the worker that fits the needs best, preferring workers not in `avoid`; none of
+/// those in `closed`.
 ///
 /// When every fitting worker is in `avoid`, one of them is returned.
 pub fn best_fit(
     free: &IndexMap<InstanceName, FreeCapacity>,
     needs: &Needs,
     avoid: &[InstanceName],
+    closed: &IndexSet<InstanceName>,
 ) -> Option<InstanceName> {
-    let fitting = free.iter().filter(|(_, worker)| worker.fits(needs));
+    let open = free.iter().filter(|(name, _)| !closed.contains(*name));
+    let fitting = open.filter(|(_, worker)| worker.fits(needs));
     fitting
         .min_by_key(|(name, worker)| (avoid.contains(name), worker.remaining_after(needs)))
         .map(|(name, _)| name.clone())
--- a/crates/masticfall-core/tests/suite/jobs.rs
+++ b/crates/masticfall-core/tests/suite/jobs.rs
@@ -17,6 +17,7 @@
         worker: None,
         result: None,
         failed_on: Vec::new(),
+        lost_workers: Vec::new(),
         reason: None,
         accepted_wall_ms: 0,
     }
--- a/crates/masticfall-entry/src/ops/submit_job.rs
+++ b/crates/masticfall-entry/src/ops/submit_job.rs
@@ -61,6 +61,7 @@
         worker: None,
         result: None,
         failed_on: Vec::new(),
+        lost_workers: Vec::new(),
         reason: None,
         accepted_wall_ms: wall_ms(),
     };
--- a/crates/masticfall-entry/src/planner/jobs.rs
+++ b/crates/masticfall-entry/src/planner/jobs.rs
@@ -125,7 +125,7 @@
             Err(_) if now_ms >= lease_end_ms(table.renewed_ms[&worker]) => {
                 table.quarantined_until_ms.insert(worker, now_ms + QUARANTINE_MS);
                 for job in jobs {
-                    end_attempt(node, lease, table, &job, AttemptEnd::Lapsed).await?;
+                    end_attempt(node, lease, table, &job, AttemptEnd::WorkerLost).await?;
                 }
             }
             Err(_) => {}
@@ -354,10 +354,11 @@
     let Some((pool, team_limit)) = pool_and_limit(node, &job) else {
         return Ok(());
     };
+    let suspects = if job.is_suspect() { workers_of_suspects(table) } else { IndexSet::new() };
     let Some(workers) = free_by_pool.get_mut(&pool) else {
         return Ok(());
     };
-    let Some(worker) = best_fit(workers, &job.needs, &job.failed_on) else {
+    let Some(worker) = best_fit(workers, &job.needs, &job.failed_on, &suspects) else {
         return Ok(());
     };
     let key = limit_key(&job.team);
@@ -380,6 +381,13 @@
     Ok(())
 }
 
+/// Returns the workers of jobs that have lost a worker. They are kept apart, so that the next
+/// loss tells them from each other.
+fn workers_of_suspects(table: &JobTable) -> IndexSet<InstanceName> {
+    let suspects = table.jobs.values().filter(|(_, job)| job.is_suspect());
+    suspects.filter_map(|(_, job)| job.worker.clone()).collect()
+}
+
 fn pool_and_limit(node: &Arc<Node>, job: &JobRow) -> Option<(PoolName, u32)> {
     let state = node.state();
     let config = state.config.as_ref()?;
--- a/crates/masticfall-entry/tests/suite/jobs.rs
+++ b/crates/masticfall-entry/tests/suite/jobs.rs
@@ -107,6 +107,24 @@
     assert_eq!((after.state, after.attempt), (JobState::Parked, 1));
 }
 
+#[tokio::test(start_paused = true)]
+async fn job_that_takes_its_workers_down_is_parked_and_its_neighbours_finish() {
+    let lab = lab_with_workers(9, &[("a1", "a")], 8).await;
+    let guilty = submit(&lab, "a1", job("red", "crash_worker")).await.unwrap();
+    let mut neighbours = Vec::new();
+    for _ in 0..3 {
+        neighbours.push(submit(&lab, "a1", job("red", "run_ms=6000")).await.unwrap());
+    }
+    sleep_ms(120_000).await;
+    let after = show(&lab, "a1", "red", &guilty).await;
+    assert_eq!((after.state, after.attempt), (JobState::Parked, 3));
+    let reason = after.reason.expect("a reason");
+    assert!(after.lost_workers.iter().all(|worker| reason.contains(worker.as_str())), "{reason}");
+    for id in &neighbours {
+        assert_eq!(show(&lab, "a1", "red", id).await.state, JobState::Finished);
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn job_is_refused_as_not_run_while_the_platform_is_down() {
     let lab = lab_with_workers(5, &[("a1", "a")], 1).await;
--- a/crates/masticfall-standin/src/cloud.rs
+++ b/crates/masticfall-standin/src/cloud.rs
@@ -92,6 +92,16 @@
         }
     }
 
+    /// Writes a row from outside of the system.
+    pub fn put_row(&self, key: &str, value: &[u8]) {
+        let mut state = self.state.lock();
+        state.version += 1;
+        let version = state.version;
+        state
+            .rows
+            .insert(key.to_string(), Row { key: key.to_string(), version, value: value.to_vec() });
+    }
+
     /// Returns the stored row with this key.
     pub fn row(&self, key: &str) -> Option<Row> {
         self.state.lock().rows.get(key).cloned()
--- a/crates/masticfall-standin/src/worker.rs
+++ b/crates/masticfall-standin/src/worker.rs
@@ -61,6 +61,12 @@
         let task = Task { worker: start.worker.clone(), state: TaskState::Running, lease_deadline };
         state.workers.tasks.insert(key, task);
         let payload = state.objects.get(&*start.payload).cloned().unwrap_or_default();
+        if String::from_utf8_lossy(&payload).contains("crash_worker") {
+            // Everything on the worker ends, and it is not reached again.
+            state.faults.unreachable_workers.insert(start.worker.clone());
+            state.workers.tasks.retain(|_, task| task.worker != start.worker);
+            return Some(StartOutcome::Started);
+        }
         drop(state);
         let cloud = self.clone();
         tokio::spawn(async move { cloud.run_task(start, payload).await });
