One unreadable job row no longer stops the jobs of a data centre

The planner read all job rows or none: a row that can't be decoded failed each round, of this planner and of the next ones. It is now skipped with a log line, as the fleet's rows are.

Test: jobs::unreadable_job_row_does_not_stop_the_others, failed before (the other job stayed queued).

--- a/crates/masticfall-entry/src/planner/jobs.rs
+++ b/crates/masticfall-entry/src/planner/jobs.rs
@@ -87,8 +87,13 @@
     table.jobs.clear();
     for row in (node.platform.tables.scan)(prefix.clone()).await? {
         let job = JobId::from(row.key[prefix.len()..].to_string());
-        let value = row.decode()?;
-        table.jobs.insert(job, (row, value));
+        match row.decode() {
+            Ok(value) => drop(table.jobs.insert(job, (row, value))),
+            // One row must not keep the jobs of a data centre from planner after planner.
+            Err(error) => {
+                tracing::warn!(name: "job.unreadable", %job, %error, "ignoring job row");
+            }
+        }
     }
     table.head_version = version;
     Ok(())
--- a/crates/masticfall-entry/tests/suite/jobs.rs
+++ b/crates/masticfall-entry/tests/suite/jobs.rs
@@ -125,6 +125,15 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn unreadable_job_row_does_not_stop_the_others() {
+    let lab = lab_with_workers(10, &[("a1", "a")], 1).await;
+    lab.cloud.put_row("job/active/a/broken", b"not a row");
+    let id = submit(&lab, "a1", job("red", "run_ms=500")).await.unwrap();
+    sleep_ms(5_000).await;
+    assert_eq!(show(&lab, "a1", "red", &id).await.state, JobState::Finished);
+}
+
 #[tokio::test(start_paused = true)]
 async fn job_is_refused_as_not_run_while_the_platform_is_down() {
     let lab = lab_with_workers(5, &[("a1", "a")], 1).await;
