--- /dev/null
+++ b/crates/masticfall-core/src/fleet/board/notice.rs
@@ -0,0 +1,169 @@
+//! Decisions and changes of state that are logged.
+
+use crate::fleet::crashes::{Crash, LossCause, Verdict};
+use crate::fleet::progress::JobPhase;
+use crate::fleet::report::{RunEnd, StartOutcome};
+use crate::fleet::spec::TaskKey;
+use crate::id::{JobId, Name, WorkerId};
+
+/// Why a run is stopped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum StopReason {
+    /// The job was cancelled.
+    Cancelled,
+    /// The job failed.
+    JobFailed,
+    /// The run belongs to no placement of the board, or isn't needed any more.
+    Stray,
+    /// The worker is due for maintenance.
+    Maintenance,
+}
+
+/// Why a crash no longer counts against a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum DropReason {
+    /// The worker answers again, and hasn't restarted: it was cut off.
+    CutOff,
+    /// A later run has outlived the age at which the worker crashed.
+    Outlived,
+}
+
+/// A decision or a change of state, to be logged.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Notice {
+    /// A job was loaded: just accepted, or read from the store after a takeover.
+    JobLoaded {
+        /// The job.
+        job: JobId,
+        /// Time left until its objective ends, in milliseconds; negative if it is late.
+        due_in_ms: i64,
+    },
+    /// Tasks of a job were placed.
+    Placed {
+        /// The job.
+        job: JobId,
+        /// Number of tasks placed in this pass.
+        tasks: u32,
+        /// Worker of the last of them.
+        worker: WorkerId,
+        /// Whether the job is too late to meet its objective.
+        is_late: bool,
+        /// Version of the configuration used.
+        config_version: u64,
+    },
+    /// A start didn't lead to a run.
+    NotStarted {
+        /// The task.
+        task: TaskKey,
+        /// Attempt number.
+        attempt: u32,
+        /// The worker.
+        worker: WorkerId,
+        /// How the order ended.
+        outcome: StartOutcome,
+    },
+    /// A run ended without completing its task.
+    RunEnded {
+        /// The task.
+        task: TaskKey,
+        /// Attempt number.
+        attempt: u32,
+        /// The worker.
+        worker: WorkerId,
+        /// How it ended.
+        end: RunEnd,
+        /// Whether the end was inferred, from an expired lease or the run's
+        /// absence from a report, instead of reported by the worker.
+        is_inferred: bool,
+        /// Time from its start order to its end, or to the worker's last answer if the
+        /// worker was lost, in milliseconds; `None` if an earlier owner ordered it.
+        age_ms: Option<u64>,
+    },
+    /// A run is being stopped.
+    Stopping {
+        /// The task.
+        task: TaskKey,
+        /// Attempt number.
+        attempt: u32,
+        /// The worker.
+        worker: WorkerId,
+        /// Why.
+        reason: StopReason,
+    },
+    /// A job reached a final phase.
+    JobEnded {
+        /// The job.
+        job: JobId,
+        /// The phase.
+        phase: JobPhase,
+        /// Time since its acceptance, by the local clock, in milliseconds.
+        after_ms: u64,
+        /// Time past its objective, in milliseconds; negative if it met it.
+        late_by_ms: i64,
+    },
+    /// A worker restarted under the same identifier.
+    WorkerRestarted {
+        /// The worker.
+        worker: WorkerId,
+        /// Time of the restart, in milliseconds since the Unix epoch.
+        born_wall_ms: u64,
+    },
+    /// A worker stopped answering, or answers again.
+    WorkerReachability {
+        /// The worker.
+        worker: WorkerId,
+        /// Whether it answers.
+        is_reached: bool,
+    },
+    /// The runs on a worker are lost.
+    WorkerLost {
+        /// The worker.
+        worker: WorkerId,
+        /// How that became known.
+        cause: LossCause,
+        /// Time since it last stopped answering, in milliseconds; 0 if it answered.
+        silent_ms: u64,
+        /// Whether it was about to leave.
+        is_leaving: bool,
+        /// Tasks whose runs were ordered there.
+        tasks: Vec<TaskKey>,
+    },
+    /// A crash of a worker counts against a task.
+    CrashCounted {
+        /// The task.
+        task: TaskKey,
+        /// The crash.
+        crash: Crash,
+        /// Number of crashes that count against the task.
+        crashes: usize,
+        /// What follows from them.
+        verdict: Verdict,
+    },
+    /// Crashes no longer count against a task.
+    CrashesDropped {
+        /// The task.
+        task: TaskKey,
+        /// Why.
+        reason: DropReason,
+        /// Number of crashes that still count.
+        crashes: usize,
+    },
+    /// A job was given up, since one of its tasks crashes the workers that start it.
+    GivenUp {
+        /// The job.
+        job: JobId,
+        /// Why, in words for the caller.
+        reason: Name,
+        /// Number of workers that its task has crashed.
+        crashes: usize,
+    },
+    /// A worker on which different jobs failed is quarantined.
+    Quarantined {
+        /// The worker.
+        worker: WorkerId,
+        /// Length of the quarantine, in milliseconds.
+        length_ms: u64,
+    },
+}
