A poll after a silence acknowledges nothing: the worker may number its run ends anew

Workers number their run ends from 1 in each life. A start without an answer was carried out late, by the next life of a worker that keeps its identifier; the first poll of that life still carried the last life's cursor, so the worker forgot the end unread, and the owner started the task again: TWICE.

A poll whose predecessor gave no report, or was lost with its relay, now acknowledges nothing; the next one does, if the same incarnation has answered.

Test: fleet_leases::poll_after_a_silence_acknowledges_nothing (did not compile before: the second half is a new function; the first assertion after the silence read 1 instead of 0 by the old code's text).

--- a/crates/masticfall-core/src/fleet/board/reports.rs
+++ b/crates/masticfall-core/src/fleet/board/reports.rs
@@ -45,7 +45,8 @@
         let lease_ms = self.timings.lease_ms;
         let worker = self.workers.get_mut(id)?;
         let lease_deadline_ms = worker.lease(now_ms, lease_ms);
-        let ack_cursor = worker.ack_cursor;
+        // A new incarnation would discard run ends that nobody has read.
+        let ack_cursor = if worker.may_have_restarted { 0 } else { worker.ack_cursor };
         let wait_ms = match lease_deadline_ms {
             None => 0,
             Some(_) if !worker.on_trial.is_empty() => TRIAL_POLL_WAIT_MS,
@@ -89,6 +90,7 @@
     /// Records that a worker didn't answer.
     pub fn poll_failed(&mut self, id: &WorkerId, now_ms: u64) {
         let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.may_have_restarted = true;
         if !std::mem::replace(&mut worker.is_unresponsive, true) {
             worker.unresponsive_since_ms = Some(now_ms);
             self.record_silence(id, now_ms);
@@ -96,10 +98,18 @@
         }
     }
 
+    /// Records that a poll of a worker was lost on its way, which says nothing about the worker.
+    pub fn poll_unanswered(&mut self, id: &WorkerId) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.may_have_restarted = true;
+        }
+    }
+
     /// Applies a report that was requested at `sent_ms`.
     pub fn report(&mut self, id: &WorkerId, sent_ms: u64, report: WorkerReport, now_ms: u64) {
         let lease_ms = self.timings.lease_ms;
         let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.may_have_restarted = false;
         if std::mem::replace(&mut worker.is_unresponsive, false) {
             self.notices.push(Notice::WorkerReachability { worker: id.clone(), is_reached: true });
         }
--- a/crates/masticfall-core/src/fleet/worker.rs
+++ b/crates/masticfall-core/src/fleet/worker.rs
@@ -120,6 +120,9 @@
     /// Sequence number of the last run end that was stored, so that the worker may
     /// discard it.
     pub ack_cursor: u64,
+    /// Whether its last poll gave no report, so that another incarnation, which numbers its
+    /// run ends anew, may answer the next one.
+    pub may_have_restarted: bool,
     /// Time before which no tasks are placed on it.
     pub cooldown_until_ms: u64,
     /// Pace of its best-effort tasks, in percent of full pace.
@@ -152,6 +155,7 @@
             on_trial: IndexSet::new(),
             read_cursor: 0,
             ack_cursor: 0,
+            may_have_restarted: false,
             cooldown_until_ms: 0,
             pace_percent: 100,
             pace_changed_ms: 0,
--- a/crates/masticfall-core/tests/suite/fleet_leases.rs
+++ b/crates/masticfall-core/tests/suite/fleet_leases.rs
@@ -1,6 +1,7 @@
 //! Leases of workers that stop answering or drain.
 
 use masticfall_core::fleet::board::Order;
+use masticfall_core::fleet::report::RunEnd;
 use masticfall_core::fleet::spec::StepSpec;
 use masticfall_core::prelude::*;
 
@@ -109,3 +110,26 @@
         rig.board.poll(&"w1".into(), now_ms).expect("known worker").lease_deadline_ms.is_some()
     );
 }
+
+#[test]
+fn poll_after_a_silence_acknowledges_nothing() {
+    let mut rig = Rig::new(WORKERS);
+    rig.submit(JOB, vec![step(1, 1)]);
+    rig.settle();
+    let worker = rig.started[0].worker.clone();
+    rig.end(&format!("{JOB}.0.0.0"), RunEnd::Done);
+    rig.poll(&worker);
+    rig.store();
+    let ack_cursor = |rig: &mut Rig| {
+        let now_ms = rig.now_ms;
+        rig.board.poll(&worker, now_ms).expect("known worker").ack_cursor
+    };
+    assert_eq!(ack_cursor(&mut rig), 1);
+    // It may have restarted, and numbers its ends from 1 again.
+    rig.board.poll_failed(&worker, rig.now_ms);
+    assert_eq!(ack_cursor(&mut rig), 0);
+    rig.poll(&worker);
+    assert_eq!(ack_cursor(&mut rig), 1, "the same incarnation answers");
+    rig.board.poll_unanswered(&worker);
+    assert_eq!(ack_cursor(&mut rig), 0, "its relay was lost");
+}
--- a/crates/masticfall-entry/src/fleet/dispatch.rs
+++ b/crates/masticfall-entry/src/fleet/dispatch.rs
@@ -338,7 +338,10 @@
                 fleet.update_board(epoch, |board| board.remove_worker(&id, now_ms));
                 return;
             }
-            Err(PollError::RelayLost) => POLL_PAUSE_MS,
+            Err(PollError::RelayLost) => {
+                fleet.update_board(epoch, |board| board.poll_unanswered(&id));
+                POLL_PAUSE_MS
+            }
             Err(PollError::Unresponsive(reason)) => {
                 record_poll_failure(&fleet, epoch, &id, &reason);
                 let doublings = failures.min(MAX_POLL_RETRY_DOUBLINGS);
--- a/crates/masticfall-soak/src/main.rs
+++ b/crates/masticfall-soak/src/main.rs
@@ -110,10 +110,10 @@
 }
 
 fn print_report(seed: u64, report: &Report) {
-    let Report { violations, faults, submitted, accepted, refused } = report;
+    let Report { violations, faults, submitted, accepted, refused, crashes } = report;
     let outcome = if violations.is_empty() { "ok" } else { "FAILED" };
     println!(
-        "seed {seed}: {outcome}, {submitted} jobs, {accepted} accepted, {refused} refused, {} faults",
+        "seed {seed}: {outcome}, {submitted} jobs, {accepted} accepted, {refused} refused, {crashes} crashes, {} faults",
         faults.len()
     );
     if violations.is_empty() {
