A suspect runs alone under the next owner as well; no seed is played twice at once

The time for which a suspect may wait for a worker of its own was counted from an earlier owner's clock, and was over when the cell was taken over. Test: fleet_crashes::suspect_runs_alone_under_the_next_owner, failed before.

Seeds are a set now.

--- a/crates/masticfall-core/src/fleet/board.rs
+++ b/crates/masticfall-core/src/fleet/board.rs
@@ -223,7 +223,7 @@
             for (worker, address) in &progress.workers {
                 self.track_unlisted_worker(worker, *address);
             }
-            job.restore(&progress);
+            job.restore(&progress, now.steady_ms);
         }
         let placements = job.placements(id);
         self.jobs.insert(id.clone(), job);
--- a/crates/masticfall-core/src/fleet/board/job.rs
+++ b/crates/masticfall-core/src/fleet/board/job.rs
@@ -81,7 +81,7 @@
     pub failed_on: Vec<WorkerId>,
     /// Crashes of workers that count against it, in order.
     pub crashes: Vec<Crash>,
-    /// Time of the last of them, by the local clock.
+    /// Time since which they are known, by the local clock.
     pub crashed_ms: u64,
 }
 
--- a/crates/masticfall-core/src/fleet/board/stored.rs
+++ b/crates/masticfall-core/src/fleet/board/stored.rs
@@ -68,8 +68,8 @@
         }
     }
 
-    /// Restores stored progress.
-    pub fn restore(&mut self, progress: &ProgressRow) {
+    /// Restores stored progress at `now_ms`.
+    pub fn restore(&mut self, progress: &ProgressRow, now_ms: u64) {
         self.phase = progress.phase;
         self.reason.clone_from(&progress.reason);
         self.occurrences.clear();
@@ -110,6 +110,7 @@
             let Some(step) = occurrence.steps.get_mut(step as usize) else { continue };
             if let Some(task) = step.tasks.get_mut(index as usize) {
                 task.crashes = crashes;
+                task.crashed_ms = now_ms;
             }
         }
     }
--- a/crates/masticfall-core/tests/suite/fleet_crashes.rs
+++ b/crates/masticfall-core/tests/suite/fleet_crashes.rs
@@ -2,8 +2,8 @@
 
 use masticfall_core::fleet::board::Notice;
 use masticfall_core::fleet::crashes::{Company, Crash, Verdict, judge};
-use masticfall_core::fleet::progress::JobPhase;
-use masticfall_core::fleet::report::WorkerReport;
+use masticfall_core::fleet::progress::{JobPhase, TaskStage};
+use masticfall_core::fleet::report::{RunEnd, WorkerReport};
 use masticfall_core::prelude::*;
 use rstest::rstest;
 
@@ -225,3 +225,32 @@
     let job = &rig.board.jobs[&JobId::from(JOB)];
     assert_eq!(job.occurrences[&0].steps[0].tasks[0].crashes.len(), 1, "and is remembered");
 }
+
+#[test]
+fn suspect_runs_alone_under_the_next_owner() {
+    let mut rig = Rig::new(&[("w1", 8), ("w2", 8)]);
+    rig.submit(JOB, vec![step(1, 1)]);
+    rig.settle();
+    let row = rig.progress.get_mut(&JobId::from(JOB)).expect("a row");
+    row.tasks[0].stage = TaskStage::Waiting;
+    row.workers.clear();
+    let crashes = ["gone1", "gone2"].map(|worker| crash(worker, 2_000, Company::Settled));
+    row.crashes.add(0, 0, 0, &crashes);
+    for number in 0..2 {
+        rig.submit(&format!("{number:016x}"), vec![step(1, 5)]);
+    }
+    rig.settle();
+    rig.now_ms += 10_000;
+    rig.take_over(2);
+    rig.list(&[("w1", 8), ("w2", 8)]);
+    rig.workers.values_mut().for_each(|worker| {
+        worker.running.retain(|run| run.task.job.as_str() != JOB);
+    });
+    rig.poll_all();
+    rig.settle();
+    assert!(workers_of(&rig, JOB).is_empty(), "no worker is empty yet");
+    rig.end(&format!("{:016x}.0.0.0", 0), RunEnd::Done);
+    rig.poll_all();
+    rig.settle();
+    assert_eq!(workers_of(&rig, JOB).len(), 1);
+}
--- a/crates/masticfall-soak/src/main.rs
+++ b/crates/masticfall-soak/src/main.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use clap::{Arg, Command, value_parser};
+use indexmap::IndexSet;
 use masticfall_soak::play::{Plan, Report, run_plan, seed_folder};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Semaphore;
@@ -50,7 +51,8 @@
     };
     let regressions =
         REGRESSIONS.lines().filter_map(|line| line.split_whitespace().next()?.parse().ok());
-    let seeds: Vec<u64> = regressions.chain(first..first + number("seeds")).collect();
+    // A set, since a seed played twice at once would share its folder.
+    let seeds: IndexSet<u64> = regressions.chain(first..first + number("seeds")).collect();
     let permits = Arc::new(Semaphore::new(number("at-once").max(1) as usize));
     let mut runs = Vec::new();
     for seed in seeds {
