The reason of a wide job that is given up names eight tasks at most

It is stored with the job and sent to callers; a job of 4,500 tasks had a reason of 40 KB. Test: fleet_crashes::reason_of_a_wide_job_stays_short.

--- a/crates/masticfall-core/src/fleet/board/crash.rs
+++ b/crates/masticfall-core/src/fleet/board/crash.rs
@@ -17,6 +17,9 @@
 /// than its leases last.
 const SILENCE_KEPT_MS: u64 = 30_000;
 
+/// Maximum number of tasks named in the reason for which a job was given up.
+const MAX_NAMED_TASKS: usize = 8;
+
 /// A worker that stopped answering.
 #[derive(Debug, Clone)]
 pub(super) struct Silence {
@@ -189,9 +192,12 @@
                 tasks.push(key.in_job());
             }
         });
+        let others = tasks.split_off(tasks.len().min(MAX_NAMED_TASKS)).len();
+        let others = if others > 0 { format!(" and {others} more") } else { String::new() };
         let (tasks, workers) = (tasks.join(", "), workers.join(", "));
-        let reason = format!("given up: {crashes} workers crashed under task {tasks}: {workers}");
-        let reason = Name::from(reason);
+        let reason = Name::from(format!(
+            "given up: {crashes} workers crashed under task {tasks}{others}: {workers}"
+        ));
         job.reason = Some(Name::clone(&reason));
         job.phase = JobPhase::Failed;
         self.notices.push(Notice::GivenUp { job: key.job.clone(), reason, crashes });
--- a/crates/masticfall-core/tests/suite/fleet_crashes.rs
+++ b/crates/masticfall-core/tests/suite/fleet_crashes.rs
@@ -254,3 +254,17 @@
     rig.settle();
     assert_eq!(workers_of(&rig, JOB).len(), 1);
 }
+
+#[test]
+fn reason_of_a_wide_job_stays_short() {
+    let mut rig = Rig::new(&[("w1", 8), ("w2", 8), ("w3", 8)]);
+    rig.submit(JOB, vec![step(150, 0)]);
+    rig.settle();
+    for _ in 0..2 {
+        let worker = rig.started.last().expect("a start").worker.clone();
+        lose_worker(&mut rig, &worker);
+        rig.settle();
+    }
+    let reason = rig.ended[&JobId::from(JOB)].reason.clone().expect("a reason");
+    assert!(reason.len() < 200 && reason.contains("and 142 more"), "{reason}");
+}
