--- a/crates/masticfall-core/tests/suite/fleet_capacity.rs
+++ b/crates/masticfall-core/tests/suite/fleet_capacity.rs
@@ -129,8 +129,9 @@
         planner.plan(&machines, |_| None, &mut rig.board, &config, now_ms).len()
     };
     let before = calls(&mut rig);
-    // Two workers have shrunk, in memory, to what runs on them.
-    for id in ["w1", "w2"] {
+    // Two workers have shrunk, in memory, to what runs on them; one has not, and the pool's
+    // size goes by it.
+    for id in ["w2", "w3"] {
         let mut shrunk = facts(id, 8);
         shrunk.capacity.memory_mib = 100;
         rig.board.list_worker(shrunk);
--- /dev/null
+++ b/crates/masticfall-soak/src/load.rs
@@ -0,0 +1,24 @@
+//! Jobs that a seed submits, and how workers crash.
+
+use masticfall_core::fleet::spec::{JobSpec, Resources, StepSpec};
+use masticfall_standin::fleet::crash::CrashPlan;
+use rand::Rng;
+use rand::rngs::StdRng;
+
+/// Returns how a worker crashes that comes back under its identifier.
+pub fn restart_plan(is_dark: bool) -> CrashPlan {
+    CrashPlan { keeps_id: true, is_dark, ..CrashPlan::default() }
+}
+
+/// Returns the specification of a job of one or two short steps.
+pub fn random_spec(random: &mut StdRng) -> JobSpec {
+    let step = StepSpec {
+        tasks: random.random_range(1..5),
+        needs: Resources { cpu_millis: 1_000, memory_mib: 100, accelerators: 0 },
+        estimate_ms: random.random_range(100..900),
+        ..StepSpec::default()
+    };
+    let second = StepSpec { after: vec![0], ..step.clone() };
+    let steps = if random.random_bool(0.5) { vec![step, second] } else { vec![step] };
+    JobSpec { payload: "payload".into(), steps, repeat: 0, first_due_wall_ms: 0, interval_ms: 0 }
+}
--- a/crates/masticfall-soak/src/play.rs
+++ b/crates/masticfall-soak/src/play.rs
@@ -10,11 +10,11 @@
 use masticfall_adapter_serve::client::{Client, SubmitOutcome};
 use masticfall_adapter_serve::{ModelServer, write_config, write_worker_row};
 use masticfall_core::fleet::progress::JobPhase;
-use masticfall_core::fleet::spec::{JobSpec, Resources, StepSpec, TaskKey};
+use masticfall_core::fleet::spec::{JobSpec, Resources, TaskKey};
 use masticfall_core::id::JobId;
 use masticfall_platform::serve::{ServePhase, bind, serve};
 use masticfall_standin::fleet::check;
-use masticfall_standin::fleet::crash::{CrashPlan, CrashingTask};
+use masticfall_standin::fleet::crash::CrashingTask;
 use masticfall_standin::fleet::{StoreMode, World};
 use parking_lot::Mutex;
 use rand::rngs::StdRng;
@@ -23,6 +23,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
+use crate::load::{random_spec, restart_plan};
 use crate::process::Process;
 use crate::proxy::{LinkMode, Proxy};
 
@@ -480,23 +481,6 @@
     }
 }
 
-/// Returns how a worker crashes that comes back under its identifier.
-fn restart_plan(is_dark: bool) -> CrashPlan {
-    CrashPlan { keeps_id: true, is_dark, ..CrashPlan::default() }
-}
-
-fn random_spec(random: &mut StdRng) -> JobSpec {
-    let step = StepSpec {
-        tasks: random.random_range(1..5),
-        needs: Resources { cpu_millis: 1_000, memory_mib: 100, accelerators: 0 },
-        estimate_ms: random.random_range(100..900),
-        ..StepSpec::default()
-    };
-    let second = StepSpec { after: vec![0], ..step.clone() };
-    let steps = if random.random_bool(0.5) { vec![step, second] } else { vec![step] };
-    JobSpec { payload: "payload".into(), steps, repeat: 0, first_due_wall_ms: 0, interval_ms: 0 }
-}
-
 /// Creates an empty folder for a seed and returns its path.
 ///
 /// # Errors
