Archiving of ended jobs waits while the store is slow

Cause: archived rows share their partitions with submissions of jobs; a slow store executes 3.7 transactions a second in each. Change: while a batch of progress takes 100 ms or more, ended jobs are archived every 10 s only; callers read their end from the progress row meanwhile.

--- a/crates/masticfall-entry/src/fleet/context.rs
+++ b/crates/masticfall-entry/src/fleet/context.rs
@@ -109,6 +109,8 @@
     /// Last completed round of this owner's instance calls.
     pub(super) completed_call_round: AtomicU64,
     store_failing: AtomicBool,
+    /// Duration of the last transaction that stored progress, in milliseconds.
+    batch_latency_ms: AtomicU64,
     clock: Clock,
     in_flight: AtomicUsize,
     shared: Mutex<Shared>,
@@ -161,6 +163,7 @@
             store_response_ms: AtomicU64::new(clock()),
             completed_call_round: AtomicU64::new(0),
             store_failing: AtomicBool::new(false),
+            batch_latency_ms: AtomicU64::new(0),
             clock,
             in_flight: AtomicUsize::new(0),
             shared: Mutex::new(shared),
@@ -198,6 +201,16 @@
         self.store_response_ms.store(self.now_ms(), Ordering::Relaxed);
     }
 
+    /// Records how long a transaction that stored progress took.
+    pub(super) fn record_batch_latency(&self, latency_ms: u64) {
+        self.batch_latency_ms.store(latency_ms, Ordering::Relaxed);
+    }
+
+    /// Returns how long the last transaction that stored progress took, in milliseconds.
+    pub(super) fn batch_latency_ms(&self) -> u64 {
+        self.batch_latency_ms.load(Ordering::Relaxed)
+    }
+
     /// Returns whether the process is shutting down.
     pub fn is_draining(&self) -> bool {
         self.shared().phase == FleetPhase::Draining
--- a/crates/masticfall-entry/src/fleet/dispatch.rs
+++ b/crates/masticfall-entry/src/fleet/dispatch.rs
@@ -242,6 +242,7 @@
             if !is_empty {
                 let took_ms = fleet.now_ms().saturating_sub(sent_ms);
                 fleet.metrics.store_latency.observe(took_ms as f64 / 1_000.0);
+                fleet.record_batch_latency(took_ms);
                 fleet.metrics.batches.inc();
             }
             match stored {
--- a/crates/masticfall-entry/src/fleet/ended.rs
+++ b/crates/masticfall-entry/src/fleet/ended.rs
@@ -29,6 +29,14 @@
 /// are archived together.
 const ROUND_PAUSE_MS: u64 = 500;
 
+/// Duration of a transaction from which on the store counts as slow, in milliseconds. It
+/// then executes a few transactions a second in each partition, which submissions need.
+const SLOW_STORE_MS: u64 = 100;
+
+/// Maximum time for which archiving waits for a slow store, in milliseconds; the progress
+/// rows that a new owner reads grow meanwhile.
+const MAX_ARCHIVE_DELAY_MS: u64 = 10_000;
+
 /// Time for which the progress row is kept once the job is archived, in
 /// milliseconds: callers poll about once a second and find it with one read.
 const PROGRESS_RETENTION_MS: u64 = 3_000;
@@ -59,11 +67,18 @@
     let mut expired: Vec<JobId> = Vec::new();
     let mut has_scanned = false;
     let mut removed_ms = begun_ms;
+    let mut archived_ms = begun_ms;
     loop {
         sleep(Duration::from_millis(ROUND_PAUSE_MS)).await;
         let now_ms = fleet.now_ms();
         let Some(new) = fleet.with_board(epoch, Board::take_newly_ended) else { return };
         pending.extend(new);
+        // Callers see the end of a job in its progress row, so archiving can wait.
+        let is_store_slow = fleet.batch_latency_ms() >= SLOW_STORE_MS;
+        if is_store_slow && now_ms < archived_ms + MAX_ARCHIVE_DELAY_MS {
+            continue;
+        }
+        archived_ms = now_ms;
         let stored = archive(&fleet, &mut pending).await;
         archived.extend(stored.into_iter().map(|id| (now_ms, id)));
         if now_ms < removed_ms + CLEANUP_INTERVAL_MS {
--- a/crates/masticfall-entry/tests/suite/main.rs
+++ b/crates/masticfall-entry/tests/suite/main.rs
@@ -15,6 +15,7 @@
 mod fleet_hostile;
 mod fleet_owners;
 mod fleet_relays;
+mod fleet_slow_store;
 mod fleet_world;
 mod jobs;
 mod keys;
