Stored submissions are sent to the owner, which no longer waits for the feed

Cause: the store's feeds are silent for a second when its history is compacted, and as slow as the store otherwise. The owner learned of new jobs from the feed alone: jobs of that second started a second late, and their pool looked idle and gave its workers away. Change: the process that stored a row sends it to the owner over the peers' channel (setting notify_owner). A row that is not newer than the load of the owner's board is ignored, as in the feed.

--- a/crates/masticfall-entry/src/fleet.rs
+++ b/crates/masticfall-entry/src/fleet.rs
@@ -18,6 +18,7 @@
 mod rows;
 mod run;
 pub mod settings;
+pub mod submissions;
 
 pub use context::{Fleet, FleetPhase};
 pub use run::{RunningFleet, start};
--- a/crates/masticfall-entry/src/fleet/context.rs
+++ b/crates/masticfall-entry/src/fleet/context.rs
@@ -20,6 +20,7 @@
 use super::relay::Relays;
 use super::rows::HeartbeatRow;
 use super::settings::FleetSettings;
+use super::submissions::NoticeQueue;
 use crate::context::wall_ms;
 
 /// Time without a response after which the store counts as unavailable, in
@@ -65,6 +66,8 @@
     pub ownership: Option<Ownership>,
     /// The cell's scheduling state, while this process owns it.
     pub board: Option<Board>,
+    /// Version of the store up to which the board has loaded the rows of jobs.
+    pub jobs_version: u64,
     /// When the last write that confirmed the ownership was sent, by [`Fleet::now_ms`].
     pub confirmed_ms: u64,
 }
@@ -100,6 +103,8 @@
     pub(super) peer_calls: PeerCalls,
     /// Relays of the cell's owner.
     pub(super) relays: Relays,
+    /// Stored submissions and cancellations to be sent to the cell's owner.
+    pub(super) submissions: NoticeQueue,
     /// Start orders without an outcome yet.
     pub(super) starts_in_flight: InFlight,
     /// Token that a peer's request must carry.
@@ -139,6 +144,7 @@
             load: None,
             ownership: None,
             board: None,
+            jobs_version: 0,
             confirmed_ms: 0,
         };
         let metrics = FleetMetrics::new(Arc::clone(&platform.traffic));
@@ -157,6 +163,7 @@
             peers: Mutex::new(IndexMap::new()),
             peer_calls,
             relays: Relays::default(),
+            submissions: NoticeQueue::default(),
             starts_in_flight: InFlight::new(max_starts_in_flight),
             token: Name::from(format!("{:032x}", rand::rng().random::<u128>())),
             operators_read_ms: AtomicU64::new(clock()),
--- a/crates/masticfall-entry/src/fleet/follow.rs
+++ b/crates/masticfall-entry/src/fleet/follow.rs
@@ -5,9 +5,9 @@
 
 use futures_util::{FutureExt, StreamExt, TryStreamExt, stream};
 use masticfall_core::fleet::config::FleetConfig;
-use masticfall_core::id::{JobId, WorkerId};
+use masticfall_core::id::{JobId, Name, WorkerId};
 use masticfall_platform::fleet::{
-    FleetRow, FollowOutcome, FollowRequest, OperatorUpdate, WorkerUpdate, read_all,
+    FleetRow, FollowOutcome, FollowRequest, OperatorUpdate, RowTransaction, WorkerUpdate, read_all,
 };
 use masticfall_platform::{PlatformError, Result};
 use tokio::time::sleep;
@@ -17,6 +17,7 @@
     CELL_PARTITION, HEARTBEAT_KEY, HeartbeatRow, JOBS_TABLE, cancelled_job, decode_job, decode_row,
     job_partitions,
 };
+use super::submissions::Notice;
 use super::{dispatch, leadership};
 
 /// Long-poll time of a feed, in milliseconds; the store allows 30 s. A shorter one
@@ -246,6 +247,40 @@
     sent_ms.saturating_sub(received_ms) + waited_ms.min(MAX_FEED_LATENCY_MS)
 }
 
+/// Passes rows of a job that this process has just stored on to the cell's owner.
+pub fn announce_stored(fleet: &Fleet, transaction: &RowTransaction, version: u64) {
+    if !fleet.settings.notify_owner {
+        return;
+    }
+    for (row_key, value) in &transaction.writes {
+        let Some(value) = value.clone() else { continue };
+        let notice = Notice { key: Name::clone(&row_key.key), value, version, age_ms: 0 };
+        if fleet.shared().ownership.is_some() {
+            apply_notices(fleet, vec![notice]);
+        } else if !fleet.submissions.push(notice) {
+            tracing::debug!(name: "submissions.dropped", "too many notices wait; the owner reads the rows from the store's feed");
+        }
+    }
+}
+
+/// Applies rows of jobs that other processes have stored, if this process owns the cell.
+pub fn apply_notices(fleet: &Fleet, notices: Vec<Notice>) {
+    let (epoch, jobs_version) = {
+        let shared = fleet.shared();
+        let Some(board) = &shared.board else { return };
+        (board.epoch, shared.jobs_version)
+    };
+    for notice in notices {
+        let Notice { key, value, version, age_ms } = notice;
+        // The job of an older row was loaded, or has ended under an earlier owner.
+        if version > jobs_version {
+            fleet.metrics.notices.inc();
+            let row = FleetRow { part: Name::from(""), key, value: Some(value), version };
+            apply_job(fleet, epoch, &row, age_ms + MAX_FEED_LATENCY_MS);
+        }
+    }
+}
+
 /// Applies a row that was written at most `max_age_ms` ago.
 fn apply_job(fleet: &Fleet, epoch: u32, row: &FleetRow, max_age_ms: u64) {
     let Some(value) = &row.value else { return };
--- a/crates/masticfall-entry/src/fleet/jobs.rs
+++ b/crates/masticfall-entry/src/fleet/jobs.rs
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use super::context::Fleet;
+use super::follow;
 use super::rows::{
     ENDED_TABLE, JOBS_TABLE, MAX_ROW_BYTES, PROGRESS_TABLE, cancel_row_key, cell_row_key,
     decode_row, encode_row, job_row_key, read_row,
@@ -212,7 +213,10 @@
             UnknownSnafu { reason: "no answer within the caller's deadline" }.fail()
         });
         match written {
-            Ok(RowCommit::Done(_)) => return Ok(true),
+            Ok(RowCommit::Done(version)) => {
+                follow::announce_stored(fleet, &insert, version);
+                return Ok(true);
+            }
             Ok(RowCommit::Conflict(_)) => return Ok(false),
             Err(error @ (PlatformError::Unavailable { .. } | PlatformError::Malformed { .. })) => {
                 if !may_be_written {
--- a/crates/masticfall-entry/src/fleet/leadership.rs
+++ b/crates/masticfall-entry/src/fleet/leadership.rs
@@ -179,6 +179,12 @@
     completed.map(|(.., observed_ms)| *observed_ms)
 }
 
+/// Returns the owner of the cell as last observed, unless the cell was handed over.
+pub fn current_owner(fleet: &Fleet) -> Option<Incarnation> {
+    let tracked = fleet.ownership_tracker.0.lock();
+    tracked.owner.as_ref().and_then(|(owner, _)| owner.process.clone())
+}
+
 /// Records that the ownership could not be read.
 pub fn record_read_failure(fleet: &Fleet) {
     fleet.ownership_tracker.0.lock().is_store_failing = true;
@@ -279,8 +285,12 @@
     else {
         return false;
     };
-    let name = process.as_str().rsplit_once('.').map(|(name, _)| name);
-    name == Some(&*fleet.settings.name)
+    process_name(process) == Some(&*fleet.settings.name)
+}
+
+/// Returns the name of the process that an incarnation is a run of.
+pub fn process_name(incarnation: &Incarnation) -> Option<&str> {
+    incarnation.as_str().rsplit_once('.').map(|(name, _)| name)
 }
 
 async fn take_over(fleet: &Arc<Fleet>) -> Result<()> {
--- a/crates/masticfall-entry/src/fleet/leadership/load.rs
+++ b/crates/masticfall-entry/src/fleet/leadership/load.rs
@@ -55,6 +55,7 @@
             return;
         }
         shared.board = Some(board);
+        shared.jobs_version = jobs_version;
     }
     let took_ms = begun.elapsed().as_millis() as u64;
     tracing::info!(name: "cell.taken", process = %fleet.incarnation, epoch, jobs = count, rows, took_ms, fell_silent = previous_timed_out, "took over the cell; now dispatching");
--- a/crates/masticfall-entry/src/fleet/metrics.rs
+++ b/crates/masticfall-entry/src/fleet/metrics.rs
@@ -84,6 +84,8 @@
     pub jobs: Gauge,
     /// Start orders issued to workers.
     pub starts: Counter,
+    /// Stored submissions and cancellations received from other processes.
+    pub notices: Counter,
     /// Takeovers of the cell by this process.
     pub takeovers: Counter,
     lost_workers: Family<LossLabels, Counter>,
@@ -103,6 +105,7 @@
             batches: Counter::default(),
             jobs: Gauge::default(),
             starts: Counter::default(),
+            notices: Counter::default(),
             takeovers: Counter::default(),
             lost_workers: Family::default(),
             jobs_given_up: Counter::default(),
@@ -118,6 +121,8 @@
         registry.register("batches", "Batches of progress stored", m.batches.clone());
         registry.register("jobs", "Jobs dispatched by this process", m.jobs.clone());
         registry.register("starts", "Starts ordered from workers", m.starts.clone());
+        let help = "Stored submissions and cancellations received from other processes";
+        registry.register("submission_notices", help, m.notices.clone());
         registry.register("takeovers", "Take-overs of the cell", m.takeovers.clone());
         let help = "Workers lost with tasks on them, by how that became known";
         registry.register("lost_workers", help, m.lost_workers.clone());
--- a/crates/masticfall-entry/src/fleet/peers.rs
+++ b/crates/masticfall-entry/src/fleet/peers.rs
@@ -15,20 +15,21 @@
 use futures_util::future::BoxFuture;
 use masticfall_core::fleet::config::FleetConfig;
 use masticfall_core::fleet::relays::worker_capacity;
-use masticfall_core::id::{DataCentre, Name};
+use masticfall_core::id::{DataCentre, Incarnation, Name};
 use masticfall_platform::Result;
+use masticfall_platform::error::UnavailableSnafu;
 use masticfall_platform::fleet::RowTransaction;
 use rand::Rng;
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
-pub use channel::{connect_relay, fetch_config, serve};
+pub use channel::{connect_owner, connect_relay, fetch_config, receive_submissions, serve};
 
 use super::context::Fleet;
-use super::follow;
-use super::relay::RelayConnector;
+use super::relay::{FrameChannel, RelayConnector};
 use super::rows::{PEERS_TABLE, cell_row_key, decode_row, encode_row};
+use super::{follow, leadership, submissions};
 
 /// Interval of requests to peers, in milliseconds: with three tries a second, a
 /// withdrawn key is rejected within two seconds even when some peers have no newer
@@ -73,6 +74,8 @@
     pub fetch_config: ConfigFetcher,
     /// Connects to a relay.
     pub connect_relay: RelayConnector,
+    /// Opens a connection that carries stored submissions to the owner.
+    pub connect_owner: RelayConnector,
 }
 
 impl fmt::Debug for PeerCalls {
@@ -83,7 +86,11 @@
 
 impl Default for PeerCalls {
     fn default() -> Self {
-        Self { fetch_config: Arc::new(fetch_config), connect_relay: Arc::new(connect_relay) }
+        Self {
+            fetch_config: Arc::new(fetch_config),
+            connect_relay: Arc::new(connect_relay),
+            connect_owner: Arc::new(connect_owner),
+        }
     }
 }
 
@@ -148,6 +155,32 @@
     (fleet.platform.transact)(RowTransaction { checks: Vec::new(), writes }).await.map(drop)
 }
 
+/// Sends stored submissions to the owner for as long as the process runs.
+pub async fn notify_owner(fleet: Arc<Fleet>) {
+    let Some(queue) = fleet.submissions.take_receiver() else { return };
+    let owner = {
+        let fleet = Arc::clone(&fleet);
+        Box::new(move || leadership::current_owner(&fleet))
+    };
+    let connect = Box::new(move |owner: Incarnation| -> BoxFuture<'static, Result<FrameChannel>> {
+        let fleet = Arc::clone(&fleet);
+        Box::pin(async move {
+            let peer = leadership::process_name(&owner)
+                .and_then(|name| fleet.peers.lock().get(name).cloned());
+            let connected = match peer {
+                Some(peer) => (fleet.peer_calls.connect_owner)(peer).await,
+                None => UnavailableSnafu { reason: "the owner is not listed" }.fail(),
+            };
+            if connected.is_err() {
+                // The owner may have restarted since the list was read.
+                read_list(&fleet).await?;
+            }
+            connected
+        })
+    });
+    submissions::send(queue, owner, connect).await;
+}
+
 /// Requests configurations from peers while the operators' rows can't be read.
 pub async fn fetch_from_peers(fleet: Arc<Fleet>) {
     loop {
--- a/crates/masticfall-entry/src/fleet/peers/channel.rs
+++ b/crates/masticfall-entry/src/fleet/peers/channel.rs
@@ -26,6 +26,7 @@
 use super::PeerRow;
 use crate::fleet::context::Fleet;
 use crate::fleet::relay::{self, FrameChannel};
+use crate::fleet::{follow, submissions};
 
 /// Header with the token of the process that receives the request.
 const TOKEN_HEADER: &str = "masticfall-peer-token";
@@ -36,6 +37,9 @@
 /// Path of an owner's connection to a relay.
 const RELAY_PATH: &str = "/relay";
 
+/// Path of a connection that carries stored submissions to the owner.
+const SUBMISSIONS_PATH: &str = "/submissions";
+
 /// Frames that a connection holds in each direction before the sender has to wait.
 const FRAMES_IN_FLIGHT: usize = 4;
 
@@ -81,6 +85,11 @@
     Box::pin(async move { Ok(carry_frames(connect(&peer, RELAY_PATH).await?)) })
 }
 
+/// Opens a connection that carries stored submissions to the owner.
+pub fn connect_owner(peer: PeerRow) -> BoxFuture<'static, Result<FrameChannel>> {
+    Box::pin(async move { Ok(carry_frames(connect(&peer, SUBMISSIONS_PATH).await?)) })
+}
+
 /// Carries frames over a connection until either side ends it.
 fn carry_frames<S>(connection: WebSocketStream<S>) -> FrameChannel
 where
@@ -123,6 +132,11 @@
     }
 }
 
+/// Receives stored submissions from another process until the connection ends.
+pub async fn receive_submissions(fleet: Arc<Fleet>, channel: FrameChannel) {
+    submissions::receive(channel, |notices| follow::apply_notices(&fleet, notices)).await;
+}
+
 /// Serves peers for as long as the process runs.
 pub async fn serve(fleet: Arc<Fleet>, listener: TcpListener) {
     loop {
@@ -132,8 +146,11 @@
                 tokio::spawn(async move {
                     let handling = handle_request(&fleet, stream);
                     match timeout(Duration::from_millis(EXCHANGE_TIMEOUT_MS), handling).await {
-                        Ok(Ok(Some(channel))) => relay::serve(fleet, channel).await,
-                        Ok(Ok(None)) => {}
+                        Ok(Ok(Accepted::Relay(channel))) => relay::serve(fleet, channel).await,
+                        Ok(Ok(Accepted::Submissions(channel))) => {
+                            receive_submissions(fleet, channel).await;
+                        }
+                        Ok(Ok(Accepted::Answered)) => {}
                         Ok(Err(error)) => {
                             tracing::debug!(name: "peer.broken_off", %error, "peer connection failed");
                         }
@@ -151,14 +168,23 @@
     }
 }
 
-/// Handles a request for the configuration, or accepts an owner's connection to a relay
-/// and returns it.
+/// What a connection of another process is for.
+enum Accepted {
+    /// The request was answered.
+    Answered,
+    /// An owner's calls to workers.
+    Relay(FrameChannel),
+    /// Stored submissions.
+    Submissions(FrameChannel),
+}
+
+/// Handles a request for the configuration, or accepts a connection that carries frames.
 #[expect(clippy::result_large_err, reason = "the library's callback has this type")]
-async fn handle_request(fleet: &Fleet, stream: TcpStream) -> Result<Option<FrameChannel>, Error> {
-    let mut is_relay = false;
+async fn handle_request(fleet: &Fleet, stream: TcpStream) -> Result<Accepted, Error> {
+    let mut path = String::new();
     let check = |request: &Request, response: Response| {
         let given = request.headers().get(TOKEN_HEADER).map(HeaderValue::as_bytes);
-        is_relay = request.uri().path() == RELAY_PATH;
+        request.uri().path().clone_into(&mut path);
         if given.is_some_and(|given| given.ct_eq(fleet.token.as_bytes()).into()) {
             return Ok(response);
         }
@@ -168,14 +194,16 @@
     };
     let config = Some(websocket_config());
     let mut channel = accept_hdr_async_with_config(stream, check, config).await?;
-    if is_relay {
-        return Ok(Some(carry_frames(channel)));
+    match path.as_str() {
+        RELAY_PATH => return Ok(Accepted::Relay(carry_frames(channel))),
+        SUBMISSIONS_PATH => return Ok(Accepted::Submissions(carry_frames(channel))),
+        _ => {}
     }
-    let Some(message) = channel.next().await.transpose()? else { return Ok(None) };
-    let Ok(known) = decode::<u64>(&message.into_data()) else { return Ok(None) };
+    let Some(message) = channel.next().await.transpose()? else { return Ok(Accepted::Answered) };
+    let Ok(known) = decode::<u64>(&message.into_data()) else { return Ok(Accepted::Answered) };
     let newer = fleet.config().filter(|config| config.version > known);
-    let Ok(bytes) = encode(&newer.as_deref()) else { return Ok(None) };
+    let Ok(bytes) = encode(&newer.as_deref()) else { return Ok(Accepted::Answered) };
     channel.send(Message::binary(bytes)).await?;
     channel.close(None).await?;
-    Ok(None)
+    Ok(Accepted::Answered)
 }
--- a/crates/masticfall-entry/src/fleet/run.rs
+++ b/crates/masticfall-entry/src/fleet/run.rs
@@ -47,6 +47,7 @@
         Box::pin(leadership::run(Arc::clone(&fleet))),
         Box::pin(peers::maintain_list(Arc::clone(&fleet))),
         Box::pin(peers::fetch_from_peers(Arc::clone(&fleet))),
+        Box::pin(peers::notify_owner(Arc::clone(&fleet))),
     ];
     let tasks = background_tasks.into_iter().map(tokio::spawn).collect();
     tracing::info!(
--- a/crates/masticfall-entry/src/fleet/settings.rs
+++ b/crates/masticfall-entry/src/fleet/settings.rs
@@ -103,6 +103,9 @@
     pub cpu_share: f64,
     /// Bandwidth of the instance's link, in Mbit/s.
     pub link_mbps: f64,
+    /// Whether the process sends stored submissions to the cell's owner, which otherwise
+    /// learns of them by the store's feed alone.
+    pub notify_owner: bool,
     /// Number of workers up to which the owner of the cell calls all of them itself;
     /// beyond it, other processes relay its calls.
     pub max_direct_workers: u64,
@@ -135,6 +138,7 @@
             keep_ended_ms: 120_000,
             cpu_share: SUFFICIENT_CPU_SHARE,
             link_mbps: SUFFICIENT_LINK_MBPS,
+            notify_owner: false,
             max_direct_workers: DEFAULT_MAX_DIRECT_WORKERS,
         }
     }
@@ -199,6 +203,7 @@
             keep_ended_ms: seconds(&mut doc, "keep_ended_s", 120.0),
             cpu_share: number(&mut doc, "cpu_share", SUFFICIENT_CPU_SHARE),
             link_mbps: number(&mut doc, "link_mbps", SUFFICIENT_LINK_MBPS),
+            notify_owner: flag(&mut doc, "notify_owner"),
             max_direct_workers: doc.number(
                 SECTION,
                 "max_direct_workers",
@@ -231,6 +236,11 @@
     doc.value(SECTION, key, default, "a number")
 }
 
+/// Reads a switch; off unless set.
+fn flag(doc: &mut Document<'_>, key: &str) -> bool {
+    doc.text(SECTION, key).is_some_and(|text| text == "on")
+}
+
 /// Reads a duration in seconds; returns it in milliseconds.
 fn seconds(doc: &mut Document<'_>, key: &str, default_s: f64) -> u64 {
     if is_unset(doc, key) {
--- a/crates/masticfall-entry/tests/suite/fleet_world.rs
+++ b/crates/masticfall-entry/tests/suite/fleet_world.rs
@@ -79,6 +79,9 @@
         connect_relay: Arc::new(|_| {
             Box::pin(async { UnavailableSnafu { reason: "not reached" }.fail() })
         }),
+        connect_owner: Arc::new(|_| {
+            Box::pin(async { UnavailableSnafu { reason: "not reached" }.fail() })
+        }),
     }
 }
 
--- a/crates/masticfall-entry/tests/suite/main.rs
+++ b/crates/masticfall-entry/tests/suite/main.rs
@@ -16,6 +16,7 @@
 mod fleet_owners;
 mod fleet_relays;
 mod fleet_slow_store;
+mod fleet_submissions;
 mod fleet_world;
 mod jobs;
 mod keys;
