Unanswered calls to workers are made again

Cause: workers that leave a few percent of their calls unanswered and carry them out seconds later made nearly every job late: a start waited 0.7 s for its timeout and was repeated 0.25 s after, and an end was seen 2.2 s late when a poll was lost. A job has about a dozen tasks in each step. A refusal of the second order doesn't settle the first.

--- a/crates/masticfall-core/src/fleet/board/cordon.rs
+++ b/crates/masticfall-core/src/fleet/board/cordon.rs
@@ -34,6 +34,12 @@
         worker.placements.iter().any(|key| self.is_long_running(key))
     }
 
+    /// Returns whether a task that isn't long-running is placed on a worker.
+    pub fn has_finite_runs(&self, id: &WorkerId) -> bool {
+        let Some(worker) = self.workers.get(id) else { return false };
+        worker.placements.iter().any(|key| !self.is_long_running(key))
+    }
+
     /// Stops the long-running tasks on a worker, so that they restart elsewhere, as
     /// far as the `max_unavailable` of their steps allows now.
     ///
--- a/crates/masticfall-entry/src/fleet.rs
+++ b/crates/masticfall-entry/src/fleet.rs
@@ -8,6 +8,7 @@
 mod dispatch;
 mod ended;
 mod follow;
+pub mod hedge;
 pub mod jobs;
 mod leadership;
 mod machines;
--- a/crates/masticfall-entry/src/fleet/context.rs
+++ b/crates/masticfall-entry/src/fleet/context.rs
@@ -31,6 +31,10 @@
 /// The same if calls to the store fail, in milliseconds.
 const STORE_ERROR_TIMEOUT_MS: u64 = 600;
 
+/// Maximum number of repeated calls at a time. When many calls are unanswered the cause is
+/// the process or its link, and more calls would make it worse.
+const MAX_HEDGES: usize = 48;
+
 /// Phase in the life of a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum FleetPhase {
@@ -107,6 +111,8 @@
     pub(super) submissions: NoticeQueue,
     /// Start orders without an outcome yet.
     pub(super) starts_in_flight: InFlight,
+    /// Repeated calls to workers without an answer yet.
+    pub(super) hedges: InFlight,
     /// Token that a peer's request must carry.
     pub token: Name,
     operators_read_ms: AtomicU64,
@@ -165,6 +171,7 @@
             relays: Relays::default(),
             submissions: NoticeQueue::default(),
             starts_in_flight: InFlight::new(max_starts_in_flight),
+            hedges: InFlight::new(MAX_HEDGES),
             token: Name::from(format!("{:032x}", rand::rng().random::<u128>())),
             operators_read_ms: AtomicU64::new(clock()),
             store_response_ms: AtomicU64::new(clock()),
--- a/crates/masticfall-entry/src/fleet/dispatch.rs
+++ b/crates/masticfall-entry/src/fleet/dispatch.rs
@@ -12,12 +12,12 @@
 use masticfall_core::fleet::progress::ProgressRow;
 use masticfall_core::fleet::report::{StartOutcome, StopOutcome};
 use masticfall_core::id::{Name, WorkerId};
-use masticfall_platform::Result;
 use masticfall_platform::fleet::{AdviceCall, PollCall, PollOutcome, RowKey, RunCall, StartCall};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
 
-use super::context::{Fleet, Ownership};
+use super::context::{Fleet, InFlightGuard, Ownership};
+use super::hedge;
 use super::leadership::{self, WriteSequence};
 use super::notices;
 use super::relay::{self, CallTarget, PollError, RelayCall};
@@ -49,6 +49,11 @@
 /// last one are stored, in milliseconds.
 const MAX_STORE_WAIT_MS: u64 = 250;
 
+/// Maximum time that a poll of a worker with finite tasks waits for one of them to end if
+/// unanswered polls are made again, in milliseconds: the end of a task is then seen within
+/// a fraction of a job's slack although a poll is lost.
+const MAX_HEDGED_WAIT_MS: u64 = 500;
+
 /// Pause after a failure to store a batch, in milliseconds.
 const STORE_RETRY_MS: u64 = 120;
 
@@ -165,10 +170,7 @@
                 fencing_token: epoch,
                 permit: order.permit.clone(),
             };
-            relay::start(&fleet, &target, call).await.unwrap_or_else(|error| {
-                tracing::warn!(name: "order.failed", task = %order.task, %error, "could not send the start order");
-                StartOutcome::Unreached
-            })
+            start_hedged(&fleet, &target, call).await
         }
     };
     if outcome == StartOutcome::Fenced {
@@ -181,6 +183,65 @@
     });
 }
 
+/// Sends a start order, and sends it again if the worker doesn't answer.
+async fn start_hedged(fleet: &Fleet, target: &CallTarget, call: StartCall) -> StartOutcome {
+    let send = async |call: StartCall| {
+        let task = call.task.clone();
+        relay::start(fleet, target, call).await.unwrap_or_else(|error| {
+            tracing::warn!(name: "order.failed", %task, %error, "could not send the start order");
+            StartOutcome::Unreached
+        })
+    };
+    let Some(delay) = hedge_delay(fleet) else { return send(call).await };
+    let again = call.clone();
+    let second = || {
+        let guard = track_hedge(fleet)?;
+        Some(async {
+            let outcome = send(again).await;
+            drop(guard);
+            outcome
+        })
+    };
+    hedge::hedged(send(call), delay, second, &hedge::start_outcomes()).await
+}
+
+/// Returns the delay after which an unanswered call is made again, if it is at all.
+fn hedge_delay(fleet: &Fleet) -> Option<Duration> {
+    let delay_ms = fleet.settings.hedge_after_ms;
+    (delay_ms > 0).then(|| Duration::from_millis(delay_ms))
+}
+
+/// Counts a repeated call; returns `None` if too many are without an answer.
+fn track_hedge(fleet: &Fleet) -> Option<InFlightGuard> {
+    if fleet.hedges.is_full() {
+        return None;
+    }
+    fleet.metrics.hedges.inc();
+    Some(fleet.hedges.track())
+}
+
+/// Polls a worker, and polls it again if it doesn't answer within the time that it may wait
+/// for a run to end.
+async fn poll_hedged(
+    fleet: &Fleet,
+    target: &CallTarget,
+    call: PollCall,
+) -> Result<PollOutcome, PollError> {
+    let Some(delay) = hedge_delay(fleet) else { return relay::poll(fleet, target, call).await };
+    let delay = delay + Duration::from_millis(call.wait_ms);
+    let again = PollCall { wait_ms: 0, ..call.clone() };
+    let second = || {
+        let guard = track_hedge(fleet)?;
+        Some(async {
+            let outcome = relay::poll(fleet, target, again).await;
+            drop(guard);
+            outcome
+        })
+    };
+    let accepts = hedge::Accepts { first: Result::is_ok, second: Result::is_ok };
+    hedge::hedged(relay::poll(fleet, target, call), delay, second, &accepts).await
+}
+
 async fn send_stop(fleet: Arc<Fleet>, epoch: u32, order: StopOrder) {
     let Some((target, call)) = run_call(&fleet, epoch, &order, 0) else { return };
     let outcome = relay::order(&fleet, &target, RelayCall::Stop(call)).await;
@@ -275,7 +336,7 @@
     ownership: Ownership,
     sequence: &mut WriteSequence,
     batch: &Batch,
-) -> Result<bool> {
+) -> masticfall_platform::Result<bool> {
     let mut writes: Vec<(RowKey, Option<Vec<u8>>)> = Vec::new();
     for write in &batch.writes {
         match write {
@@ -306,15 +367,19 @@
         });
         let Some((poll, (address, mut target))) = prepared.flatten() else { return };
         target.avoids_relay = !failures.is_multiple_of(2);
+        // An end on a worker whose poll is lost is seen only after the wait.
+        let has_runs = hedge_delay(&fleet).is_some()
+            && fleet.with_board(epoch, |board| board.has_finite_runs(&id)) == Some(true);
+        let wait_ms = if has_runs { poll.wait_ms.min(MAX_HEDGED_WAIT_MS) } else { poll.wait_ms };
         let call = PollCall {
             address,
             worker: id.clone(),
             fencing_token: epoch,
             ack_cursor: poll.ack_cursor,
             lease_deadline_ms: poll.lease_deadline_ms,
-            wait_ms: poll.wait_ms,
+            wait_ms,
         };
-        let pause_ms = match relay::poll(&fleet, &target, call).await {
+        let pause_ms = match poll_hedged(&fleet, &target, call).await {
             Ok(PollOutcome::Report(report)) => {
                 failures = 0;
                 let has_ended_runs = !report.ended.is_empty();
--- a/crates/masticfall-entry/src/fleet/metrics.rs
+++ b/crates/masticfall-entry/src/fleet/metrics.rs
@@ -84,6 +84,8 @@
     pub jobs: Gauge,
     /// Start orders issued to workers.
     pub starts: Counter,
+    /// Calls to workers that were made again since they had no answer.
+    pub hedges: Counter,
     /// Stored submissions and cancellations received from other processes.
     pub notices: Counter,
     /// Takeovers of the cell by this process.
@@ -105,6 +107,7 @@
             batches: Counter::default(),
             jobs: Gauge::default(),
             starts: Counter::default(),
+            hedges: Counter::default(),
             notices: Counter::default(),
             takeovers: Counter::default(),
             lost_workers: Family::default(),
@@ -121,6 +124,8 @@
         registry.register("batches", "Batches of progress stored", m.batches.clone());
         registry.register("jobs", "Jobs dispatched by this process", m.jobs.clone());
         registry.register("starts", "Starts ordered from workers", m.starts.clone());
+        let help = "Calls to workers made again since they had no answer";
+        registry.register("hedged_calls", help, m.hedges.clone());
         let help = "Stored submissions and cancellations received from other processes";
         registry.register("submission_notices", help, m.notices.clone());
         registry.register("takeovers", "Take-overs of the cell", m.takeovers.clone());
--- a/crates/masticfall-entry/src/fleet/settings.rs
+++ b/crates/masticfall-entry/src/fleet/settings.rs
@@ -103,6 +103,9 @@
     pub cpu_share: f64,
     /// Bandwidth of the instance's link, in Mbit/s.
     pub link_mbps: f64,
+    /// Time after which an unanswered call to a worker is made again, in milliseconds; 0
+    /// for never.
+    pub hedge_after_ms: u64,
     /// Whether the process sends stored submissions to the cell's owner, which otherwise
     /// learns of them by the store's feed alone.
     pub notify_owner: bool,
@@ -138,6 +141,7 @@
             keep_ended_ms: 120_000,
             cpu_share: SUFFICIENT_CPU_SHARE,
             link_mbps: SUFFICIENT_LINK_MBPS,
+            hedge_after_ms: 0,
             notify_owner: false,
             max_direct_workers: DEFAULT_MAX_DIRECT_WORKERS,
         }
@@ -203,6 +207,7 @@
             keep_ended_ms: seconds(&mut doc, "keep_ended_s", 120.0),
             cpu_share: number(&mut doc, "cpu_share", SUFFICIENT_CPU_SHARE),
             link_mbps: number(&mut doc, "link_mbps", SUFFICIENT_LINK_MBPS),
+            hedge_after_ms: doc.number(SECTION, "hedge_after_ms", 0, (0, MAX_SETTING_MS)),
             notify_owner: flag(&mut doc, "notify_owner"),
             max_direct_workers: doc.number(
                 SECTION,
