Evacuated data centres get no starts

Cause: the operators' row evacuate/NAME was not read, so workers of an evacuated data centre got starts for as long as they were listed.

Change: the operators' feed brings evacuations, a full list states them as a set. The set is kept with the version of the table, so that an older list or feed changes nothing. A worker of an evacuated data centre is not schedulable; a placement that was not ordered is withdrawn (a gang as a whole), an order of unknown outcome is followed by a stop, and the owner checks once more before a start is passed to a relay or to the platform. A new owner lists the operators' table while it loads the cell: its configuration may be a peer's.

--- a/crates/masticfall-core/src/fleet/board.rs
+++ b/crates/masticfall-core/src/fleet/board.rs
@@ -8,6 +8,7 @@
 mod cordon;
 mod crash;
 mod demand;
+mod evacuation;
 mod job;
 mod notice;
 mod pace;
@@ -24,6 +25,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
+pub use evacuation::EvacuationLoad;
 pub use job::{Job, Occurrence, OrderState, Placement, Step, Task, TaskCounts, TaskState};
 pub use notice::{DropReason, Notice, StopReason};
 pub use permits::AdviceRequest;
@@ -130,6 +132,8 @@
     /// Time until which leases of the previous owner may be valid, and tasks
     /// on unlisted workers may be running.
     previous_lease_until_ms: u64,
+    /// Data centres whose workers get no starts.
+    evacuated: IndexSet<DataCentre>,
     arrivals: demand::Arrivals,
     permits: IndexMap<TaskKey, permits::StepPermits>,
     advice_requests: Vec<AdviceRequest>,
@@ -184,6 +188,7 @@
                 + lease_left_ms
                 + drift_ms
                 + super::worker::LEASE_SLACK_MS,
+            evacuated: IndexSet::new(),
             arrivals: demand::Arrivals::default(),
             permits: IndexMap::new(),
             advice_requests: Vec::new(),
@@ -272,11 +277,14 @@
         self.needs_placement = true;
         if let Some(worker) = self.workers.get_mut(&facts.id) {
             worker.is_listed = true;
+            let id = facts.id.clone();
             worker.facts = facts;
+            self.mark_evacuated(&id);
             return;
         }
         let id = facts.id.clone();
         self.workers.insert(id.clone(), Worker::new(facts, self.previous_lease_until_ms));
+        self.mark_evacuated(&id);
         for key in self.placed_elsewhere.swap_remove(&id).unwrap_or_default() {
             self.add_worker_usage(&key, &id);
         }
--- /dev/null
+++ b/crates/masticfall-core/src/fleet/board/evacuation.rs
@@ -0,0 +1,82 @@
+//! Evacuated data centres: their workers get no starts.
+
+use indexmap::{IndexMap, IndexSet};
+
+use super::{Board, OrderState, StopReason};
+use crate::fleet::spec::TaskKey;
+use crate::id::{DataCentre, WorkerId};
+
+/// What is left in an evacuated data centre.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct EvacuationLoad {
+    /// Listed workers.
+    pub workers: usize,
+    /// Tasks placed on workers, listed or not.
+    pub runs: usize,
+}
+
+impl Board {
+    /// Sets which data centres are evacuated. Placements there whose start order wasn't sent
+    /// are withdrawn.
+    pub fn set_evacuated(&mut self, data_centres: IndexSet<DataCentre>, now_ms: u64) {
+        self.evacuated = data_centres;
+        for worker in self.workers.values_mut() {
+            worker.is_evacuated = self.evacuated.contains(&worker.facts.data_centre);
+        }
+        self.needs_placement = true;
+        self.withdraw_evacuated(now_ms);
+    }
+
+    /// Returns the evacuated data centres.
+    pub fn evacuated(&self) -> &IndexSet<DataCentre> {
+        &self.evacuated
+    }
+
+    /// Marks a worker by its data centre, which may have changed with its entry in the list.
+    pub(super) fn mark_evacuated(&mut self, id: &WorkerId) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.is_evacuated = self.evacuated.contains(&worker.facts.data_centre);
+        }
+    }
+
+    /// Returns whether a worker is in an evacuated data centre.
+    pub(super) fn is_evacuated(&self, id: &WorkerId) -> bool {
+        self.workers.get(id).is_some_and(|worker| worker.is_evacuated)
+    }
+
+    /// Withdraws start orders to evacuated workers: one that wasn't sent is dropped, one of
+    /// unknown outcome is followed by a stop order, since the worker may carry it out
+    /// seconds later.
+    pub(super) fn withdraw_evacuated(&mut self, now_ms: u64) {
+        if self.evacuated.is_empty() {
+            return;
+        }
+        let workers = self.workers.values().filter(|worker| worker.is_evacuated);
+        let placed = workers.flat_map(|worker| worker.placements.iter());
+        let is_pending = |key: &&TaskKey| {
+            self.run(key).is_some_and(|run| match run.order {
+                OrderState::Unstored => true,
+                OrderState::Unknown(_) => run.stop_sent_ms.is_none(),
+                _ => false,
+            })
+        };
+        let pending: Vec<TaskKey> = placed.filter(is_pending).cloned().collect();
+        for key in pending {
+            self.stop(&key, StopReason::Evacuation, now_ms);
+            self.break_up_gang(&key, now_ms);
+        }
+    }
+
+    /// Returns what is left in each evacuated data centre.
+    pub fn evacuation_loads(&self) -> IndexMap<DataCentre, EvacuationLoad> {
+        let mut loads: IndexMap<DataCentre, EvacuationLoad> =
+            self.evacuated.iter().map(|name| (name.clone(), EvacuationLoad::default())).collect();
+        for worker in self.workers.values() {
+            if let Some(load) = loads.get_mut(&worker.facts.data_centre) {
+                load.workers += usize::from(worker.is_listed);
+                load.runs += worker.placements.len();
+            }
+        }
+        loads
+    }
+}
--- a/crates/masticfall-core/src/fleet/board/notice.rs
+++ b/crates/masticfall-core/src/fleet/board/notice.rs
@@ -18,6 +18,8 @@
     Stray,
     /// The worker is due for maintenance.
     Maintenance,
+    /// The worker's data centre is evacuated.
+    Evacuation,
 }
 
 /// Why a crash no longer counts against a task.
--- a/crates/masticfall-core/src/fleet/board/store.rs
+++ b/crates/masticfall-core/src/fleet/board/store.rs
@@ -105,7 +105,7 @@
         }
         for (key, attempt) in batch.starts {
             if self.is_gang(&key) {
-                self.withdraw_gang_if_too_large(&key);
+                self.withdraw_unfit_gang(&key);
             }
             self.order_start(&key, attempt, now_ms);
         }
@@ -117,15 +117,16 @@
         self.workers.get(id).is_some_and(|worker| !worker.used.fits(&worker.facts.capacity))
     }
 
-    /// Returns a gang to the waiting state if one of its members no longer fits and no order
-    /// was sent.
-    fn withdraw_gang_if_too_large(&mut self, key: &TaskKey) {
+    /// Returns a gang to the waiting state if one of its members no longer fits, or its worker
+    /// is evacuated, and no order was sent.
+    fn withdraw_unfit_gang(&mut self, key: &TaskKey) {
         let placements = self.gang_placements(key);
         let is_unsent = |(key, _): &(TaskKey, WorkerId)| {
             self.run(key).is_some_and(|run| run.order == OrderState::Unstored)
         };
-        let is_too_large = placements.iter().any(|(_, worker)| self.is_overcommitted(worker));
-        if is_too_large && placements.iter().all(is_unsent) {
+        let is_unfit = |id: &WorkerId| self.is_overcommitted(id) || self.is_evacuated(id);
+        let has_unfit = placements.iter().any(|(_, worker)| is_unfit(worker));
+        if has_unfit && placements.iter().all(is_unsent) {
             for (key, _) in placements {
                 self.requeue(&key, None);
             }
@@ -170,10 +171,14 @@
         let lease = self.workers.get_mut(&worker_id).and_then(|w| w.lease(now_ms, lease_ms));
         let is_gang = self.is_gang(key);
         let is_too_large = self.is_overcommitted(&worker_id) && !(is_unsent && is_gang);
-        let Some(lease_deadline_ms) = lease.filter(|_| !is_final && !is_too_large) else {
+        let is_evacuated = self.is_evacuated(&worker_id);
+        let is_unfit = is_too_large || is_evacuated;
+        let Some(lease_deadline_ms) = lease.filter(|_| !is_final && !is_unfit) else {
             if is_unsent {
                 self.requeue(key, None);
                 self.break_up_gang(key, now_ms);
+            } else if is_evacuated {
+                self.stop(key, StopReason::Evacuation, now_ms);
             } else if is_too_large {
                 self.stop(key, StopReason::Stray, now_ms);
             }
--- a/crates/masticfall-core/src/fleet/worker.rs
+++ b/crates/masticfall-core/src/fleet/worker.rs
@@ -92,6 +92,8 @@
     pub is_listed: bool,
     /// Whether it is excluded from placement, such as before its maintenance.
     pub is_cordoned: bool,
+    /// Whether its data centre is evacuated.
+    pub is_evacuated: bool,
     /// Whether its maintenance has yet to begin.
     pub is_maintenance_due: bool,
     /// Whether the last poll of it failed.
@@ -142,6 +144,7 @@
             facts,
             is_listed: true,
             is_cordoned: false,
+            is_evacuated: false,
             is_maintenance_due: false,
             is_unresponsive: false,
             unresponsive_since_ms: None,
@@ -203,6 +206,7 @@
         self.is_listed
             && !self.facts.is_draining
             && !self.is_cordoned
+            && !self.is_evacuated
             && !self.is_unresponsive
             && !self.is_announced_unresponsive
             && self.clock.is_some()
--- a/crates/masticfall-core/tests/suite/main.rs
+++ b/crates/masticfall-core/tests/suite/main.rs
@@ -7,6 +7,7 @@
 mod fleet_capacity;
 mod fleet_counts;
 mod fleet_crashes;
+mod fleet_evacuation;
 mod fleet_hostile;
 mod fleet_leases;
 mod fleet_maintenance;
--- a/crates/masticfall-entry/src/fleet.rs
+++ b/crates/masticfall-entry/src/fleet.rs
@@ -7,6 +7,7 @@
 pub mod context;
 mod dispatch;
 mod ended;
+mod evacuation;
 mod follow;
 pub mod jobs;
 mod leadership;
--- a/crates/masticfall-entry/src/fleet/context.rs
+++ b/crates/masticfall-entry/src/fleet/context.rs
@@ -8,7 +8,8 @@
 use indexmap::IndexMap;
 use masticfall_core::fleet::board::{Board, Now};
 use masticfall_core::fleet::config::FleetConfig;
-use masticfall_core::id::{Incarnation, Name, WaveName};
+use masticfall_core::fleet::evacuation::Evacuations;
+use masticfall_core::id::{DataCentre, Incarnation, Name, WaveName};
 use masticfall_platform::PlatformError;
 use masticfall_platform::fleet::{FleetPlatform, WavePlan};
 use parking_lot::{Mutex, MutexGuard};
@@ -59,6 +60,8 @@
     pub config: Option<Arc<FleetConfig>>,
     /// Maintenance waves, with the time at which each was first seen.
     pub waves: IndexMap<WaveName, (WavePlan, u64)>,
+    /// Evacuated data centres.
+    pub evacuations: Evacuations,
     /// Last heartbeat of the cell's owner, and when it was read.
     pub load: Option<(HeartbeatRow, u64)>,
     /// Ownership of the cell, while this process holds it.
@@ -134,6 +137,7 @@
             phase: FleetPhase::Starting,
             config: None,
             waves: IndexMap::new(),
+            evacuations: Evacuations::default(),
             load: None,
             ownership: None,
             board: None,
@@ -208,6 +212,11 @@
         self.shared().ownership.is_some_and(|ownership| ownership.epoch == epoch)
     }
 
+    /// Returns whether a data centre is evacuated.
+    pub fn is_evacuated(&self, data_centre: &DataCentre) -> bool {
+        self.shared().evacuations.contains(data_centre)
+    }
+
     /// Returns the time of the process's clock, in milliseconds. It includes time in
     /// which the instance was suspended, so that no lease appears to last longer than
     /// it does.
--- a/crates/masticfall-entry/src/fleet/follow.rs
+++ b/crates/masticfall-entry/src/fleet/follow.rs
@@ -5,6 +5,7 @@
 
 use futures_util::{FutureExt, StreamExt, TryStreamExt, stream};
 use masticfall_core::fleet::config::FleetConfig;
+use masticfall_core::fleet::evacuation::{EvacuationChange, Evacuations};
 use masticfall_core::id::{JobId, WorkerId};
 use masticfall_platform::fleet::{
     FleetRow, FollowOutcome, FollowRequest, OperatorUpdate, WorkerUpdate, read_all,
@@ -12,12 +13,12 @@
 use masticfall_platform::{PlatformError, Result};
 use tokio::time::sleep;
 
-use super::context::{Fleet, FleetPhase};
+use super::context::{Fleet, FleetPhase, Shared};
 use super::rows::{
     CELL_PARTITION, HEARTBEAT_KEY, HeartbeatRow, JOBS_TABLE, cancelled_job, decode_job, decode_row,
     job_partitions,
 };
-use super::{dispatch, leadership};
+use super::{dispatch, evacuation, leadership};
 
 /// Long-poll time of a feed, in milliseconds; the store allows 30 s. A shorter one
 /// detects a dead connection sooner.
@@ -49,9 +50,7 @@
         fleet.record_store_result(&listed);
         let mut after = match listed {
             Ok((updates, version)) => {
-                for update in updates {
-                    apply_operator_update(&fleet, update);
-                }
+                apply_operator_updates(&fleet, updates, version);
                 version
             }
             Err(error) => {
@@ -66,9 +65,7 @@
             match followed {
                 Ok(FollowOutcome::Changes(updates, version)) => {
                     after = after.max(version);
-                    for update in updates {
-                        apply_operator_update(&fleet, update);
-                    }
+                    apply_operator_updates(&fleet, updates, version);
                 }
                 Ok(FollowOutcome::HistoryGone) => {
                     tracing::info!(name: "feed.history_gone", feed = "operators", after, "feed history no longer available; listing again");
@@ -85,9 +82,40 @@
     sleep(Duration::from_millis(RETRY_MS)).await;
 }
 
+/// Applies updates that state the operators' table up to a version, from its list or its
+/// feed.
+pub fn apply_operator_updates(fleet: &Fleet, updates: Vec<OperatorUpdate>, version: u64) {
+    let mut evacuations = Vec::new();
+    for update in updates {
+        match update {
+            OperatorUpdate::Evacuated(listed) => {
+                update_evacuations(fleet, |known| known.apply_list(listed, version));
+            }
+            OperatorUpdate::Evacuation { data_centre, is_evacuated } => {
+                evacuations.push((data_centre, is_evacuated));
+            }
+            other => apply_operator_update(fleet, other),
+        }
+    }
+    if !evacuations.is_empty() {
+        update_evacuations(fleet, |known| known.apply_changes(evacuations, version));
+    }
+}
+
+fn update_evacuations(fleet: &Fleet, update: impl FnOnce(&mut Evacuations) -> EvacuationChange) {
+    let now_ms = fleet.now_ms();
+    let mut shared = fleet.shared();
+    let Shared { evacuations, board, .. } = &mut *shared;
+    let change = update(evacuations);
+    evacuation::apply(&change, evacuations, board.as_mut(), &fleet.incarnation, now_ms);
+    drop(shared);
+    fleet.board_changed.notify_one();
+}
+
 fn apply_operator_update(fleet: &Fleet, update: OperatorUpdate) {
     let now_ms = fleet.now_ms();
     match update {
+        OperatorUpdate::Evacuated(_) | OperatorUpdate::Evacuation { .. } => {}
         OperatorUpdate::Config(config) => apply_config(fleet, config),
         OperatorUpdate::Wave(plan) => {
             let mut shared = fleet.shared();
--- a/crates/masticfall-entry/src/fleet/leadership/load.rs
+++ b/crates/masticfall-entry/src/fleet/leadership/load.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use futures_util::FutureExt;
+use futures_util::future::try_join;
 use masticfall_core::fleet::board::{Board, BoardTimings};
 use masticfall_core::fleet::progress::ProgressRow;
 use masticfall_core::id::{JobId, WorkerId};
@@ -54,6 +55,8 @@
         if shared.ownership != Some(ownership) {
             return;
         }
+        // Before the first placement; later changes reach the board from the feed.
+        board.set_evacuated(shared.evacuations.data_centres().clone(), fleet.now_ms());
         shared.board = Some(board);
     }
     let took_ms = begun.elapsed().as_millis() as u64;
@@ -125,7 +128,12 @@
 }
 
 async fn load(fleet: &Fleet, epoch: u32, previous_timed_out: bool) -> Result<LoadedCell> {
-    let (progress, _) = follow::read_table(fleet, PROGRESS_TABLE).await?;
+    // Listed, since this process may have its configuration from a peer and not have read
+    // the operators' table for long.
+    let operators = (fleet.platform.operator_list)(());
+    let progress = follow::read_table(fleet, PROGRESS_TABLE);
+    let ((updates, version), (progress, _)) = try_join(operators, progress).await?;
+    follow::apply_operator_updates(fleet, updates, version);
     // Read after the progress: a job that ends in between is then absent, not
     // loaded without its progress.
     let (jobs, jobs_version) = follow::read_jobs(fleet).await?;
--- a/crates/masticfall-entry/src/fleet/relay.rs
+++ b/crates/masticfall-entry/src/fleet/relay.rs
@@ -77,7 +77,8 @@
 }
 
 /// Makes a call through the worker's relay, or directly if it has none. The call is not made
-/// if the ownership ends while it waits for a relay; its outcome then concerns nobody.
+/// if the ownership ends while it waits for a relay; its outcome then concerns nobody. A
+/// start isn't made either if the worker's data centre is evacuated by then.
 async fn call(
     fleet: &Fleet,
     target: &CallTarget,
@@ -90,6 +91,10 @@
         if !fleet.is_owner(epoch) {
             return Err(LinkError::OutcomeUnknown);
         }
+        // The data centre may have been evacuated since the start was decided.
+        if matches!(call, RelayCall::Start(_)) && fleet.is_evacuated(&target.data_centre) {
+            return Err(LinkError::NotSent(Box::new(call)));
+        }
         let Some(link) = link else {
             return Ok(messages::make_call(&fleet.platform, call).await);
         };
@@ -112,7 +117,8 @@
     match call(fleet, target, RelayCall::Start(order), ORDER_LIMIT_MS).await {
         Ok(RelayOutcome::Start(outcome)) => Ok(outcome),
         Ok(RelayOutcome::Failed(reason)) => UnavailableSnafu { reason }.fail(),
-        Ok(_) | Err(_) => Ok(StartOutcome::Unknown),
+        Err(LinkError::NotSent(_)) => Ok(StartOutcome::Unreached),
+        Ok(_) | Err(LinkError::OutcomeUnknown) => Ok(StartOutcome::Unknown),
     }
 }
 
--- a/crates/masticfall-platform/src/fleet.rs
+++ b/crates/masticfall-platform/src/fleet.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use indexmap::IndexSet;
 use masticfall_core::fleet::config::FleetConfig;
 pub use masticfall_core::fleet::machines::MachineState;
 use masticfall_core::fleet::report::{StartOutcome, StopOutcome, WorkerReport};
@@ -146,6 +147,15 @@
     Config(Arc<FleetConfig>),
     /// A maintenance wave.
     Wave(WavePlan),
+    /// A data centre is evacuated, or its evacuation was lifted.
+    Evacuation {
+        /// The data centre.
+        data_centre: DataCentre,
+        /// Whether it is evacuated from now on.
+        is_evacuated: bool,
+    },
+    /// The evacuated data centres; all others aren't evacuated. A list has exactly one.
+    Evacuated(IndexSet<DataCentre>),
     /// A row that could not be decoded, with the reason.
     Unreadable(String),
 }
@@ -337,7 +347,8 @@
     pub range: Operation<RowRange, RowPage>,
     /// Follows the changes of one of this program's own tables.
     pub follow: Operation<FollowRequest, FollowOutcome<FleetRow>>,
-    /// Reads all operator updates, with the version to follow from.
+    /// Reads all operator updates, with the version to follow from: evacuations as one
+    /// [`OperatorUpdate::Evacuated`], which comes first.
     pub operator_list: Operation<(), (Vec<OperatorUpdate>, u64)>,
     /// Follows the operator updates.
     pub operator_follow: Operation<FollowRequest, FollowOutcome<OperatorUpdate>>,
--- a/crates/masticfall-standin/src/fleet.rs
+++ b/crates/masticfall-standin/src/fleet.rs
@@ -6,6 +6,7 @@
 
 pub mod check;
 pub mod crash;
+pub mod evacuation;
 mod store;
 mod workers;
 
@@ -14,6 +15,7 @@
 use std::time::Duration;
 
 use crash::{CrashPlan, CrashRecord, CrashingTask};
+use evacuation::Evacuations;
 use indexmap::{IndexMap, IndexSet};
 use masticfall_core::fleet::config::FleetConfig;
 use masticfall_core::fleet::report::{EndedRun, RunEnd};
@@ -113,6 +115,7 @@
     /// Number of writes in a mode that loses or delays every second one.
     faulty_writes: u64,
     config: Option<(Arc<FleetConfig>, u64)>,
+    evacuations: Evacuations,
     workers: IndexMap<WorkerId, SimulatedWorker>,
     worker_log: Vec<(u64, WorkerId)>,
     record: Vec<RunRecord>,
--- a/crates/masticfall-standin/src/fleet/store.rs
+++ b/crates/masticfall-standin/src/fleet/store.rs
@@ -231,7 +231,8 @@
 
 fn operator_updates(state: &WorldState, after: u64) -> Vec<OperatorUpdate> {
     let config = state.config.iter().filter(|(_, version)| *version > after);
-    config.map(|(config, _)| OperatorUpdate::Config(Arc::clone(config))).collect()
+    let config = config.map(|(config, _)| OperatorUpdate::Config(Arc::clone(config)));
+    state.evacuations.updates_since(after).chain(config).collect()
 }
 
 fn worker_updates(state: &WorldState, after: u64) -> Vec<WorkerUpdate> {
@@ -275,14 +276,26 @@
     world: &Arc<World>,
     process: &Name,
 ) -> Operation<(), (Vec<OperatorUpdate>, u64)> {
-    list_updates(world, process, operator_updates)
+    list_updates(world, process, |state, _| {
+        let mut updates = operator_updates(state, 0);
+        updates.retain(|update| !matches!(update, OperatorUpdate::Evacuation { .. }));
+        updates.insert(0, state.evacuations.listed());
+        updates
+    })
 }
 
 pub(super) fn operator_follow(
     world: &Arc<World>,
     process: &Name,
 ) -> Operation<FollowRequest, FollowOutcome<OperatorUpdate>> {
-    follow_updates(world, process, operator_updates)
+    let follow = follow_updates(world, process, operator_updates);
+    let context = (Arc::clone(world), follow);
+    operation_on(&context, move |(world, follow), request: FollowRequest| async move {
+        if world.state.lock().evacuations.is_history_gone(request.after) {
+            return Ok(FollowOutcome::HistoryGone);
+        }
+        follow(request).await
+    })
 }
 
 pub(super) fn worker_list(
