Evacuation: long-running tasks leave, instances don't move or count

Cause: workers of an evacuated data centre get no starts, but long-running tasks stayed there, the planner counted standby instances there and moved them, a pool whose workers are all evacuated had no backlog and admitted every job, and maintenance didn't prefer the idle instances there.

Change: long-running tasks are stopped within the max_unavailable of their step, and only if another worker of the pool has room. Instances of evacuated data centres are left out by the pool planner. A pool with evacuated workers only is admitted to by their capacity, so that jobs wait and a backlog limits them. A wave takes evacuated instances first, idle ones as many at once as it allows. Gauges of evacuated data centres and of runs left there, a counter of starts withdrawn at the last check before they are sent.

--- a/crates/masticfall-core/src/fleet/board/cordon.rs
+++ b/crates/masticfall-core/src/fleet/board/cordon.rs
@@ -53,13 +53,13 @@
         }
     }
 
-    fn is_long_running(&self, key: &TaskKey) -> bool {
+    pub(super) fn is_long_running(&self, key: &TaskKey) -> bool {
         let step = self.jobs.get(&key.job).map(|job| &job.record.spec.steps[key.step as usize]);
         step.is_some_and(|step| step.is_long_running)
     }
 
     /// Returns whether a task is available and its step's `max_unavailable` allows to stop it.
-    fn can_evict(&self, key: &TaskKey, now_ms: u64) -> bool {
+    pub(super) fn can_evict(&self, key: &TaskKey, now_ms: u64) -> bool {
         let Some(job) = self.jobs.get(&key.job) else { return false };
         let Some(task) = job.task(key) else { return false };
         let is_unavailable = |task: &&Task| !self.is_available(task.state(), now_ms);
--- a/crates/masticfall-core/src/fleet/board/demand.rs
+++ b/crates/masticfall-core/src/fleet/board/demand.rs
@@ -114,6 +114,10 @@
             let millis = millis.entry(pool.clone()).or_default();
             *millis = (*millis).max(*attainable_millis);
         }
+        for (pool, evacuated_millis) in self.evacuated_millis(&sizes) {
+            let millis = millis.entry(pool).or_default();
+            *millis = if *millis == 0 { evacuated_millis } else { *millis };
+        }
         millis
     }
 
--- a/crates/masticfall-core/src/fleet/board/place.rs
+++ b/crates/masticfall-core/src/fleet/board/place.rs
@@ -111,6 +111,18 @@
         in_pool.map(|(index, _)| index).collect()
     }
 
+    /// Returns whether a worker of its pool has room for one more run of a task.
+    pub(super) fn has_room_for(&self, key: &TaskKey, now_ms: u64) -> bool {
+        let Some(job) = self.jobs.get(&key.job) else { return false };
+        let queues = self.config.as_ref().map(|config| &config.queues);
+        let Some(queue) = queues.and_then(|queues| queues.get(&job.record.queue)) else {
+            return false;
+        };
+        let workers = self.schedulable_workers(&queue.pool, now_ms);
+        let spec = &job.record.spec.steps[key.step as usize];
+        self.candidates(&workers, job, key).any(|candidate| is_allowed(spec, &candidate))
+    }
+
     fn place_job(
         &mut self,
         id: &JobId,
--- a/crates/masticfall-core/src/fleet/machines.rs
+++ b/crates/masticfall-core/src/fleet/machines.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::board::Board;
-use crate::id::{InstanceName, PoolName, WaveName, WorkerId};
+use crate::id::{DataCentre, InstanceName, PoolName, WaveName, WorkerId};
 
 /// Estimated time to drain an instance: the run time of a typical task.
 const DRAIN_ESTIMATE_MS: u64 = 2_500;
@@ -47,6 +47,8 @@
     pub pool: PoolName,
     /// State.
     pub state: MachineState,
+    /// Data centre.
+    pub data_centre: DataCentre,
     /// Processor capacity, in thousandths of a core.
     pub capacity_millis: u64,
     /// Worker that runs on it, if any.
@@ -267,8 +269,10 @@
         board: &Board,
         now_ms: u64,
     ) {
-        let mut other: Vec<(u64, &InstanceName)> = Vec::new();
-        let mut long_running: Vec<(u64, &InstanceName)> = Vec::new();
+        // Evacuated instances first: they get no work, so that nothing is lost with them.
+        let mut other: Vec<(bool, u64, &InstanceName)> = Vec::new();
+        let mut long_running: Vec<(bool, u64, &InstanceName)> = Vec::new();
+        let mut idle_evacuated = 0;
         for name in &self.instances {
             let is_taken = self.progress.begun.contains(name)
                 || self.draining.contains(name)
@@ -282,7 +286,9 @@
             let has_long_running =
                 machine.worker.as_ref().is_some_and(|id| board.has_long_running(id));
             let list = if has_long_running { &mut long_running } else { &mut other };
-            list.push((used, name));
+            let is_evacuated = board.evacuated().contains(&machine.data_centre);
+            idle_evacuated += usize::from(is_evacuated && used == 0);
+            list.push((!is_evacuated, used, name));
         }
         other.sort();
         long_running.sort();
@@ -290,14 +296,14 @@
         // longest to drain.
         let longest = other.len().max(long_running.len());
         let pairs = (0..longest).flat_map(|at| [long_running.get(at), other.get(at)]);
-        let waiting: Vec<&InstanceName> = pairs.flatten().map(|(_, name)| *name).collect();
+        let waiting: Vec<&InstanceName> = pairs.flatten().map(|(.., name)| *name).collect();
         if waiting.is_empty() {
             return;
         }
         let budget_ms = self.due_ms.saturating_sub(now_ms).max(1) as f64 / DEADLINE_SAFETY_FACTOR;
         let per_instance_ms = (DRAIN_ESTIMATE_MS + self.down_ms) as f64;
         let wanted = (waiting.len() as f64 * per_instance_ms / budget_ms).ceil() as usize;
-        let wanted = wanted.clamp(1, self.max_at_once.max(1) as usize);
+        let wanted = wanted.max(idle_evacuated).clamp(1, self.max_at_once.max(1) as usize);
         let is_down_by_earlier_owner = |name: &&InstanceName| {
             let state = machines.get(*name).map(|machine| machine.state);
             state == Some(MachineState::Maintenance) && !self.is_draining_or_down(name)
--- a/crates/masticfall-core/src/fleet/pools.rs
+++ b/crates/masticfall-core/src/fleet/pools.rs
@@ -202,7 +202,7 @@
     }
 
     /// Returns the moves of this round, and cordons the workers of the instances
-    /// to be moved. `blocker` tells why an instance can't be moved now, if so.
+    /// to be moved. Instances of evacuated data centres neither move nor count. `blocker` tells why an instance can't be moved now, if so.
     pub fn plan(
         &mut self,
         machines: &IndexMap<InstanceName, MachineView>,
@@ -296,7 +296,8 @@
             pools.insert(name.clone(), state);
         }
         let mut largest: IndexMap<PoolName, u64> = IndexMap::new();
-        for (name, machine) in machines {
+        let evacuated = |machine: &MachineView| board.evacuated().contains(&machine.data_centre);
+        for (name, machine) in machines.iter().filter(|(_, machine)| !evacuated(machine)) {
             let worker = machine.worker.as_ref().and_then(|id| board.workers.get(id));
             let millis = current_millis(machine, worker, pools.get(&machine.pool));
             if let Some(pending) = self.pending_moves.get(name) {
--- a/crates/masticfall-core/tests/suite/fleet_capacity.rs
+++ b/crates/masticfall-core/tests/suite/fleet_capacity.rs
@@ -114,6 +114,7 @@
             instance: instance.clone(),
             pool: pool.into(),
             state: MachineState::Up,
+            data_centre: "dc".into(),
             capacity_millis: 8_000,
             worker: worker.map(WorkerId::from),
         };
--- a/crates/masticfall-core/tests/suite/fleet_maintenance.rs
+++ b/crates/masticfall-core/tests/suite/fleet_maintenance.rs
@@ -32,6 +32,7 @@
                 instance: instance.clone(),
                 pool: "p".into(),
                 state: MachineState::Up,
+                data_centre: "dc".into(),
                 capacity_millis: 16_000,
                 worker,
             };
@@ -265,6 +266,7 @@
         instance: instance.clone(),
         pool: "spare".into(),
         state: MachineState::Up,
+        data_centre: "dc".into(),
         capacity_millis: 16_000,
         worker: None,
     };
--- a/crates/masticfall-core/tests/suite/fleet_pools.rs
+++ b/crates/masticfall-core/tests/suite/fleet_pools.rs
@@ -30,6 +30,7 @@
                 instance: instance.clone(),
                 pool: "spare".into(),
                 state: MachineState::Up,
+                data_centre: "dc".into(),
                 capacity_millis: CORES * 1_000,
                 worker: None,
             };
--- a/crates/masticfall-entry/src/fleet/follow.rs
+++ b/crates/masticfall-entry/src/fleet/follow.rs
@@ -107,7 +107,8 @@
     let mut shared = fleet.shared();
     let Shared { evacuations, board, .. } = &mut *shared;
     let change = update(evacuations);
-    evacuation::apply(&change, evacuations, board.as_mut(), &fleet.incarnation, now_ms);
+    let (board, metrics) = (board.as_mut(), &fleet.metrics.evacuation);
+    evacuation::apply(&change, evacuations, board, metrics, &fleet.incarnation, now_ms);
     drop(shared);
     fleet.board_changed.notify_one();
 }
--- a/crates/masticfall-entry/src/fleet/machines.rs
+++ b/crates/masticfall-entry/src/fleet/machines.rs
@@ -116,9 +116,12 @@
             log_pools(ownership.epoch, &planner);
             traffic = log_traffic(&fleet, ownership.epoch, &traffic);
             log_waves(ownership.epoch, &waves);
+            let metrics = &fleet.metrics.evacuation;
+            fleet.with_board(ownership.epoch, |board| metrics.set_runs(Some(board)));
         }
         sleep(Duration::from_millis(ROUND_PAUSE_MS)).await;
     }
+    fleet.metrics.evacuation.set_runs(None);
 }
 
 /// Logs the last round's view of each pool that has any demand.
@@ -317,9 +320,10 @@
 
 fn machine_views(machines: Vec<Machine>) -> IndexMap<InstanceName, MachineView> {
     let views = machines.into_iter().map(|machine| {
-        let Machine { instance, pool, worker, capacity, state, .. } = machine;
+        let Machine { instance, pool, worker, capacity, state, data_centre } = machine;
         let capacity_millis = capacity.cpu_millis;
-        (instance.clone(), MachineView { instance, pool, state, capacity_millis, worker })
+        let view = MachineView { instance, pool, state, data_centre, capacity_millis, worker };
+        (view.instance.clone(), view)
     });
     views.collect()
 }
--- a/crates/masticfall-entry/src/fleet/metrics.rs
+++ b/crates/masticfall-entry/src/fleet/metrics.rs
@@ -15,6 +15,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use super::evacuation::EvacuationMetrics;
+
 /// First bucket of the latency histograms, in seconds; eleven more double up to 4 s.
 const FIRST_BUCKET_S: f64 = 0.002;
 
@@ -89,6 +91,8 @@
     lost_workers: Family<LossLabels, Counter>,
     jobs_given_up: Counter,
     attributed_crashes: Counter,
+    /// Evacuated data centres.
+    pub evacuation: EvacuationMetrics,
 }
 
 impl FleetMetrics {
@@ -107,6 +111,7 @@
             lost_workers: Family::default(),
             jobs_given_up: Counter::default(),
             attributed_crashes: Counter::default(),
+            evacuation: EvacuationMetrics::default(),
         };
         let mut registry = Registry::with_prefix("masticfall");
         registry.register_collector(Box::new(TrafficCollector(traffic)));
@@ -125,6 +130,7 @@
         registry.register("jobs_given_up", help, m.jobs_given_up.clone());
         let help = "Crashes of workers attributed to the tasks of jobs given up";
         registry.register("attributed_crashes", help, m.attributed_crashes.clone());
+        m.evacuation.register(&mut registry);
         Self { registry, ..metrics }
     }
 
--- a/crates/masticfall-entry/src/fleet/relay.rs
+++ b/crates/masticfall-entry/src/fleet/relay.rs
@@ -93,6 +93,7 @@
         }
         // The data centre may have been evacuated since the start was decided.
         if matches!(call, RelayCall::Start(_)) && fleet.is_evacuated(&target.data_centre) {
+            fleet.metrics.evacuation.withdrawn_starts.inc();
             return Err(LinkError::NotSent(Box::new(call)));
         }
         let Some(link) = link else {
