--- a/crates/masticfall-core/src/fleet/board/time.rs
+++ b/crates/masticfall-core/src/fleet/board/time.rs
@@ -17,10 +17,12 @@
     /// Advances the board to the given time.
     pub fn advance(&mut self, now: Now) {
         self.begin_occurrences(now);
+        self.withdraw_evacuated(now.steady_ms);
         self.resend_orders(now.steady_ms);
         self.forget_ended_suspects();
         self.expire_leases(now.steady_ms);
         self.evict_from_draining(now.steady_ms);
+        self.evict_from_evacuated(now.steady_ms);
         self.update_above_share(now.steady_ms);
         // Tasks may have waited for a backoff, or for the cooldown of a worker, to end.
         self.needs_placement = true;
