Progress in a partition of its own, behind a fence row

Cause: batches of progress, heartbeats, records of calls and of waves share partition c0, whose transactions execute one after another. While the store is slow (268 ms a transaction) they wait for each other.

Change: progress, its sequence row and a fence row are in partition p0. A new owner replaces the fence after its claim and before it reads the progress; batches and removals are conditional on the fence's version. Only heartbeats confirm the ownership. A claim is conditional on the heartbeat row too: a heartbeat stored between the last read and the claim would have let the previous owner extend leases for longer than takeover_overlap_ms.

With the check of the heartbeat row removed, claim_fails_if_a_heartbeat_was_stored_since_it_was_decided fails.

--- a/crates/masticfall-entry/src/fleet.rs
+++ b/crates/masticfall-entry/src/fleet.rs
@@ -7,6 +7,7 @@
 pub mod context;
 mod dispatch;
 mod ended;
+pub mod fence;
 mod follow;
 pub mod jobs;
 mod leadership;
--- a/crates/masticfall-entry/src/fleet/dispatch.rs
+++ b/crates/masticfall-entry/src/fleet/dispatch.rs
@@ -17,11 +17,12 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
 
-use super::context::{Fleet, Ownership};
+use super::context::Fleet;
+use super::fence::ProgressFence;
 use super::leadership::{self, WriteSequence};
 use super::notices;
 use super::relay::{self, CallTarget, PollError, RelayCall};
-use super::rows::{BATCH_KEY, CALLS_TABLE, PROGRESS_TABLE, cell_row_key, encode_row};
+use super::rows::{BATCH_KEY, encode_row, progress_call_row_key, progress_row_key};
 
 /// Interval at which the board's clock is advanced, in milliseconds.
 const TICK_MS: u64 = 100;
@@ -223,9 +224,12 @@
 
 /// Stores the progress of jobs until the cell is lost: one transaction at a time,
 /// with all changes made in the meantime batched into the next one.
-pub async fn store_progress(fleet: Arc<Fleet>, ownership: Ownership) {
-    let epoch = ownership.epoch;
-    let mut sequence = WriteSequence::new(cell_row_key(CALLS_TABLE, BATCH_KEY));
+///
+/// A stored batch doesn't confirm the ownership: the cell may have been claimed since,
+/// by an owner that has not replaced the fence yet.
+pub async fn store_progress(fleet: Arc<Fleet>, fence: ProgressFence) {
+    let epoch = fence.epoch;
+    let mut sequence = WriteSequence::new(progress_call_row_key(BATCH_KEY));
     loop {
         fleet.store_requested.notified().await;
         loop {
@@ -237,7 +241,7 @@
             let stored = if is_empty {
                 Ok(true)
             } else {
-                store_batch(&fleet, ownership, &mut sequence, &batch).await
+                store_batch(&fleet, fence, &mut sequence, &batch).await
             };
             if !is_empty {
                 let took_ms = fleet.now_ms().saturating_sub(sent_ms);
@@ -246,9 +250,6 @@
             }
             match stored {
                 Ok(true) => {
-                    if !is_empty {
-                        leadership::confirm_ownership(&fleet, epoch, sent_ms);
-                    }
                     let now_ms = fleet.now_ms();
                     fleet.with_board(epoch, |board| board.batch_stored(batch, now_ms));
                     fleet.batch_stored.notify_waiters();
@@ -271,7 +272,7 @@
 
 async fn store_batch(
     fleet: &Fleet,
-    ownership: Ownership,
+    fence: ProgressFence,
     sequence: &mut WriteSequence,
     batch: &Batch,
 ) -> Result<bool> {
@@ -279,18 +280,18 @@
     for write in &batch.writes {
         match write {
             BatchWrite::Progress(id, row) => {
-                writes.push((cell_row_key(PROGRESS_TABLE, id.as_str()), Some(encode_row(row)?)));
+                writes.push((progress_row_key(id), Some(encode_row(row)?)));
             }
             // The job's own rows are in another partition; they are replaced after
             // this row is stored.
             BatchWrite::Ended(id, row) => {
                 let row = ProgressRow::ended(row);
-                writes.push((cell_row_key(PROGRESS_TABLE, id.as_str()), Some(encode_row(&row)?)));
+                writes.push((progress_row_key(id), Some(encode_row(&row)?)));
             }
         }
     }
-    let row = encode_row(&ownership.epoch)?;
-    leadership::write_ordered(fleet, ownership, sequence, row, writes).await
+    let row = encode_row(&fence.epoch)?;
+    leadership::write_ordered(fleet, fence, sequence, row, writes).await
 }
 
 /// Polls a worker for reports and extends its leases, until the worker is removed
--- a/crates/masticfall-entry/src/fleet/ended.rs
+++ b/crates/masticfall-entry/src/fleet/ended.rs
@@ -1,6 +1,6 @@
 //! Archives ended jobs and removes old ones.
 //!
-//! The end of a job is first stored in its progress row, in the owner's partition,
+//! The end of a job is first stored in its progress row, in the progress partition,
 //! which makes that write cheap and fenced. Then the job's own rows are replaced by
 //! an archived one, in one transaction per partition, the progress row is removed,
 //! and after the retention period the archived row. All of these writes are
@@ -18,11 +18,12 @@
 use masticfall_platform::fleet::{RowKey, RowTransaction, read_all};
 use tokio::time::sleep;
 
-use super::context::{Fleet, Ownership};
+use super::context::Fleet;
+use super::fence::ProgressFence;
 use super::leadership;
 use super::rows::{
-    ENDED_TABLE, JOBS_TABLE, PROGRESS_TABLE, cancel_row_key, cell_row_key, encode_row,
-    job_partition, job_partitions, job_row_key,
+    ENDED_TABLE, JOBS_TABLE, cancel_row_key, encode_row, job_partition, job_partitions,
+    job_row_key, progress_row_key,
 };
 
 /// Pause between two rounds, in milliseconds: jobs that end in a partition in that time
@@ -49,8 +50,8 @@
 ///
 /// The board knows the jobs that ended under this owner. Those of earlier owners
 /// are searched for once, when all of them are past the retention period.
-pub async fn run(fleet: Arc<Fleet>, ownership: Ownership, archived: Vec<JobId>) {
-    let epoch = ownership.epoch;
+pub async fn run(fleet: Arc<Fleet>, fence: ProgressFence, archived: Vec<JobId>) {
+    let epoch = fence.epoch;
     let retention_ms = fleet.settings.keep_ended_ms;
     let begun_ms = fleet.now_ms();
     let mut pending: Vec<(JobId, EndedRow)> = Vec::new();
@@ -70,7 +71,7 @@
             continue;
         }
         removed_ms = now_ms;
-        if let Err(error) = remove_progress(&fleet, ownership, &mut archived).await {
+        if let Err(error) = remove_progress(&fleet, fence, &mut archived).await {
             tracing::info!(name: "ended.progress_left", rows = archived.len(), %error, "failed to remove progress rows; retrying");
         }
         let expired_here =
@@ -125,7 +126,7 @@
 
 async fn remove_progress(
     fleet: &Fleet,
-    ownership: Ownership,
+    fence: ProgressFence,
     archived: &mut VecDeque<(u64, JobId)>,
 ) -> Result<()> {
     let now_ms = fleet.now_ms();
@@ -135,9 +136,8 @@
         if ids.is_empty() {
             return Ok(());
         }
-        let writes =
-            ids.iter().map(|id| (cell_row_key(PROGRESS_TABLE, id.as_str()), None)).collect();
-        if !leadership::write_as_owner(fleet, ownership, writes).await? {
+        let writes = ids.iter().map(|id| (progress_row_key(id), None)).collect();
+        if !leadership::write_as_owner(fleet, fence, writes).await? {
             return Ok(());
         }
         archived.drain(..ids.len());
--- a/crates/masticfall-entry/src/fleet/jobs.rs
+++ b/crates/masticfall-entry/src/fleet/jobs.rs
@@ -16,8 +16,8 @@
 
 use super::context::Fleet;
 use super::rows::{
-    ENDED_TABLE, JOBS_TABLE, MAX_ROW_BYTES, PROGRESS_TABLE, cancel_row_key, cell_row_key,
-    decode_row, encode_row, job_row_key, read_row,
+    ENDED_TABLE, JOBS_TABLE, MAX_ROW_BYTES, cancel_row_key, decode_row, encode_row, job_row_key,
+    progress_row_key, read_row,
 };
 use crate::context::wall_ms;
 use crate::refusal::{Refusal, Result};
@@ -256,7 +256,7 @@
     if let Some(phase) = phase_on_board(fleet, &id) {
         return Ok(phase.into());
     }
-    if let Some(row) = read_row(&fleet.platform, cell_row_key(PROGRESS_TABLE, id.as_str())).await? {
+    if let Some(row) = read_row(&fleet.platform, progress_row_key(&id)).await? {
         let ProgressRow { phase, reason, .. } = decode_value(&row)?;
         return Ok(JobStatus { phase, reason });
     }
--- a/crates/masticfall-entry/src/fleet/leadership.rs
+++ b/crates/masticfall-entry/src/fleet/leadership.rs
@@ -291,15 +291,22 @@
     if !should_take_over(fleet, 0) {
         return Ok(());
     }
-    let (epoch, version) = match &fleet.ownership_tracker.0.lock().owner {
-        None => (1, 0),
-        Some((owner, version)) => (owner.epoch + 1, *version),
+    let (epoch, version, heartbeat_version) = {
+        let tracked = fleet.ownership_tracker.0.lock();
+        let (epoch, version) =
+            tracked.owner.as_ref().map_or((1, 0), |(owner, version)| (owner.epoch + 1, *version));
+        (epoch, version, tracked.heartbeat_version)
     };
     let process = Some(fleet.incarnation.clone());
     let owner =
         OwnerRow { process, epoch, fitness_percent: bid::fitness_percent(fleet), heir: None };
     let claim = RowTransaction {
-        checks: vec![(cell_row_key(LEAD_TABLE, OWNER_KEY), version)],
+        // A heartbeat that was stored since the read would have confirmed the ownership of
+        // the previous owner for longer than the board's `takeover_overlap_ms` allows for.
+        checks: vec![
+            (cell_row_key(LEAD_TABLE, OWNER_KEY), version),
+            (cell_row_key(LEAD_TABLE, HEARTBEAT_KEY), heartbeat_version),
+        ],
         writes: vec![(cell_row_key(LEAD_TABLE, OWNER_KEY), Some(encode_row(&owner)?))],
     };
     let sent_ms = fleet.now_ms();
--- a/crates/masticfall-entry/src/fleet/leadership/load.rs
+++ b/crates/masticfall-entry/src/fleet/leadership/load.rs
@@ -10,13 +10,15 @@
 use masticfall_core::fleet::progress::ProgressRow;
 use masticfall_core::id::{JobId, WorkerId};
 use masticfall_platform::Result;
-use masticfall_platform::fleet::FleetRow;
+use masticfall_platform::fleet::{FleetRow, read_all};
 use tokio::time::{Instant, sleep};
 
 use super::{FAILOVER_TIMEOUT_MS, MAX_UNCONFIRMED_MS, send_heartbeats};
 use crate::fleet::context::{Fleet, Ownership};
+use crate::fleet::fence::{ProgressFence, replace_fence};
 use crate::fleet::rows::{
-    HEARTBEAT_KEY, HeartbeatRow, LEAD_TABLE, PROGRESS_TABLE, cancelled_job, decode_job, decode_row,
+    HEARTBEAT_KEY, HeartbeatRow, LEAD_TABLE, PROGRESS_PARTITION, PROGRESS_TABLE, cancelled_job,
+    decode_job, decode_row,
 };
 use crate::fleet::{dispatch, ended, follow, machines, relay};
 
@@ -40,6 +42,7 @@
     supervise(fleet, epoch, "heartbeats", heartbeats);
     let expected_workers = last.as_ref().map_or(0, |heartbeat| heartbeat.workers as usize);
     supervise(fleet, epoch, "relays", relay::maintain(Arc::clone(fleet), epoch, expected_workers));
+    let Some(fence) = raise_fence(fleet, epoch).await else { return };
     let loaded = retry_read(fleet, epoch, || load(fleet, epoch, previous_timed_out)).await;
     let Some(LoadedCell { mut board, jobs_version, rows, archived }) = loaded else { return };
     // If an epoch lies in between, its owner may have reached these workers
@@ -62,13 +65,13 @@
     for worker in workers {
         supervise(fleet, epoch, "poll", dispatch::poll_worker(Arc::clone(fleet), epoch, worker));
     }
-    let progress = dispatch::store_progress(Arc::clone(fleet), ownership);
+    let progress = dispatch::store_progress(Arc::clone(fleet), fence);
     supervise(fleet, epoch, "progress", progress);
     supervise(fleet, epoch, "scheduler", dispatch::run_scheduler(Arc::clone(fleet), epoch));
     supervise(fleet, epoch, "jobs", follow::jobs(Arc::clone(fleet), epoch, jobs_version));
     supervise(fleet, epoch, "workers", follow::workers(Arc::clone(fleet), epoch));
     supervise(fleet, epoch, "machines", machines::run(Arc::clone(fleet), ownership));
-    supervise(fleet, epoch, "ended", ended::run(Arc::clone(fleet), ownership, archived));
+    supervise(fleet, epoch, "ended", ended::run(Arc::clone(fleet), fence, archived));
 }
 
 /// Runs a task of an owner. If it panics, the process steps down: its state is in doubt,
@@ -107,6 +110,20 @@
     }
 }
 
+/// Replaces the fence of the progress rows, before they are read: no earlier owner can
+/// change them after that. Returns `None` when the cell is lost.
+async fn raise_fence(fleet: &Fleet, epoch: u32) -> Option<ProgressFence> {
+    let begun = Instant::now();
+    let fence = retry_read(fleet, epoch, || replace_fence(&fleet.platform, epoch)).await?;
+    if fence.is_some() {
+        let took_ms = begun.elapsed().as_millis() as u64;
+        tracing::info!(name: "cell.fenced", process = %fleet.incarnation, epoch, took_ms, "fenced the progress rows off from earlier owners");
+    } else if fleet.is_owner(epoch) {
+        super::step_down(fleet, "a later owner has fenced the progress rows");
+    }
+    fence
+}
+
 /// Reads the last heartbeat written by any owner of the cell.
 async fn read_heartbeat(fleet: &Fleet) -> Result<Option<HeartbeatRow>> {
     let (rows, _) = follow::read_table(fleet, LEAD_TABLE).await?;
@@ -125,7 +142,8 @@
 }
 
 async fn load(fleet: &Fleet, epoch: u32, previous_timed_out: bool) -> Result<LoadedCell> {
-    let (progress, _) = follow::read_table(fleet, PROGRESS_TABLE).await?;
+    let (range, page_rows) = (&fleet.platform.range, fleet.settings.page_rows());
+    let (progress, _) = read_all(range, PROGRESS_TABLE, PROGRESS_PARTITION, page_rows).await?;
     // Read after the progress: a job that ends in between is then absent, not
     // loaded without its progress.
     let (jobs, jobs_version) = follow::read_jobs(fleet).await?;
--- a/crates/masticfall-entry/src/fleet/metrics.rs
+++ b/crates/masticfall-entry/src/fleet/metrics.rs
@@ -80,6 +80,8 @@
     pub store_latency: Histogram,
     /// Transactions that stored progress.
     pub batches: Counter,
+    /// Writes of progress that were rejected by the fence of a later owner.
+    pub fenced_writes: Counter,
     /// Jobs dispatched by this process.
     pub jobs: Gauge,
     /// Start orders issued to workers.
@@ -101,6 +103,7 @@
             latency: histogram(),
             store_latency: histogram(),
             batches: Counter::default(),
+            fenced_writes: Counter::default(),
             jobs: Gauge::default(),
             starts: Counter::default(),
             takeovers: Counter::default(),
@@ -116,6 +119,8 @@
         let stored = m.store_latency.clone();
         registry.register("store_seconds", "Time to store a batch of progress", stored);
         registry.register("batches", "Batches of progress stored", m.batches.clone());
+        let fenced = m.fenced_writes.clone();
+        registry.register("fenced_writes", "Writes of progress rejected by the fence", fenced);
         registry.register("jobs", "Jobs dispatched by this process", m.jobs.clone());
         registry.register("starts", "Starts ordered from workers", m.starts.clone());
         registry.register("takeovers", "Take-overs of the cell", m.takeovers.clone());
--- a/crates/masticfall-entry/src/fleet/rows.rs
+++ b/crates/masticfall-entry/src/fleet/rows.rs
@@ -31,6 +31,10 @@
 /// process dispatches; currently one cell covers all pools.
 pub const CELL_PARTITION: &str = "c0";
 
+/// Partition of the rows of progress, apart from the cell's: a batch of progress and a
+/// heartbeat would each wait for the other when the store is slow.
+pub const PROGRESS_PARTITION: &str = "p0";
+
 /// Number of partitions of the rows of jobs, apart from the cell's. The store executes the
 /// transactions of a partition one after another, 250 a second in known deployments and
 /// four when it is slow. Callers submit up to 600 jobs a second, and a partition with more
@@ -52,7 +56,12 @@
 /// Key of the row of recent instance calls, in [`CALLS_TABLE`].
 pub const INSTANCE_CALLS_KEY: &str = "called";
 
-/// Key of the row that orders batches of progress, in [`CALLS_TABLE`].
+/// Key of the row on which writes of progress are conditional, in [`CALLS_TABLE`] and
+/// [`PROGRESS_PARTITION`]; its value is the epoch of the owner that may write.
+pub const FENCE_KEY: &str = "fence";
+
+/// Key of the row that orders batches of progress, in [`CALLS_TABLE`] and
+/// [`PROGRESS_PARTITION`].
 pub const BATCH_KEY: &str = "batch";
 
 /// Maximum size of a row's value, in bytes, according to the platform's settings files.
@@ -118,6 +127,17 @@
     RowKey { table, part: Name::from(CELL_PARTITION), key: key.into() }
 }
 
+/// Returns the key of a job's row of progress.
+pub fn progress_row_key(id: &JobId) -> RowKey {
+    let part = Name::from(PROGRESS_PARTITION);
+    RowKey { table: PROGRESS_TABLE, part, key: Name::from(id.as_str()) }
+}
+
+/// Returns the key of a row of [`CALLS_TABLE`] in the partition of the progress rows.
+pub fn progress_call_row_key(key: &str) -> RowKey {
+    RowKey { table: CALLS_TABLE, part: Name::from(PROGRESS_PARTITION), key: Name::from(key) }
+}
+
 /// Returns the key of a row of a job.
 pub fn job_row_key(table: &'static str, id: &JobId) -> RowKey {
     RowKey { table, part: job_partition(id), key: Name::from(id.as_str()) }
--- a/crates/masticfall-entry/tests/suite/main.rs
+++ b/crates/masticfall-entry/tests/suite/main.rs
@@ -12,6 +12,7 @@
 mod fleet_checks;
 mod fleet_crashes;
 mod fleet_faults;
+mod fleet_fence;
 mod fleet_hostile;
 mod fleet_owners;
 mod fleet_relays;
