Decisions for start orders before the placement is stored

Cause: a task is ordered only after its placement is stored, so that accepted work stops while the store is slow or unavailable.

Change: the first run of a plain task may be ordered early on a worker of the open set, a stored list of the workers that can have such runs. The board plans that set, counts the runs that are not stored, and gives them up as unstored once a batch covers them. After a takeover, first runs wait until each worker of the set has reported under the new token or its leases have ended; runs and ends that the store doesn't know are adopted. Without the setting and without stored rows nothing changes.

A report of an unsettled worker that names unknown jobs is withheld as a whole: the model found that a report without its ends shows stored runs as lost.

Tests: a model of the store, the workers and several owners plays 300 random courses and checks each start; 34 directed tests.

--- a/crates/masticfall-core/src/fleet.rs
+++ b/crates/masticfall-core/src/fleet.rs
@@ -10,6 +10,7 @@
 pub mod config;
 pub mod crashes;
 pub mod machines;
+pub mod open_set;
 pub mod pacing;
 pub mod placing;
 pub mod pools;
--- a/crates/masticfall-core/src/fleet/board.rs
+++ b/crates/masticfall-core/src/fleet/board.rs
@@ -8,6 +8,7 @@
 mod cordon;
 mod crash;
 mod demand;
+mod early;
 mod job;
 mod notice;
 mod pace;
@@ -15,6 +16,7 @@
 mod place;
 mod reports;
 mod results;
+mod settle;
 mod store;
 mod stored;
 mod time;
@@ -28,6 +30,7 @@
 pub use notice::{DropReason, Notice, StopReason};
 pub use permits::AdviceRequest;
 pub use reports::PollRequest;
+pub use settle::FoundOpenSet;
 pub use store::{Batch, BatchWrite};
 
 use super::config::FleetConfig;
@@ -131,6 +134,11 @@
     /// on unlisted workers may be running.
     previous_lease_until_ms: u64,
     arrivals: demand::Arrivals,
+    early: early::EarlyStarts,
+    /// Workers of an earlier owner's open set whose runs aren't known yet.
+    settling: Option<settle::Settling>,
+    /// Whether an earlier owner may have ordered runs that the store doesn't know.
+    takes_unstored: bool,
     permits: IndexMap<TaskKey, permits::StepPermits>,
     advice_requests: Vec<AdviceRequest>,
     /// Capacity that each pool has or can get soon, in thousandths of a core.
@@ -185,6 +193,9 @@
                 + drift_ms
                 + super::worker::LEASE_SLACK_MS,
             arrivals: demand::Arrivals::default(),
+            early: early::EarlyStarts::default(),
+            settling: None,
+            takes_unstored: false,
             permits: IndexMap::new(),
             advice_requests: Vec::new(),
             attainable_millis: IndexMap::new(),
@@ -295,6 +306,7 @@
         let keys: Vec<TaskKey> = worker.placements.iter().cloned().collect();
         self.lose_runs(id, keys, LossCause::Replaced, now_ms);
         self.workers.swap_remove(id);
+        self.settle(id, now_ms);
     }
 
     /// Returns the workers that the platform lists.
--- a/crates/masticfall-core/src/fleet/board/cordon.rs
+++ b/crates/masticfall-core/src/fleet/board/cordon.rs
@@ -23,9 +23,10 @@
         }
     }
 
-    /// Returns whether no task is placed on a worker.
+    /// Returns whether no task is placed on a worker, and no unknown run can be on it.
     pub fn is_empty(&self, id: &WorkerId) -> bool {
-        self.workers.get(id).is_none_or(|worker| worker.placements.is_empty())
+        !self.is_unsettled(id)
+            && self.workers.get(id).is_none_or(|worker| worker.placements.is_empty())
     }
 
     /// Returns whether a long-running task is placed on a worker.
--- a/crates/masticfall-core/src/fleet/board/notice.rs
+++ b/crates/masticfall-core/src/fleet/board/notice.rs
@@ -166,4 +166,28 @@
         /// Length of the quarantine, in milliseconds.
         length_ms: u64,
     },
+    /// The first run was ordered before its placement was stored.
+    EarlyStartsBegun {
+        /// The task.
+        task: TaskKey,
+        /// Time that its placement has waited for the store, in milliseconds.
+        waited_ms: u64,
+    },
+    /// All runs that were ordered before their placements were stored are stored.
+    EarlyStartsStored {
+        /// How many they were.
+        runs: u32,
+        /// Time since the first was ordered, in milliseconds.
+        lasted_ms: u64,
+    },
+    /// After a takeover, the runs that the earlier owners may have ordered without storing
+    /// them are known.
+    TakeoverSettled {
+        /// Workers that may have had such runs.
+        workers: usize,
+        /// Those of them that couldn't be reached until their leases had ended.
+        expired: usize,
+        /// Time since the takeover, in milliseconds.
+        took_ms: u64,
+    },
 }
--- a/crates/masticfall-core/src/fleet/board/place.rs
+++ b/crates/masticfall-core/src/fleet/board/place.rs
@@ -131,6 +131,7 @@
             if !is_gang {
                 self.jobs[id].retain_storable(id, &mut keys);
             }
+            self.retain_settled(id, &mut keys, config);
             let chosen = self.place_step(&keys, is_gang, workers, config, unplaceable, now_ms);
             if chosen.len() < keys.len() {
                 self.request_permits(&keys[chosen.len()..], workers, config);
@@ -180,7 +181,7 @@
                 // The tasks of a step have equal needs, so the others don't fit either.
                 break;
             };
-            self.assign(key, &worker, attempt);
+            self.assign(key, &worker, attempt, now_ms);
             chosen.push(worker);
         }
         chosen
@@ -280,6 +281,7 @@
             return true;
         };
         let used = self.account_usage.get(account).copied().unwrap_or_default().plus(needs);
+        let used = used.plus(&self.unsettled_capacity());
         let is_within = |used: u64, limit: u64| limit == 0 || used <= limit;
         is_within(used.cpu_millis, limit.cpu_millis)
             && is_within(used.memory_mib, limit.memory_mib)
@@ -318,15 +320,20 @@
         runs.filter_map(|worker| worker.facts.rack().cloned()).collect()
     }
 
-    fn assign(&mut self, key: &TaskKey, worker: &WorkerId, attempt: Option<u32>) {
+    fn assign(&mut self, key: &TaskKey, worker: &WorkerId, attempt: Option<u32>, now_ms: u64) {
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let floor = job.attempt_floor;
         let Some(task) = job.task_mut(key) else { return };
+        let is_first = task.attempt == 0;
         task.attempt = attempt.unwrap_or(task.attempt + 1).max(floor + 1);
+        let attempt = task.attempt;
         let born_wall_ms = self.workers.get(worker).and_then(|worker| worker.born_wall_ms);
-        let placement = Placement { born_wall_ms, ..Placement::new(worker, task.attempt) };
+        let placement = Placement { born_wall_ms, ..Placement::new(worker, attempt) };
         job.set_state(key, TaskState::Placed(placement));
         self.add_usage(key, worker);
+        if is_first {
+            self.note_first_placement(key, attempt, now_ms);
+        }
     }
 
     /// Returns whether a task is a member of a gang.
--- a/crates/masticfall-core/src/fleet/board/reports.rs
+++ b/crates/masticfall-core/src/fleet/board/reports.rs
@@ -2,6 +2,7 @@
 
 use indexmap::IndexMap;
 
+use super::settle::ReportUse;
 use super::{Board, Notice, Order, OrderState, Placement, StopOrder, StopReason, TaskState};
 use crate::fleet::progress::JobPhase;
 use crate::fleet::report::{ActiveRun, EndedRun, RunEnd, WorkerReport};
@@ -43,12 +44,14 @@
     /// Prepares a poll of a worker; returns `None` if the worker is unknown.
     pub fn poll(&mut self, id: &WorkerId, now_ms: u64) -> Option<PollRequest> {
         let lease_ms = self.timings.lease_ms;
+        let is_unsettled = self.is_unsettled(id);
         let worker = self.workers.get_mut(id)?;
         let lease_deadline_ms = worker.lease(now_ms, lease_ms);
         // A new incarnation would discard run ends that nobody has read.
         let ack_cursor = if worker.may_have_restarted { 0 } else { worker.ack_cursor };
         let wait_ms = match lease_deadline_ms {
             None => 0,
+            Some(_) if is_unsettled => 0,
             Some(_) if !worker.on_trial.is_empty() => TRIAL_POLL_WAIT_MS,
             Some(_) if self.is_shared(id) => SHARED_POLL_WAIT_MS,
             Some(_) => POLL_WAIT_MS,
@@ -127,6 +130,10 @@
         }
         worker.clock = Some(ClockReading { local_ms: now_ms, worker_ms: report.clock_ms });
         self.drop_crashes_of_live_worker(id, report.born_wall_ms);
+        let report_use = self.judge_report(id, &report, now_ms);
+        if report_use == ReportUse::Withheld {
+            return;
+        }
         let Some(worker) = self.workers.get(id) else { return };
         let last_read = worker.read_cursor;
         let has_new = report.ended.iter().any(|ended| ended.number > last_read);
@@ -141,11 +148,17 @@
         if let Some(worker) = self.workers.get_mut(id) {
             worker.unresponsive_since_ms = None;
         }
+        if report_use == ReportUse::Settles {
+            self.settle(id, now_ms);
+        }
         self.pace_best_effort(id, now_ms);
     }
 
     /// Applies a reported run end to its run.
     fn apply_reported_end(&mut self, id: &WorkerId, ended: &EndedRun, now_ms: u64) {
+        if self.can_be_unstored(&ended.task) {
+            self.place_unstored(id, &ended.task, ended.attempt, now_ms);
+        }
         let Some(job) = self.jobs.get_mut(&ended.task.job) else { return };
         let Some(run) = job.run_mut(&ended.task, ended.attempt) else { return };
         if run.worker != *id {
@@ -328,7 +341,8 @@
     fn adopt(&mut self, id: &WorkerId, run: &ActiveRun, now_ms: u64) -> bool {
         let Some(job) = self.jobs.get(&run.task.job) else { return false };
         let Some(task) = job.task(&run.task) else { return false };
-        let is_step_ready = job.is_step_ready(run.task.occurrence, run.task.step as usize);
+        let is_step_ready = job.is_step_ready(run.task.occurrence, run.task.step as usize)
+            || self.can_be_unstored(&run.task);
         let is_adoptable = match task.state() {
             TaskState::Waiting => true,
             TaskState::Placed(placed) => placed.order == OrderState::Unstored,
--- a/crates/masticfall-core/src/fleet/board/store.rs
+++ b/crates/masticfall-core/src/fleet/board/store.rs
@@ -28,6 +28,8 @@
     /// Writes.
     pub writes: Vec<BatchWrite>,
     starts: Vec<(TaskKey, u32)>,
+    /// Runs that were ordered early.
+    early: Vec<(TaskKey, u32)>,
     acks: Vec<(WorkerId, Option<u64>, u64)>,
 }
 
@@ -63,6 +65,7 @@
                     batch.starts.push((key, run.attempt));
                 }
             }
+            batch.early.extend(self.early.unstored_of(&id));
             if job.phase.is_final() && !job.has_placements() {
                 let row = EndedRow {
                     phase: job.phase,
@@ -103,7 +106,12 @@
                 self.newly_ended.push((id, row));
             }
         }
+        // A placement of this batch may have been ordered early since the batch was taken.
+        self.early_stored(batch.starts.iter().chain(&batch.early), now_ms);
         for (key, attempt) in batch.starts {
+            if self.run(&key).is_some_and(|run| run.order != OrderState::Unstored) {
+                continue;
+            }
             if self.is_gang(&key) {
                 self.withdraw_gang_if_too_large(&key);
             }
--- a/crates/masticfall-core/src/fleet/board/time.rs
+++ b/crates/masticfall-core/src/fleet/board/time.rs
@@ -20,6 +20,7 @@
         self.resend_orders(now.steady_ms);
         self.forget_ended_suspects();
         self.expire_leases(now.steady_ms);
+        self.settle_expired(now.steady_ms);
         self.evict_from_draining(now.steady_ms);
         self.update_above_share(now.steady_ms);
         // Tasks may have waited for a backoff, or for the cooldown of a worker, to end.
--- a/crates/masticfall-core/src/fleet/pools.rs
+++ b/crates/masticfall-core/src/fleet/pools.rs
@@ -313,7 +313,7 @@
             let is_usable = worker.is_some_and(|worker| worker.is_schedulable(now_ms));
             if is_usable || pool.is_standby {
                 pool.held_millis += millis;
-                let is_empty = worker.is_none_or(|worker| worker.placements.is_empty());
+                let is_empty = worker.is_none_or(|worker| board.is_empty(&worker.facts.id));
                 if is_empty && blocker.is_none() {
                     pool.empty.push((name.clone(), millis));
                 }
--- a/crates/masticfall-entry/src/fleet/metrics.rs
+++ b/crates/masticfall-entry/src/fleet/metrics.rs
@@ -86,6 +86,13 @@
     pub starts: Counter,
     /// Takeovers of the cell by this process.
     pub takeovers: Counter,
+    /// Start orders issued before their placements were stored.
+    pub early_starts: Counter,
+    /// Runs whose start orders were issued and whose placements aren't stored yet.
+    pub unstored_runs: Gauge,
+    /// Time after a takeover until all runs were known that the store may not know, in
+    /// seconds.
+    pub takeover_barrier: Histogram,
     lost_workers: Family<LossLabels, Counter>,
     jobs_given_up: Counter,
     attributed_crashes: Counter,
@@ -104,6 +111,9 @@
             jobs: Gauge::default(),
             starts: Counter::default(),
             takeovers: Counter::default(),
+            early_starts: Counter::default(),
+            unstored_runs: Gauge::default(),
+            takeover_barrier: histogram(),
             lost_workers: Family::default(),
             jobs_given_up: Counter::default(),
             attributed_crashes: Counter::default(),
@@ -119,6 +129,12 @@
         registry.register("jobs", "Jobs dispatched by this process", m.jobs.clone());
         registry.register("starts", "Starts ordered from workers", m.starts.clone());
         registry.register("takeovers", "Take-overs of the cell", m.takeovers.clone());
+        let help = "Starts ordered before their placements were stored";
+        registry.register("early_starts", help, m.early_starts.clone());
+        let help = "Runs ordered whose placements are not stored yet";
+        registry.register("unstored_runs", help, m.unstored_runs.clone());
+        let help = "Time from a take-over until all runs are known that may not be stored";
+        registry.register("takeover_barrier_seconds", help, m.takeover_barrier.clone());
         let help = "Workers lost with tasks on them, by how that became known";
         registry.register("lost_workers", help, m.lost_workers.clone());
         let help = "Jobs given up since a task crashes the workers that start it";
--- a/crates/masticfall-entry/src/fleet/notices.rs
+++ b/crates/masticfall-entry/src/fleet/notices.rs
@@ -64,6 +64,16 @@
             fleet.metrics.record_given_up(*crashes);
             tracing::warn!(name: "job.given_up", epoch, %job, %reason, crashes, "job given up: its task crashes the workers that start it");
         }
+        Notice::EarlyStartsBegun { task, waited_ms } => {
+            tracing::info!(name: "early.begun", epoch, %task, waited_ms, "ordering first runs before their placements are stored");
+        }
+        Notice::EarlyStartsStored { runs, lasted_ms } => {
+            tracing::info!(name: "early.stored", epoch, runs, lasted_ms, "all runs ordered early are stored");
+        }
+        Notice::TakeoverSettled { workers, expired, took_ms } => {
+            fleet.metrics.takeover_barrier.observe(*took_ms as f64 / 1_000.0);
+            tracing::info!(name: "cell.settled", epoch, workers, expired, took_ms, "runs that the previous owner may not have stored are known");
+        }
         Notice::Quarantined { worker, length_ms } => {
             tracing::warn!(name: "worker.quarantined", epoch, %worker, length_ms, "worker fails different jobs; gets no work during the quarantine");
         }
