Owners order first runs early while the store is slow or unavailable

Cause: each step of a job waits until its placement is stored: 0.3 to 0.8 s while the store is slow, the whole outage while it doesn't answer.

The owner writes the open set with its heartbeats and with the intents of instance calls, ordered by its first row; a new owner reads it after its claim and settles it. No run is ordered early later than 2.3 s after the last confirmed write, since a cancellation or a draining worker may not have reached the owner. Refused submissions are told to come back after 1 to 3 s, drawn by the job's identifier. Log lines and metrics.

--- a/crates/masticfall-entry/src/fleet/context.rs
+++ b/crates/masticfall-entry/src/fleet/context.rs
@@ -15,10 +15,11 @@
 use rand::Rng;
 use tokio::sync::Notify;
 
+use super::leadership::WriteSequence;
 use super::metrics::FleetMetrics;
 use super::peers::{PeerCalls, PeerRow};
 use super::relay::Relays;
-use super::rows::HeartbeatRow;
+use super::rows::{HeartbeatRow, open_row_key};
 use super::settings::FleetSettings;
 use crate::context::wall_ms;
 
@@ -106,6 +107,8 @@
     pub token: Name,
     operators_read_ms: AtomicU64,
     store_response_ms: AtomicU64,
+    /// Orders the writes of the open set; held while one is in flight.
+    pub(super) open_sequence: tokio::sync::Mutex<WriteSequence>,
     /// Last completed round of this owner's instance calls.
     pub(super) completed_call_round: AtomicU64,
     store_failing: AtomicBool,
@@ -159,6 +162,7 @@
             token: Name::from(format!("{:032x}", rand::rng().random::<u128>())),
             operators_read_ms: AtomicU64::new(clock()),
             store_response_ms: AtomicU64::new(clock()),
+            open_sequence: tokio::sync::Mutex::new(WriteSequence::new(open_row_key(0))),
             completed_call_round: AtomicU64::new(0),
             store_failing: AtomicBool::new(false),
             clock,
--- a/crates/masticfall-entry/src/fleet/dispatch.rs
+++ b/crates/masticfall-entry/src/fleet/dispatch.rs
@@ -59,17 +59,27 @@
 /// Pause after a failed placement policy request, in milliseconds.
 const ADVICE_RETRY_MS: u64 = 150;
 
+/// Time after the last write that the store confirmed for which runs are ordered before
+/// their placements are stored, in milliseconds. A cancellation or a draining worker that the
+/// store still took may not have reached this process, and no start may follow either by
+/// more than 3 s; of these, 0.4 s are for the feed and 0.3 s for the order.
+const MAX_UNINFORMED_MS: u64 = 2_300;
+
 /// Places tasks, sends orders and requests advice until the cell is lost.
 pub async fn run_scheduler(fleet: Arc<Fleet>, epoch: u32) {
     let mut ticked_ms = 0;
+    let early_ms = Some(fleet.settings.early_start_after_ms).filter(|delay_ms| *delay_ms > 0);
+    let wait = Duration::from_millis(early_ms.map_or(TICK_MS, |delay_ms| delay_ms.min(TICK_MS)));
     let mut advice_requests: VecDeque<AdviceRequest> = VecDeque::new();
     let mut advice_task: Option<JoinHandle<()>> = None;
     loop {
         let changed = fleet.board_changed.notified();
         // On a timeout only a tick is due.
-        drop(timeout(Duration::from_millis(TICK_MS), changed).await);
+        drop(timeout(wait, changed).await);
         let begun = Instant::now();
         let now = fleet.now();
+        let mut early_starts = 0;
+        let is_store_recent = now.steady_ms <= fleet.shared().confirmed_ms + MAX_UNINFORMED_MS;
         let decided = fleet.with_board(epoch, |board| {
             if now.steady_ms >= ticked_ms + TICK_MS {
                 ticked_ms = now.steady_ms;
@@ -77,11 +87,16 @@
             }
             if !fleet.starts_in_flight.is_full() {
                 board.place(now.steady_ms);
+                if is_store_recent {
+                    early_starts += board.order_early(now.steady_ms);
+                }
             }
             advice_requests.extend(board.take_advice_requests());
+            fleet.metrics.unstored_runs.set(board.unstored_runs() as i64);
             (board.take_orders(), board.take_notices())
         });
         let Some((orders, notices)) = decided else { return };
+        fleet.metrics.early_starts.inc_by(u64::from(early_starts));
         fleet.store_requested.notify_one();
         for order in orders {
             send_order(&fleet, epoch, order);
--- a/crates/masticfall-entry/src/fleet/follow.rs
+++ b/crates/masticfall-entry/src/fleet/follow.rs
@@ -5,9 +5,9 @@
 
 use futures_util::{FutureExt, StreamExt, TryStreamExt, stream};
 use masticfall_core::fleet::config::FleetConfig;
-use masticfall_core::id::{JobId, WorkerId};
+use masticfall_core::id::{JobId, Name, WorkerId};
 use masticfall_platform::fleet::{
-    FleetRow, FollowOutcome, FollowRequest, OperatorUpdate, WorkerUpdate, read_all,
+    FleetRow, FollowOutcome, FollowRequest, OperatorUpdate, RowRange, WorkerUpdate, read_all,
 };
 use masticfall_platform::{PlatformError, Result};
 use tokio::time::sleep;
@@ -42,6 +42,9 @@
 /// every second or two; a longer pause would delay the use of new workers.
 const WORKER_FEED_PAUSE_MS: u64 = 60;
 
+/// Pause between two reads of the jobs after a takeover, in milliseconds.
+const SETTLING_PAUSE_MS: u64 = 20;
+
 /// Follows the operators' announcements for as long as the process runs.
 pub async fn operators(fleet: Arc<Fleet>) {
     loop {
@@ -238,6 +241,48 @@
     }
 }
 
+/// Reads the jobs that were accepted since the cell was loaded, as long as a worker has
+/// reported runs of jobs that are not on the board. A job that an earlier owner may have known
+/// is then loaded before its runs are judged.
+pub async fn jobs_while_settling(fleet: Arc<Fleet>, epoch: u32, mut after: u64) {
+    loop {
+        let waits = fleet.with_board(epoch, |board| (board.is_settling(), board.needs_jobs_read()));
+        let Some((true, needs_read)) = waits else { return };
+        if needs_read {
+            let sent_ms = fleet.now_ms();
+            match read_jobs_until_now(&fleet, epoch, &mut after).await {
+                Ok(()) => drop(fleet.update_board(epoch, |board| board.jobs_read(sent_ms))),
+                Err(error) => back_off(&fleet, JOBS_TABLE, &error).await,
+            }
+        }
+        sleep(Duration::from_millis(SETTLING_PAUSE_MS)).await;
+    }
+}
+
+/// Applies all changes of jobs up to the version that the store has now.
+async fn read_jobs_until_now(fleet: &Fleet, epoch: u32, after: &mut u64) -> Result<()> {
+    let (from, to) = (Name::from(""), Name::from("\0"));
+    let part = job_partitions().next().unwrap_or_else(|| Name::from(CELL_PARTITION));
+    let range = RowRange { table: JOBS_TABLE, part, from, to, limit: 1 };
+    let target = (fleet.platform.range)(range).await?.version;
+    while *after < target {
+        let follow = FollowRequest { table: JOBS_TABLE, after: *after, wait_ms: 0 };
+        let (rows, version) = match (fleet.platform.follow)(follow).await? {
+            FollowOutcome::Changes(rows, version) => (rows, version),
+            FollowOutcome::HistoryGone => read_jobs(fleet).await?,
+        };
+        let is_last = rows.is_empty();
+        for row in &rows {
+            apply_job(fleet, epoch, row, MAX_FEED_LATENCY_MS);
+        }
+        *after = version.max(*after);
+        if is_last {
+            break;
+        }
+    }
+    Ok(())
+}
+
 /// Returns the maximum age of rows that a feed has just returned to a request sent at
 /// `sent_ms`, in milliseconds: they were written after the previous response, which was
 /// received at `received_ms`, or while the request waited for a change.
--- a/crates/masticfall-entry/src/fleet/jobs.rs
+++ b/crates/masticfall-entry/src/fleet/jobs.rs
@@ -8,6 +8,7 @@
 use masticfall_core::fleet::config::{FleetConfig, QueueConfig};
 use masticfall_core::fleet::progress::{EndedRow, JobPhase, ProgressRow};
 use masticfall_core::fleet::spec::{JobRecord, JobSpec};
+use masticfall_core::hash::fnv_1a;
 use masticfall_core::id::{AccountName, JobId, Name, QueueName};
 use masticfall_platform::PlatformError;
 use masticfall_platform::error::UnknownSnafu;
@@ -42,6 +43,10 @@
 /// longer than a takeover.
 const MAX_COUNT_AGE_MS: u64 = 10_000;
 
+/// Maximum of `Retry-After` for a job that is refused since the store doesn't answer, in
+/// seconds; known outages last about four.
+const MAX_RETRY_AFTER_S: u64 = 3;
+
 /// A caller's request: its URL, key and deadline.
 #[derive(Debug, Clone)]
 pub struct CallerRequest {
@@ -136,7 +141,7 @@
     spec.check().map_err(|error| Refusal::new(ErrorKind::BadRequest, error.to_string()))?;
     if let Some(outage_ms) = fleet.store_outage_ms() {
         let detail = format!("the store has not answered for {outage_ms} ms");
-        return Err(Refusal::new(ErrorKind::PlatformUnavailable, detail));
+        return Err(spread_retry(fleet, &id, Refusal::new(ErrorKind::PlatformUnavailable, detail)));
     }
     check_load(fleet, request, &id, &spec).await?;
     let record = JobRecord {
@@ -156,12 +161,23 @@
         checks: vec![(job_row_key(JOBS_TABLE, &id), 0), (job_row_key(ENDED_TABLE, &id), 0)],
         writes: vec![(job_row_key(JOBS_TABLE, &id), Some(row))],
     };
-    let is_new = insert_once(fleet, request, &id, insert).await?;
+    let inserted = insert_once(fleet, request, &id, insert).await;
+    let is_new = inserted.map_err(|refusal| spread_retry(fleet, &id, refusal))?;
     let (queue, config_version) = (&request.queue, request.config_version);
     tracing::info!(name: "job.accepted", process = %fleet.incarnation, job = %id, %queue, config_version, is_new, "job accepted");
     Ok(())
 }
 
+/// Spreads the callers whose jobs are refused since the store doesn't answer over
+/// [`MAX_RETRY_AFTER_S`] seconds: if all of them came back in the same second, they would be
+/// refused again.
+fn spread_retry(fleet: &Fleet, id: &JobId, refusal: Refusal) -> Refusal {
+    if fleet.settings.early_start_after_ms == 0 || refusal.kind != ErrorKind::PlatformUnavailable {
+        return refusal;
+    }
+    refusal.retry_after_ms(1_000 * (1 + fnv_1a(id.as_str().bytes()) % MAX_RETRY_AFTER_S))
+}
+
 /// Refuses a job that would miss its objective under the pool's current load.
 ///
 /// A job that was accepted before is not refused: callers may submit it again.
--- a/crates/masticfall-entry/src/fleet/leadership.rs
+++ b/crates/masticfall-entry/src/fleet/leadership.rs
@@ -12,6 +12,7 @@
 
 mod bid;
 mod load;
+mod open_rows;
 mod writes;
 
 use std::collections::VecDeque;
@@ -20,13 +21,14 @@
 use std::time::Duration;
 
 use masticfall_core::id::Incarnation;
-use masticfall_platform::fleet::{FleetRow, RowCommit, RowTransaction};
+use masticfall_platform::fleet::{FleetRow, RowCommit, RowKey, RowTransaction};
 use masticfall_platform::{PlatformError, Result};
 use parking_lot::Mutex;
 use rand::Rng;
 use tokio::time::sleep;
 
 pub(super) use load::supervise;
+use writes::{JointOutcome, step_down_on_conflict, write_jointly};
 pub use writes::{WriteSequence, write_as_owner, write_ordered};
 
 use super::context::{Fleet, FleetPhase, Ownership};
@@ -358,7 +360,7 @@
         let bytes = encode_row(&row);
         let row_bytes = bytes.as_ref().map_or(0, Vec::len);
         let written = match bytes {
-            Ok(bytes) => write_ordered(&fleet, ownership, &mut sequence, bytes, Vec::new()).await,
+            Ok(bytes) => write_with_open_set(&fleet, ownership, &mut sequence, bytes, None).await,
             Err(error) => Err(error),
         };
         match written {
@@ -379,6 +381,43 @@
     }
 }
 
+/// Writes a row of a sequence as [`write_ordered`] does, together with the open set if that
+/// has changed. With `writes`, the set is written in any case, after a write of it that is in
+/// flight; without, it is left to the next heartbeat while one is.
+pub async fn write_with_open_set(
+    fleet: &Fleet,
+    ownership: Ownership,
+    sequence: &mut WriteSequence,
+    row: Vec<u8>,
+    writes: Option<Vec<(RowKey, Option<Vec<u8>>)>>,
+) -> Result<bool> {
+    let epoch = ownership.epoch;
+    let open_sequence = match &writes {
+        Some(_) => Some(fleet.open_sequence.lock().await),
+        None => fleet.open_sequence.try_lock().ok(),
+    };
+    let mut writes = writes.unwrap_or_default();
+    // Decided under the lock, so that the sets are written in the order of the decisions.
+    let planned =
+        fleet.with_board(epoch, |board| open_sequence.as_ref().and_then(|_| board.plan_open_set()));
+    let (Some(content), Some(mut open_sequence)) = (planned.flatten(), open_sequence) else {
+        return write_ordered(fleet, ownership, sequence, row, writes).await;
+    };
+    let (first, others) = open_rows::encode(epoch, &content)?;
+    writes.extend(others);
+    let sequences = vec![(sequence, row), (&mut *open_sequence, first)];
+    match write_jointly(&fleet.platform, ownership.version, sequences, writes).await? {
+        JointOutcome::Stored => {
+            fleet.with_board(epoch, |board| board.open_set_stored(content));
+            Ok(true)
+        }
+        JointOutcome::OwnershipLost(rows) => {
+            step_down_on_conflict(fleet, ownership, &rows);
+            Ok(false)
+        }
+    }
+}
+
 /// Records that the store confirmed the ownership with a call sent at `sent_ms`.
 pub fn confirm_ownership(fleet: &Fleet, epoch: u32, sent_ms: u64) {
     let mut shared = fleet.shared();
--- a/crates/masticfall-entry/src/fleet/leadership/load.rs
+++ b/crates/masticfall-entry/src/fleet/leadership/load.rs
@@ -6,17 +6,18 @@
 use std::time::Duration;
 
 use futures_util::FutureExt;
-use masticfall_core::fleet::board::{Board, BoardTimings};
+use masticfall_core::fleet::board::{Board, BoardTimings, FoundOpenSet};
 use masticfall_core::fleet::progress::ProgressRow;
 use masticfall_core::id::{JobId, WorkerId};
 use masticfall_platform::Result;
 use masticfall_platform::fleet::FleetRow;
 use tokio::time::{Instant, sleep};
 
-use super::{FAILOVER_TIMEOUT_MS, MAX_UNCONFIRMED_MS, send_heartbeats};
+use super::{FAILOVER_TIMEOUT_MS, MAX_UNCONFIRMED_MS, WriteSequence, open_rows, send_heartbeats};
 use crate::fleet::context::{Fleet, Ownership};
 use crate::fleet::rows::{
-    HEARTBEAT_KEY, HeartbeatRow, LEAD_TABLE, PROGRESS_TABLE, cancelled_job, decode_job, decode_row,
+    CALLS_TABLE, HEARTBEAT_KEY, HeartbeatRow, LEAD_TABLE, PROGRESS_TABLE, cancelled_job,
+    decode_job, decode_row, open_row_key,
 };
 use crate::fleet::{dispatch, ended, follow, machines, relay};
 
@@ -33,6 +34,7 @@
     let begun = Instant::now();
     let epoch = ownership.epoch;
     fleet.completed_call_round.store(0, Ordering::Release);
+    *fleet.open_sequence.lock().await = WriteSequence::new(open_row_key(0));
     fleet.shared().ownership = Some(ownership);
     let Some(last) = retry_read(fleet, epoch, || read_heartbeat(fleet)).await else { return };
     // Loading a large cell takes longer than the failover timeout.
@@ -40,13 +42,20 @@
     supervise(fleet, epoch, "heartbeats", heartbeats);
     let expected_workers = last.as_ref().map_or(0, |heartbeat| heartbeat.workers as usize);
     supervise(fleet, epoch, "relays", relay::maintain(Arc::clone(fleet), epoch, expected_workers));
-    let loaded = retry_read(fleet, epoch, || load(fleet, epoch, previous_timed_out)).await;
+    let (loaded, open_set) = tokio::join!(
+        retry_read(fleet, epoch, || load(fleet, epoch, previous_timed_out)),
+        retry_read(fleet, epoch, || read_open_set(fleet)),
+    );
     let Some(LoadedCell { mut board, jobs_version, rows, archived }) = loaded else { return };
     // If an epoch lies in between, its owner may have reached these workers
     // without writing a heartbeat.
     if let Some(heartbeat) = last.filter(|heartbeat| heartbeat.epoch + 1 == epoch) {
         board.apply_announcement(&heartbeat.silent_ms, fleet.now_ms());
     }
+    let Some(open_set) = open_set else { return };
+    board.begin_settling(open_set, MAX_UNCONFIRMED_MS - FAILOVER_TIMEOUT_MS, fleet.now_ms());
+    board.set_early_start_after(fleet.settings.early_start_after_ms);
+    let is_settling = board.is_settling();
     let count = board.jobs.len();
     let workers: Vec<WorkerId> = board.workers.keys().cloned().collect();
     {
@@ -66,6 +75,10 @@
     supervise(fleet, epoch, "progress", progress);
     supervise(fleet, epoch, "scheduler", dispatch::run_scheduler(Arc::clone(fleet), epoch));
     supervise(fleet, epoch, "jobs", follow::jobs(Arc::clone(fleet), epoch, jobs_version));
+    if is_settling {
+        let reads = follow::jobs_while_settling(Arc::clone(fleet), epoch, jobs_version);
+        supervise(fleet, epoch, "settling", reads);
+    }
     supervise(fleet, epoch, "workers", follow::workers(Arc::clone(fleet), epoch));
     supervise(fleet, epoch, "machines", machines::run(Arc::clone(fleet), ownership));
     supervise(fleet, epoch, "ended", ended::run(Arc::clone(fleet), ownership, archived));
@@ -114,6 +127,13 @@
     last.and_then(|row| row.value.as_deref()).map(decode_row::<HeartbeatRow>).transpose()
 }
 
+/// Reads the open set of the previous owner. It is read after the claim, so that no write of
+/// an earlier owner can change it any more.
+async fn read_open_set(fleet: &Fleet) -> Result<FoundOpenSet> {
+    let (rows, _) = follow::read_table(fleet, CALLS_TABLE).await?;
+    Ok(open_rows::decode(&rows))
+}
+
 /// A cell as loaded from the store.
 struct LoadedCell {
     board: Board,
--- a/crates/masticfall-entry/src/fleet/leadership/writes.rs
+++ b/crates/masticfall-entry/src/fleet/leadership/writes.rs
@@ -1,8 +1,12 @@
 //! Writes that are conditional on the ownership of the cell.
 
+mod joint;
+
 use masticfall_platform::Result;
 use masticfall_platform::fleet::{FleetRow, RowCommit, RowKey, RowTransaction};
 
+pub use joint::{JointOutcome, write_jointly};
+
 use crate::fleet::context::{Fleet, Ownership};
 use crate::fleet::rows::{LEAD_TABLE, OWNER_KEY, cell_row_key};
 
@@ -80,7 +84,7 @@
     }
 }
 
-fn step_down_on_conflict(fleet: &Fleet, ownership: Ownership, rows: &[FleetRow]) {
+pub(super) fn step_down_on_conflict(fleet: &Fleet, ownership: Ownership, rows: &[FleetRow]) {
     super::observe_rows(fleet, rows);
     if fleet.is_owner(ownership.epoch) {
         super::step_down(fleet, "the owner row has changed");
--- a/crates/masticfall-entry/src/fleet/machines/calls.rs
+++ b/crates/masticfall-entry/src/fleet/machines/calls.rs
@@ -120,7 +120,10 @@
             called.entry(name).or_insert(round);
         }
         let row = encode_row(&InstanceCallsRow { epoch: ownership.epoch, called })?;
-        leadership::write_ordered(fleet, ownership, &mut self.sequence, row, writes).await
+        // The workers of the instances are cordoned, so that they leave the open set with it:
+        // the next owner would wait for workers that are gone.
+        let sequence = &mut self.sequence;
+        leadership::write_with_open_set(fleet, ownership, sequence, row, Some(writes)).await
     }
 
     /// Returns the check that a call of the current round may still be sent: the proof
--- a/crates/masticfall-entry/src/fleet/rows.rs
+++ b/crates/masticfall-entry/src/fleet/rows.rs
@@ -55,6 +55,9 @@
 /// Key of the row that orders batches of progress, in [`CALLS_TABLE`].
 pub const BATCH_KEY: &str = "batch";
 
+/// Prefix of the keys of the open set's rows, in [`CALLS_TABLE`]; a number from 0 follows.
+const OPEN_KEY_PREFIX: &str = "open/";
+
 /// Maximum size of a row's value, in bytes, according to the platform's settings files.
 pub const MAX_ROW_BYTES: usize = 65_536;
 
@@ -118,6 +121,11 @@
     RowKey { table, part: Name::from(CELL_PARTITION), key: key.into() }
 }
 
+/// Returns the key of a row of the open set; the first one is number 0.
+pub fn open_row_key(number: usize) -> RowKey {
+    cell_row_key(CALLS_TABLE, format!("{OPEN_KEY_PREFIX}{number}"))
+}
+
 /// Returns the key of a row of a job.
 pub fn job_row_key(table: &'static str, id: &JobId) -> RowKey {
     RowKey { table, part: job_partition(id), key: Name::from(id.as_str()) }
--- a/crates/masticfall-entry/src/fleet/settings.rs
+++ b/crates/masticfall-entry/src/fleet/settings.rs
@@ -103,6 +103,9 @@
     pub cpu_share: f64,
     /// Bandwidth of the instance's link, in Mbit/s.
     pub link_mbps: f64,
+    /// Time for which a placement waits for the store before the first run of its task is
+    /// ordered without it, in milliseconds; 0 if no run is.
+    pub early_start_after_ms: u64,
     /// Number of workers up to which the owner of the cell calls all of them itself;
     /// beyond it, other processes relay its calls.
     pub max_direct_workers: u64,
@@ -135,6 +138,7 @@
             keep_ended_ms: 120_000,
             cpu_share: SUFFICIENT_CPU_SHARE,
             link_mbps: SUFFICIENT_LINK_MBPS,
+            early_start_after_ms: 0,
             max_direct_workers: DEFAULT_MAX_DIRECT_WORKERS,
         }
     }
@@ -199,6 +203,12 @@
             keep_ended_ms: seconds(&mut doc, "keep_ended_s", 120.0),
             cpu_share: number(&mut doc, "cpu_share", SUFFICIENT_CPU_SHARE),
             link_mbps: number(&mut doc, "link_mbps", SUFFICIENT_LINK_MBPS),
+            early_start_after_ms: doc.number(
+                SECTION,
+                "early_start_after_ms",
+                0,
+                (0, MAX_SETTING_MS),
+            ),
             max_direct_workers: doc.number(
                 SECTION,
                 "max_direct_workers",
--- a/crates/masticfall-entry/tests/suite/fleet_faults.rs
+++ b/crates/masticfall-entry/tests/suite/fleet_faults.rs
@@ -11,9 +11,8 @@
 use rstest::rstest;
 use tokio::time::sleep;
 
-use crate::fleet_world::{
-    Submissions, WORKERS, assert_invariants, job, launch, phase, start_settled,
-};
+use crate::fleet_early::{early_settings, start_early};
+use crate::fleet_world::{Submissions, WORKERS, assert_invariants, job, launch_with, phase};
 
 #[rstest]
 #[case::seed_1(1)]
@@ -26,7 +25,22 @@
 #[case::seed_8(8)]
 #[tokio::test(start_paused = true)]
 async fn invariants_hold_under_faults(#[case] seed: u64) {
-    run_with_faults(seed).await;
+    run_with_faults(seed, 0).await;
+}
+
+/// The same with runs that start before their placements are stored.
+#[rstest]
+#[case::seed_1(1)]
+#[case::seed_2(2)]
+#[case::seed_3(3)]
+#[case::seed_4(4)]
+#[case::seed_5(5)]
+#[case::seed_6(6)]
+#[case::seed_7(7)]
+#[case::seed_8(8)]
+#[tokio::test(start_paused = true)]
+async fn invariants_hold_under_faults_with_early_starts(#[case] seed: u64) {
+    run_with_faults(seed, 50).await;
 }
 
 /// A longer search: `FLEET_SEEDS=200 cargo test -p masticfall-entry more_seeds`.
@@ -35,16 +49,20 @@
     let seeds = std::env::var("FLEET_SEEDS").ok().and_then(|text| text.parse().ok());
     for seed in 100..100 + seeds.unwrap_or(4_u64) {
         eprintln!("seed {seed}");
-        run_with_faults(seed).await;
+        run_with_faults(seed, 0).await;
+        run_with_faults(seed, 50).await;
     }
 }
 
-async fn run_with_faults(seed: u64) {
+async fn run_with_faults(seed: u64, early_start_after_ms: u64) {
     let mut random = StdRng::seed_from_u64(seed);
     let world = World::new(WORKERS, "p");
     let names = ["a", "b", "c", "d"];
-    let mut processes: IndexMap<&str, RunningFleet> =
-        names.iter().copied().zip(start_settled(&world, &names).await).collect();
+    let mut processes: IndexMap<&str, RunningFleet> = names
+        .iter()
+        .copied()
+        .zip(start_early(&world, &names, early_start_after_ms).await)
+        .collect();
     world.set_delayed_starts(random.random_range(7..20));
     let mut jobs = Submissions::default();
     for number in 0..60 {
@@ -56,7 +74,11 @@
             0 => {
                 let owner = processes.iter().find(|(_, p)| p.fleet.shared().ownership.is_some());
                 if let Some(name) = owner.map(|(name, _)| *name) {
-                    let previous = processes.insert(name, launch(&world, name)).expect("a process");
+                    let previous = processes.insert(
+                        name,
+                        launch_with(&world, early_settings(name, early_start_after_ms)),
+                    );
+                    let previous = previous.expect("a process");
                     previous.crash();
                 }
             }
--- a/crates/masticfall-entry/tests/suite/main.rs
+++ b/crates/masticfall-entry/tests/suite/main.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod fleet_checks;
 mod fleet_crashes;
+mod fleet_early;
 mod fleet_faults;
 mod fleet_hostile;
 mod fleet_owners;
