Early starts look at the queue's pool again; the open set's lock comes before the proof

Cause: a worker or a queue may change pools between a placement and its early order, and the next owner looks for the run in the pool of the task's queue. A write of an instance call that waited for a heartbeat's write of the open set used up the age of its proof, which was taken before. A process that took the cell over again could wait for its own last write.

Change: the queue's pool has to be the worker's when a run is ordered early; the lock is taken before the proof, and its sequence is no longer replaced with the ownership.

Measured: only_workers_of_the_stored_set_start_early::case_7_other_pool fails without the check. cargo test -p masticfall-core fleet_early: 36 passed.

--- a/crates/masticfall-core/src/fleet/board/early.rs
+++ b/crates/masticfall-core/src/fleet/board/early.rs
@@ -152,8 +152,12 @@
     ) -> bool {
         let Some(run) = self.run(key) else { return false };
         let Some(worker) = self.workers.get(&run.worker) else { return false };
-        let is_final = self.jobs.get(&key.job).is_none_or(|job| job.phase.is_final());
-        if is_final
+        let Some(job) = self.jobs.get(&key.job) else { return false };
+        // The worker or the queue may have changed pools since the task was placed, and the next
+        // owner looks for its run in the pool of its queue.
+        let queue = self.config.as_ref().and_then(|config| config.queues.get(&job.record.queue));
+        if job.phase.is_final()
+            || queue.is_none_or(|queue| queue.pool != worker.facts.pool)
             || !worker.is_schedulable(now_ms)
             || !self.early.open.allows(&worker.facts, config_version)
         {
--- a/crates/masticfall-core/src/fleet/progress.rs
+++ b/crates/masticfall-core/src/fleet/progress.rs
@@ -2,7 +2,8 @@
 //!
 //! A placement is stored before the start order is sent, and the end of a run
 //! before it is acknowledged to the worker. An owner that takes a cell over
-//! therefore knows every worker on which a task can be running.
+//! therefore knows every worker on which a task can be running, except for first runs
+//! that were ordered early; these are on workers of the [open set](super::open_set).
 
 use std::net::SocketAddr;
 
--- a/crates/masticfall-core/tests/suite/fleet_early.rs
+++ b/crates/masticfall-core/tests/suite/fleet_early.rs
@@ -5,6 +5,7 @@
 use masticfall_core::fleet::open_set::{OpenContent, OpenSet, OpenWorker, may_start_early};
 use masticfall_core::fleet::report::{EndedRun, RunEnd, WorkerReport};
 use masticfall_core::fleet::spec::{JobSpec, Resources, StepSpec, TaskKey};
+use masticfall_core::fleet::worker::WorkerFacts;
 use masticfall_core::prelude::*;
 use proptest::prelude::*;
 use rstest::rstest;
@@ -124,9 +125,26 @@
 #[case::ready(|_: &mut Rig| {}, 1)]
 #[case::off(|rig: &mut Rig| rig.board.set_early_start_after(0), 0)]
 #[case::too_soon(|rig: &mut Rig| rig.board.set_early_start_after(90), 0)]
-#[case::cordoned(|rig: &mut Rig| { rig.board.place(0); rig.board.cordon(&"w1".into(), true); }, 0)]
+#[case::cordoned(
+    |rig: &mut Rig| {
+        rig.submit("00000000000000bb", vec![step(1, 1)]);
+        rig.board.place(0);
+        rig.board.cordon(&"w1".into(), true);
+    },
+    0
+)]
 #[case::other_version(|rig: &mut Rig| rig.board.set_config(config(2, Resources::default())), 0)]
 #[case::other_capacity(|rig: &mut Rig| rig.board.list_worker(facts("w1", 9)), 0)]
+#[case::other_pool(
+    |rig: &mut Rig| {
+        rig.submit("00000000000000bb", vec![step(1, 1)]);
+        rig.board.place(0);
+        rig.board.list_worker(WorkerFacts { pool: "spare".into(), ..facts("w1", 8) });
+        let content = rig.board.plan_open_set().expect("a change");
+        rig.board.open_set_stored(content);
+    },
+    0
+)]
 #[case::write_in_flight(
     |rig: &mut Rig| {
         rig.board.list_worker(facts("w1", 9));
--- a/crates/masticfall-entry/src/fleet/leadership.rs
+++ b/crates/masticfall-entry/src/fleet/leadership.rs
@@ -20,11 +20,13 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use masticfall_core::fleet::board::Board;
 use masticfall_core::id::Incarnation;
 use masticfall_platform::fleet::{FleetRow, RowCommit, RowKey, RowTransaction};
 use masticfall_platform::{PlatformError, Result};
 use parking_lot::Mutex;
 use rand::Rng;
+use tokio::sync::MutexGuard;
 use tokio::time::sleep;
 
 pub(super) use load::supervise;
@@ -360,7 +362,10 @@
         let bytes = encode_row(&row);
         let row_bytes = bytes.as_ref().map_or(0, Vec::len);
         let written = match bytes {
-            Ok(bytes) => write_with_open_set(&fleet, ownership, &mut sequence, bytes, None).await,
+            Ok(bytes) => {
+                let open = fleet.open_sequence.try_lock().ok();
+                write_with_open_set(&fleet, ownership, &mut sequence, bytes, Vec::new(), open).await
+            }
             Err(error) => Err(error),
         };
         match written {
@@ -381,26 +386,21 @@
     }
 }
 
-/// Writes a row of a sequence as [`write_ordered`] does, together with the open set if that
-/// has changed. With `writes`, the set is written in any case, after a write of it that is in
-/// flight; without, it is left to the next heartbeat while one is.
+/// Writes rows as [`write_ordered`] does, together with the open set if that has changed.
+/// `open_sequence` is the lock on the set, without which it is left to the next heartbeat.
 pub async fn write_with_open_set(
     fleet: &Fleet,
     ownership: Ownership,
     sequence: &mut WriteSequence,
     row: Vec<u8>,
-    writes: Option<Vec<(RowKey, Option<Vec<u8>>)>>,
+    mut writes: Vec<(RowKey, Option<Vec<u8>>)>,
+    open_sequence: Option<MutexGuard<'_, WriteSequence>>,
 ) -> Result<bool> {
     let epoch = ownership.epoch;
-    let open_sequence = match &writes {
-        Some(_) => Some(fleet.open_sequence.lock().await),
-        None => fleet.open_sequence.try_lock().ok(),
-    };
-    let mut writes = writes.unwrap_or_default();
     // Decided under the lock, so that the sets are written in the order of the decisions.
-    let planned =
-        fleet.with_board(epoch, |board| open_sequence.as_ref().and_then(|_| board.plan_open_set()));
-    let (Some(content), Some(mut open_sequence)) = (planned.flatten(), open_sequence) else {
+    let plan = |_: &MutexGuard<'_, _>| fleet.with_board(epoch, Board::plan_open_set).flatten();
+    let planned = open_sequence.as_ref().and_then(plan);
+    let (Some(content), Some(mut open_sequence)) = (planned, open_sequence) else {
         return write_ordered(fleet, ownership, sequence, row, writes).await;
     };
     let (first, others) = open_rows::encode(epoch, &content)?;
--- a/crates/masticfall-entry/src/fleet/leadership/load.rs
+++ b/crates/masticfall-entry/src/fleet/leadership/load.rs
@@ -13,11 +13,11 @@
 use masticfall_platform::fleet::FleetRow;
 use tokio::time::{Instant, sleep};
 
-use super::{FAILOVER_TIMEOUT_MS, MAX_UNCONFIRMED_MS, WriteSequence, open_rows, send_heartbeats};
+use super::{FAILOVER_TIMEOUT_MS, MAX_UNCONFIRMED_MS, open_rows, send_heartbeats};
 use crate::fleet::context::{Fleet, Ownership};
 use crate::fleet::rows::{
     CALLS_TABLE, HEARTBEAT_KEY, HeartbeatRow, LEAD_TABLE, PROGRESS_TABLE, cancelled_job,
-    decode_job, decode_row, open_row_key,
+    decode_job, decode_row,
 };
 use crate::fleet::{dispatch, ended, follow, machines, relay};
 
@@ -34,7 +34,6 @@
     let begun = Instant::now();
     let epoch = ownership.epoch;
     fleet.completed_call_round.store(0, Ordering::Release);
-    *fleet.open_sequence.lock().await = WriteSequence::new(open_row_key(0));
     fleet.shared().ownership = Some(ownership);
     let Some(last) = retry_read(fleet, epoch, || read_heartbeat(fleet)).await else { return };
     // Loading a large cell takes longer than the failover timeout.
--- a/crates/masticfall-entry/src/fleet/machines/calls.rs
+++ b/crates/masticfall-entry/src/fleet/machines/calls.rs
@@ -107,6 +107,9 @@
         instances: impl Iterator<Item = &InstanceName>,
         writes: Vec<(RowKey, Option<Vec<u8>>)>,
     ) -> Result<bool> {
+        // The workers of the instances are cordoned, so that they leave the open set with this
+        // write: the next owner would wait for workers that are gone.
+        let open = Some(fleet.open_sequence.lock().await);
         let now_ms = fleet.now_ms();
         let lease_ms = self.lease_ms;
         self.round += 1;
@@ -120,10 +123,8 @@
             called.entry(name).or_insert(round);
         }
         let row = encode_row(&InstanceCallsRow { epoch: ownership.epoch, called })?;
-        // The workers of the instances are cordoned, so that they leave the open set with it:
-        // the next owner would wait for workers that are gone.
         let sequence = &mut self.sequence;
-        leadership::write_with_open_set(fleet, ownership, sequence, row, Some(writes)).await
+        leadership::write_with_open_set(fleet, ownership, sequence, row, writes, open).await
     }
 
     /// Returns the check that a call of the current round may still be sent: the proof
