--- a/crates/masticfall-entry/tests/suite/fleet_early.rs
+++ b/crates/masticfall-entry/tests/suite/fleet_early.rs
@@ -170,6 +170,7 @@
     let mut processes = start_early(&world, &["a", "b", "c"], EARLY_MS).await;
     let zombie = owner_of(&mut processes);
     let ids = submit_chains(&world, &processes[0], 8).await;
+    sleep(Duration::from_millis(100)).await;
     world.set_store_for(&zombie.fleet.settings.name, StoreMode::Unavailable);
     // Workers that only the old owner reaches in turn.
     for round in 0..8 {
@@ -177,6 +178,7 @@
         sleep(Duration::from_millis(600)).await;
         world.set_silent(round % WORKERS, false);
     }
+    assert!(zombie.fleet.metrics.early_starts.get() > 0);
     sleep(Duration::from_secs(30)).await;
     assert_invariants(&world, &ids, &ids);
 }
