--- a/crates/masticfall-core/src/fleet.rs
+++ b/crates/masticfall-core/src/fleet.rs
@@ -11,6 +11,7 @@
 pub mod crashes;
 pub mod evacuation;
 pub mod machines;
+pub mod open_set;
 pub mod pacing;
 pub mod placing;
 pub mod pools;
--- a/crates/masticfall-entry/src/fleet/leadership/writes.rs
+++ b/crates/masticfall-entry/src/fleet/leadership/writes.rs
@@ -3,9 +3,13 @@
 //! In the cell's partition they are conditional on the owner row, in the partition of the
 //! progress rows on the fence row, which only the owner of a later epoch replaces.
 
+mod joint;
+
 use masticfall_platform::Result;
 use masticfall_platform::fleet::{FleetRow, RowCommit, RowKey, RowTransaction};
 
+pub use joint::{JointOutcome, write_jointly};
+
 use crate::fleet::context::{Fleet, Ownership};
 use crate::fleet::fence::ProgressFence;
 use crate::fleet::rows::{FENCE_KEY, LEAD_TABLE, OWNER_KEY, cell_row_key, progress_call_row_key};
@@ -107,7 +111,7 @@
     }
 }
 
-fn step_down_on_conflict(fleet: &Fleet, condition: &WriteCondition, rows: &[FleetRow]) {
+pub(super) fn step_down_on_conflict(fleet: &Fleet, condition: &WriteCondition, rows: &[FleetRow]) {
     if &*condition.row_key.key == FENCE_KEY {
         fleet.metrics.fenced_writes.inc();
     } else {
--- a/crates/masticfall-entry/src/fleet/metrics.rs
+++ b/crates/masticfall-entry/src/fleet/metrics.rs
@@ -94,6 +94,13 @@
     pub notices: Counter,
     /// Takeovers of the cell by this process.
     pub takeovers: Counter,
+    /// Start orders issued before their placements were stored.
+    pub early_starts: Counter,
+    /// Runs whose start orders were issued and whose placements aren't stored yet.
+    pub unstored_runs: Gauge,
+    /// Time after a takeover until all runs were known that the store may not know, in
+    /// seconds.
+    pub takeover_barrier: Histogram,
     lost_workers: Family<LossLabels, Counter>,
     jobs_given_up: Counter,
     attributed_crashes: Counter,
@@ -117,6 +124,9 @@
             hedges: Counter::default(),
             notices: Counter::default(),
             takeovers: Counter::default(),
+            early_starts: Counter::default(),
+            unstored_runs: Gauge::default(),
+            takeover_barrier: histogram(),
             lost_workers: Family::default(),
             jobs_given_up: Counter::default(),
             attributed_crashes: Counter::default(),
@@ -139,6 +149,12 @@
         let help = "Stored submissions and cancellations received from other processes";
         registry.register("submission_notices", help, m.notices.clone());
         registry.register("takeovers", "Take-overs of the cell", m.takeovers.clone());
+        let help = "Starts ordered before their placements were stored";
+        registry.register("early_starts", help, m.early_starts.clone());
+        let help = "Runs ordered whose placements are not stored yet";
+        registry.register("unstored_runs", help, m.unstored_runs.clone());
+        let help = "Time from a take-over until all runs are known that may not be stored";
+        registry.register("takeover_barrier_seconds", help, m.takeover_barrier.clone());
         let help = "Workers lost with tasks on them, by how that became known";
         registry.register("lost_workers", help, m.lost_workers.clone());
         let help = "Jobs given up since a task crashes the workers that start it";
--- a/crates/masticfall-entry/src/fleet/rows.rs
+++ b/crates/masticfall-entry/src/fleet/rows.rs
@@ -64,6 +64,9 @@
 /// [`PROGRESS_PARTITION`].
 pub const BATCH_KEY: &str = "batch";
 
+/// Prefix of the keys of the open set's rows, in [`CALLS_TABLE`]; a number from 0 follows.
+const OPEN_KEY_PREFIX: &str = "open/";
+
 /// Maximum size of a row's value, in bytes, according to the platform's settings files.
 pub const MAX_ROW_BYTES: usize = 65_536;
 
@@ -138,6 +141,11 @@
     RowKey { table: CALLS_TABLE, part: Name::from(PROGRESS_PARTITION), key: Name::from(key) }
 }
 
+/// Returns the key of a row of the open set; the first one is number 0.
+pub fn open_row_key(number: usize) -> RowKey {
+    cell_row_key(CALLS_TABLE, format!("{OPEN_KEY_PREFIX}{number}"))
+}
+
 /// Returns the key of a row of a job.
 pub fn job_row_key(table: &'static str, id: &JobId) -> RowKey {
     RowKey { table, part: job_partition(id), key: Name::from(id.as_str()) }
--- a/crates/masticfall-entry/src/fleet/settings.rs
+++ b/crates/masticfall-entry/src/fleet/settings.rs
@@ -109,6 +109,9 @@
     /// Whether the process sends stored submissions to the cell's owner, which otherwise
     /// learns of them by the store's feed alone.
     pub notify_owner: bool,
+    /// Time for which a placement waits for the store before the first run of its task is
+    /// ordered without it, in milliseconds; 0 if no run is.
+    pub early_start_after_ms: u64,
     /// Number of workers up to which the owner of the cell calls all of them itself;
     /// beyond it, other processes relay its calls.
     pub max_direct_workers: u64,
@@ -143,6 +146,7 @@
             link_mbps: SUFFICIENT_LINK_MBPS,
             hedge_after_ms: 0,
             notify_owner: false,
+            early_start_after_ms: 0,
             max_direct_workers: DEFAULT_MAX_DIRECT_WORKERS,
         }
     }
@@ -209,6 +213,12 @@
             link_mbps: number(&mut doc, "link_mbps", SUFFICIENT_LINK_MBPS),
             hedge_after_ms: doc.number(SECTION, "hedge_after_ms", 0, (0, MAX_SETTING_MS)),
             notify_owner: flag(&mut doc, "notify_owner"),
+            early_start_after_ms: doc.number(
+                SECTION,
+                "early_start_after_ms",
+                0,
+                (0, MAX_SETTING_MS),
+            ),
             max_direct_workers: doc.number(
                 SECTION,
                 "max_direct_workers",
