Moves of instances go on while the store is slow

Change: a proof is valid for 1.3 s, the lease margin of the next owner is 1.5 s (0.8 s before); waves advance every 2 s only while the store is slow.

--- a/crates/masticfall-entry/src/fleet/context.rs
+++ b/crates/masticfall-entry/src/fleet/context.rs
@@ -33,6 +33,10 @@
 /// The same if calls to the store fail, in milliseconds.
 const STORE_ERROR_TIMEOUT_MS: u64 = 600;
 
+/// Duration of a transaction from which on the store counts as slow, in milliseconds. It
+/// then executes a few transactions a second in each partition.
+const SLOW_STORE_MS: u64 = 100;
+
 /// Maximum number of repeated calls at a time. When many calls are unanswered the cause is
 /// the process or its link, and more calls would make it worse.
 const MAX_HEDGES: usize = 48;
@@ -228,9 +232,9 @@
         self.batch_latency_ms.store(latency_ms, Ordering::Relaxed);
     }
 
-    /// Returns how long the last transaction that stored progress took, in milliseconds.
-    pub(super) fn batch_latency_ms(&self) -> u64 {
-        self.batch_latency_ms.load(Ordering::Relaxed)
+    /// Returns whether the store is slow, by the last transaction that stored progress.
+    pub(super) fn is_store_slow(&self) -> bool {
+        self.batch_latency_ms.load(Ordering::Relaxed) >= SLOW_STORE_MS
     }
 
     /// Returns whether the process is shutting down.
--- a/crates/masticfall-entry/src/fleet/ended.rs
+++ b/crates/masticfall-entry/src/fleet/ended.rs
@@ -30,10 +30,6 @@
 /// are archived together.
 const ROUND_PAUSE_MS: u64 = 500;
 
-/// Duration of a transaction from which on the store counts as slow, in milliseconds. It
-/// then executes a few transactions a second in each partition, which submissions need.
-const SLOW_STORE_MS: u64 = 100;
-
 /// Maximum time for which archiving waits for a slow store, in milliseconds; the progress
 /// rows that a new owner reads grow meanwhile.
 const MAX_ARCHIVE_DELAY_MS: u64 = 10_000;
@@ -75,8 +71,7 @@
         let Some(new) = fleet.with_board(epoch, Board::take_newly_ended) else { return };
         pending.extend(new);
         // Callers see the end of a job in its progress row, so archiving can wait.
-        let is_store_slow = fleet.batch_latency_ms() >= SLOW_STORE_MS;
-        if is_store_slow && now_ms < archived_ms + MAX_ARCHIVE_DELAY_MS {
+        if fleet.is_store_slow() && now_ms < archived_ms + MAX_ARCHIVE_DELAY_MS {
             continue;
         }
         archived_ms = now_ms;
--- a/crates/masticfall-entry/src/fleet/machines.rs
+++ b/crates/masticfall-entry/src/fleet/machines.rs
@@ -50,6 +50,19 @@
 /// Maximum interval between two reads of the list of instances, in milliseconds.
 const MAX_LIST_INTERVAL_MS: u64 = 600;
 
+/// Interval at which waves advance while the store is slow, in milliseconds. Each of their
+/// rounds takes two transactions, for which moves that follow the demand would wait; the
+/// deadline of a wave is tens of seconds away.
+const SLOW_STORE_WAVE_INTERVAL_MS: u64 = 2_000;
+
+/// Waves of maintenance.
+#[derive(Debug, Default)]
+struct Waves {
+    active: IndexMap<WaveName, Wave>,
+    finished: Vec<WaveName>,
+    advanced_ms: u64,
+}
+
 /// The list of instances as last read.
 #[derive(Debug, Default)]
 struct ListedMachines {
@@ -81,8 +94,7 @@
 /// Carries out waves and moves until the cell is lost.
 pub async fn run(fleet: Arc<Fleet>, ownership: Ownership) {
     let Some(mut calls) = InstanceCalls::load(&fleet, ownership).await else { return };
-    let mut waves: IndexMap<WaveName, Wave> = IndexMap::new();
-    let mut finished: Vec<WaveName> = Vec::new();
+    let mut waves = Waves::default();
     let mut planner = PoolPlanner::new(fleet.settings.machine_calls_per_s);
     let mut logged_ms = 0;
     let mut listed = ListedMachines::default();
@@ -90,16 +102,7 @@
     while fleet.is_owner(ownership.epoch) {
         let result = match listed.refresh(&fleet).await {
             Ok(machines) => {
-                run_round(
-                    &fleet,
-                    ownership,
-                    &mut waves,
-                    &mut finished,
-                    &mut planner,
-                    &mut calls,
-                    machines,
-                )
-                .await
+                run_round(&fleet, ownership, &mut waves, &mut planner, &mut calls, machines).await
             }
             Err(error) => Err(error),
         };
@@ -115,7 +118,7 @@
             logged_ms = now_ms;
             log_pools(ownership.epoch, &planner);
             traffic = log_traffic(&fleet, ownership.epoch, &traffic);
-            log_waves(ownership.epoch, &waves);
+            log_waves(ownership.epoch, &waves.active);
             let metrics = &fleet.metrics.evacuation;
             fleet.with_board(ownership.epoch, |board| metrics.set_runs(Some(board)));
         }
@@ -169,14 +172,29 @@
 async fn run_round(
     fleet: &Arc<Fleet>,
     ownership: Ownership,
-    waves: &mut IndexMap<WaveName, Wave>,
-    finished: &mut Vec<WaveName>,
+    waves: &mut Waves,
     planner: &mut PoolPlanner,
     calls: &mut InstanceCalls,
     machines: &IndexMap<InstanceName, MachineView>,
 ) -> Result<()> {
-    load_new_waves(fleet, waves, finished).await?;
-    for wave in waves.values_mut() {
+    let now_ms = fleet.now_ms();
+    if !fleet.is_store_slow() || now_ms >= waves.advanced_ms + SLOW_STORE_WAVE_INTERVAL_MS {
+        waves.advanced_ms = now_ms;
+        advance_waves(fleet, ownership, waves, machines, calls).await?;
+    }
+    move_instances(fleet, ownership, &waves.active, planner, machines, calls).await
+}
+
+async fn advance_waves(
+    fleet: &Arc<Fleet>,
+    ownership: Ownership,
+    waves: &mut Waves,
+    machines: &IndexMap<InstanceName, MachineView>,
+    calls: &mut InstanceCalls,
+) -> Result<()> {
+    let Waves { active, finished, .. } = waves;
+    load_new_waves(fleet, active, finished).await?;
+    for wave in active.values_mut() {
         advance_wave(fleet, ownership, wave, machines, calls).await?;
         if wave.is_done(machines) {
             (fleet.platform.report_wave)((wave.name.clone(), true)).await?;
@@ -184,8 +202,8 @@
             finished.push(wave.name.clone());
         }
     }
-    waves.retain(|name, _| !finished.contains(name));
-    move_instances(fleet, ownership, waves, planner, machines, calls).await
+    active.retain(|name, _| !finished.contains(name));
+    Ok(())
 }
 
 async fn move_instances(
--- a/crates/masticfall-entry/src/fleet/machines/calls.rs
+++ b/crates/masticfall-entry/src/fleet/machines/calls.rs
@@ -22,13 +22,13 @@
 /// waits this much longer before its first call about an instance that the previous
 /// owner may have called, and an owner keeps its calls listed for its successor this
 /// much longer.
-const LEASE_MARGIN_MS: u64 = 800;
+const LEASE_MARGIN_MS: u64 = 1_500;
 
 /// Maximum age of the proof of ownership when a call about an instance is sent, in
 /// milliseconds. The next owner may have taken over right after the proof, and counts
 /// the lease from then, so this and the call's way to the provider have to fit into
-/// [`LEASE_MARGIN_MS`].
-const MAX_PROOF_AGE_MS: u64 = 600;
+/// [`LEASE_MARGIN_MS`]. The write that is the proof takes 0.3 to 0.9 s in a slow store.
+const MAX_PROOF_AGE_MS: u64 = 1_300;
 
 /// Round of a call of unknown outcome, which may still take effect at any time.
 const UNKNOWN_OUTCOME: u64 = u64::MAX;
