--- a/crates/masticfall-entry/tests/suite/fleet_evacuation.rs
+++ b/crates/masticfall-entry/tests/suite/fleet_evacuation.rs
@@ -6,6 +6,9 @@
 use masticfall_core::id::JobId;
 use masticfall_entry::fleet::RunningFleet;
 use masticfall_standin::fleet::{StoreMode, World};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
 use tokio::time::sleep;
 
 use crate::fleet_world::{
@@ -180,3 +183,87 @@
     sleep(Duration::from_secs(20)).await;
     assert_invariants(&world, &ids, &ids);
 }
+
+/// Time within which starts have to cease while the store fails some processes or all, in
+/// milliseconds: the platform allows 6,000 more.
+const FAULTY_LIMIT_MS: u64 = 11_000;
+
+/// Guards against combinations of evacuations with lost owners, store faults, late starts
+/// and lost workers, by seed.
+#[rstest]
+#[case::seed_1(1)]
+#[case::seed_2(2)]
+#[case::seed_3(3)]
+#[case::seed_4(4)]
+#[tokio::test(start_paused = true)]
+async fn no_rule_is_broken_by_evacuations_under_faults(#[case] seed: u64) {
+    run_with_faults(seed).await;
+}
+
+/// A longer search: `FLEET_SEEDS=200 cargo test -p masticfall-entry evacuations_over_more`.
+#[tokio::test(start_paused = true)]
+async fn no_rule_is_broken_by_evacuations_over_more_seeds() {
+    let seeds = std::env::var("FLEET_SEEDS").ok().and_then(|text| text.parse().ok());
+    for seed in 100..100 + seeds.unwrap_or(2_u64) {
+        eprintln!("seed {seed}");
+        run_with_faults(seed).await;
+    }
+}
+
+fn recover(world: &World, processes: &[&str]) {
+    world.set_store(StoreMode::Up);
+    for process in processes {
+        world.set_store_for(process, StoreMode::Up);
+    }
+    (0..WORKERS).for_each(|worker| world.set_silent(worker, false));
+}
+
+async fn run_with_faults(seed: u64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let world = two_data_centres();
+    let names = ["a", "b", "c"];
+    let mut processes = start_settled(&world, &names).await;
+    world.set_delayed_starts(random.random_range(5..20));
+    let mut jobs = Submissions::default();
+    let mut evacuated = [false; 2];
+    for number in 1..150 {
+        let index = random.random_range(0..names.len());
+        jobs.submit(&world, &processes[index].fleet, &job(number)).await;
+        sleep(Duration::from_millis(random.random_range(20..300))).await;
+        for (data_centre, is_evacuated) in ["dc", "dc2"].iter().zip(&mut evacuated) {
+            // Most evacuations outlast the limit.
+            if random.random_bool(if *is_evacuated { 0.008 } else { 0.05 }) {
+                *is_evacuated = !*is_evacuated;
+                world.set_evacuated(data_centre, *is_evacuated);
+            }
+        }
+        match random.random_range(0..14) {
+            0 => {
+                let owner = processes.iter().position(is_owner);
+                if let Some(owner) = owner {
+                    let next = launch(&world, names[owner]);
+                    std::mem::replace(&mut processes[owner], next).crash();
+                }
+            }
+            1 => world.set_store(StoreMode::Unresponsive),
+            2 => world.set_store(StoreMode::DelaysWrites),
+            3 => world.set_store_for(names[index], StoreMode::Unavailable),
+            4 => world.set_silent(random.random_range(0..WORKERS), true),
+            5 => world.lose_operator_history(),
+            6 | 7 => {
+                recover(&world, &names);
+            }
+            _ => {}
+        }
+    }
+    recover(&world, &names);
+    world.set_delayed_starts(0);
+    world.set_evacuated("dc", false);
+    world.set_evacuated("dc2", false);
+    sleep(Duration::from_mins(1)).await;
+    let late = world.starts_in_evacuated(FAULTY_LIMIT_MS);
+    assert_eq!(late, Vec::<String>::new(), "started there");
+    assert_invariants(&world, &jobs.submitted, &jobs.accepted);
+    // Those of earlier seeds would go on in the same runtime.
+    processes.into_iter().for_each(RunningFleet::crash);
+}
--- a/crates/masticfall-soak/src/lib.rs
+++ b/crates/masticfall-soak/src/lib.rs
@@ -6,6 +6,7 @@
 //! determines which faults are injected and when, so the fault schedule is
 //! reproducible, but the timing of the processes is not.
 
+pub mod evacuate;
 pub mod load;
 pub mod play;
 pub mod process;
--- a/crates/masticfall-soak/src/play.rs
+++ b/crates/masticfall-soak/src/play.rs
@@ -23,6 +23,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
+use crate::evacuate;
 use crate::load::{random_spec, restart_plan};
 use crate::process::Process;
 use crate::proxy::{LinkMode, Proxy};
@@ -133,11 +134,15 @@
         return Ok(report);
     }
     let clients = tokio::spawn(Arc::clone(&testbed).submit_jobs(plan.seed, plan.length_ms));
+    let world = Arc::clone(&testbed.world);
+    let evacuations = tokio::spawn(evacuate::play(world, plan.seed, plan.length_ms));
     report.faults = testbed.inject(plan).await?;
     testbed.recover().await?;
     // A panic here is a fault of the soak itself.
     clients.await.map_err(io::Error::other)?;
     testbed.wait_completed().await;
+    report.faults.extend(evacuations.await.map_err(io::Error::other)?);
+    report.violations.extend(evacuate::violations(&testbed.world));
     testbed.check(&mut report);
     drop(phase);
     Ok(report)
@@ -146,6 +151,7 @@
 impl Testbed {
     async fn start(plan: &Plan, phase: &watch::Receiver<ServePhase>) -> io::Result<Self> {
         let world = World::new(WORKERS, "p");
+        evacuate::spread_workers(&world);
         let listener = bind(([127, 0, 0, 1], 0).into()).await?;
         let store = listener.local_addr()?;
         drop(serve(listener, ModelServer::store(&world), phase.clone()));
@@ -179,16 +185,14 @@
             processes.push(Mutex::new(process));
             store_links.push(link);
         }
-        let (observed, withdrawn_ms) = (Mutex::default(), Mutex::new(None));
-        let http_client = HttpClient::default();
         Ok(Self {
             world,
             processes,
             store_links,
             worker_links,
-            observed,
-            http_client,
-            withdrawn_ms,
+            observed: Mutex::default(),
+            http_client: HttpClient::default(),
+            withdrawn_ms: Mutex::new(None),
         })
     }
 
--- a/crates/masticfall-standin/src/fleet/evacuation.rs
+++ b/crates/masticfall-standin/src/fleet/evacuation.rs
@@ -1,8 +1,8 @@
 //! Evacuations of data centres by operators, and the check of starts in them.
 
 use indexmap::{IndexMap, IndexSet};
-use masticfall_core::id::{DataCentre, WorkerId};
-use masticfall_platform::fleet::OperatorUpdate;
+use masticfall_core::id::{DataCentre, Name, WorkerId};
+use masticfall_platform::fleet::{OperatorUpdate, RowKey, RowTransaction};
 
 use super::check::Violation;
 use super::{RunRecord, World};
@@ -75,6 +75,15 @@
         self.changed.notify_waiters();
     }
 
+    /// Writes or removes a row of the operators, whatever the store does with the calls of
+    /// processes.
+    pub fn write_operators_row(&self, table: &'static str, key: &str, value: Option<Vec<u8>>) {
+        let row_key = RowKey { table, part: Name::from(""), key: Name::from(key) };
+        let transaction = RowTransaction { checks: Vec::new(), writes: vec![(row_key, value)] };
+        self.state.lock().apply(transaction);
+        self.changed.notify_waiters();
+    }
+
     /// Makes the operators' feed lose its history so far.
     pub fn lose_operator_history(&self) {
         let mut state = self.state.lock();
--- a/crates/masticfall-standin/src/fleet/store.rs
+++ b/crates/masticfall-standin/src/fleet/store.rs
@@ -127,7 +127,7 @@
         *free_ms
     }
 
-    fn apply(&mut self, transaction: RowTransaction) -> RowCommit {
+    pub(super) fn apply(&mut self, transaction: RowTransaction) -> RowCommit {
         let mut conflicts = Vec::new();
         let mut checks_hold = true;
         for (row_key, version) in &transaction.checks {
