Tests of the last check before a start, and of a new owner's board

Cause: with the board of a new owner left without the set, no test failed: the check before a start is sent withdrew the starts one by one. Change: the test of the next owner expects no withdrawn start; a new test evacuates behind the board's back and expects that every start there is withdrawn.

--- a/crates/masticfall-entry/tests/suite/fleet_evacuation.rs
+++ b/crates/masticfall-entry/tests/suite/fleet_evacuation.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use indexmap::IndexSet;
 use masticfall_core::id::JobId;
 use masticfall_entry::fleet::RunningFleet;
 use masticfall_standin::fleet::{StoreMode, World};
@@ -43,6 +44,13 @@
     world.record().iter().any(|run| run.started_ms > after_ms && is_there(&run.worker))
 }
 
+/// Returns the process's metric of starts that were withdrawn before they were sent.
+fn withdrawn_starts(process: &RunningFleet) -> u64 {
+    let text = process.fleet.metrics.encode().expect("encodes");
+    let value = text.lines().find_map(|l| l.strip_prefix("masticfall_withdrawn_starts_total "));
+    value.and_then(|value| value.parse().ok()).expect("the metric")
+}
+
 fn assert_none_started(world: &World) {
     assert_eq!(world.starts_in_evacuated(LIMIT_MS), Vec::<String>::new(), "started there");
 }
@@ -91,10 +99,26 @@
     ids.extend(submit_jobs(&world, &restarted, 60, 80).await);
     sleep(Duration::from_secs(10)).await;
     assert!(is_owner(&restarted), "a process that never saw the row written owns the cell");
+    assert_eq!(withdrawn_starts(&restarted), 0, "starts are withdrawn one by one");
     assert_none_started(&world);
     assert_invariants(&world, &ids, &ids);
 }
 
+/// Guards against an order that was decided before the evacuation and leaves after it: here
+/// the board doesn't know of the evacuation at all.
+#[tokio::test(start_paused = true)]
+async fn start_is_checked_again_right_before_it_is_sent() {
+    let world = two_data_centres();
+    let processes = start_settled(&world, &["a"]).await;
+    let set = IndexSet::from(["dc2".into()]);
+    processes[0].fleet.shared().evacuations.apply_list(set, u64::MAX);
+    let ids = submit_jobs(&world, &processes[0], 1, 20).await;
+    sleep(Duration::from_secs(10)).await;
+    assert!(!has_starts(&world, "dc2", 0), "started there");
+    assert!(withdrawn_starts(&processes[0]) > 0, "starts were decided there");
+    assert_invariants(&world, &ids, &ids);
+}
+
 /// Guards against a set that is dropped or kept wrongly when the feed has to be listed again:
 /// one evacuation was lifted and one begun in the history that is gone.
 #[tokio::test(start_paused = true)]
