--- a/crates/masticfall-entry/tests/suite/fleet_evacuation.rs
+++ b/crates/masticfall-entry/tests/suite/fleet_evacuation.rs
@@ -44,13 +44,17 @@
     world.record().iter().any(|run| run.started_ms > after_ms && is_there(&run.worker))
 }
 
-/// Returns the process's metric of starts that were withdrawn before they were sent.
-fn withdrawn_starts(process: &RunningFleet) -> u64 {
+/// Returns the value of one of the process's metrics.
+fn metric(process: &RunningFleet, name: &str) -> u64 {
     let text = process.fleet.metrics.encode().expect("encodes");
-    let value = text.lines().find_map(|l| l.strip_prefix("masticfall_withdrawn_starts_total "));
+    let value = text.lines().find_map(|line| line.strip_prefix(&format!("masticfall_{name} ")));
     value.and_then(|value| value.parse().ok()).expect("the metric")
 }
 
+fn withdrawn_starts(process: &RunningFleet) -> u64 {
+    metric(process, "withdrawn_starts_total")
+}
+
 fn assert_none_started(world: &World) {
     assert_eq!(world.starts_in_evacuated(LIMIT_MS), Vec::<String>::new(), "started there");
 }
@@ -67,6 +71,12 @@
     world.set_evacuated("dc2", true);
     ids.extend(submit_jobs(&world, &processes[1], 20, 50).await);
     assert_none_started(&world);
+    // A run that was stopped before it began counts until two polls of its worker have ended.
+    sleep(Duration::from_secs(4)).await;
+    for process in &processes {
+        let left = (metric(process, "evacuated_data_centres"), metric(process, "evacuated_runs"));
+        assert_eq!(left, (1, 0), "all processes know of it, and what ran there has ended");
+    }
     let lifted_ms = world.now_ms();
     world.set_evacuated("dc2", false);
     ids.extend(submit_jobs(&world, &processes[0], 50, 60).await);
