--- a/crates/masticfall-entry/tests/suite/fleet_evacuation.rs
+++ b/crates/masticfall-entry/tests/suite/fleet_evacuation.rs
@@ -3,9 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use indexmap::IndexSet;
 use masticfall_core::id::JobId;
 use masticfall_entry::fleet::RunningFleet;
 use masticfall_standin::fleet::{StoreMode, World};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
 use tokio::time::sleep;
 
 use crate::fleet_world::{
@@ -40,6 +44,17 @@
     world.record().iter().any(|run| run.started_ms > after_ms && is_there(&run.worker))
 }
 
+/// Returns the value of one of the process's metrics.
+fn metric(process: &RunningFleet, name: &str) -> u64 {
+    let text = process.fleet.metrics.encode().expect("encodes");
+    let value = text.lines().find_map(|line| line.strip_prefix(&format!("masticfall_{name} ")));
+    value.and_then(|value| value.parse().ok()).expect("the metric")
+}
+
+fn withdrawn_starts(process: &RunningFleet) -> u64 {
+    metric(process, "withdrawn_starts_total")
+}
+
 fn assert_none_started(world: &World) {
     assert_eq!(world.starts_in_evacuated(LIMIT_MS), Vec::<String>::new(), "started there");
 }
@@ -56,6 +71,12 @@
     world.set_evacuated("dc2", true);
     ids.extend(submit_jobs(&world, &processes[1], 20, 50).await);
     assert_none_started(&world);
+    // A run that was stopped before it began counts until two polls of its worker have ended.
+    sleep(Duration::from_secs(4)).await;
+    for process in &processes {
+        let left = (metric(process, "evacuated_data_centres"), metric(process, "evacuated_runs"));
+        assert_eq!(left, (1, 0), "all processes know of it, and what ran there has ended");
+    }
     let lifted_ms = world.now_ms();
     world.set_evacuated("dc2", false);
     ids.extend(submit_jobs(&world, &processes[0], 50, 60).await);
@@ -88,10 +109,26 @@
     ids.extend(submit_jobs(&world, &restarted, 60, 80).await);
     sleep(Duration::from_secs(10)).await;
     assert!(is_owner(&restarted), "a process that never saw the row written owns the cell");
+    assert_eq!(withdrawn_starts(&restarted), 0, "starts are withdrawn one by one");
     assert_none_started(&world);
     assert_invariants(&world, &ids, &ids);
 }
 
+/// Guards against an order that was decided before the evacuation and leaves after it: here
+/// the board doesn't know of the evacuation at all.
+#[tokio::test(start_paused = true)]
+async fn start_is_checked_again_right_before_it_is_sent() {
+    let world = two_data_centres();
+    let processes = start_settled(&world, &["a"]).await;
+    let set = IndexSet::from(["dc2".into()]);
+    processes[0].fleet.shared().evacuations.apply_list(set, u64::MAX);
+    let ids = submit_jobs(&world, &processes[0], 1, 20).await;
+    sleep(Duration::from_secs(10)).await;
+    assert!(!has_starts(&world, "dc2", 0), "started there");
+    assert!(withdrawn_starts(&processes[0]) > 0, "starts were decided there");
+    assert_invariants(&world, &ids, &ids);
+}
+
 /// Guards against a set that is dropped or kept wrongly when the feed has to be listed again:
 /// one evacuation was lifted and one begun in the history that is gone.
 #[tokio::test(start_paused = true)]
@@ -180,3 +217,87 @@
     sleep(Duration::from_secs(20)).await;
     assert_invariants(&world, &ids, &ids);
 }
+
+/// Time within which starts have to cease while the store fails some processes or all, in
+/// milliseconds: the platform allows 6,000 more.
+const FAULTY_LIMIT_MS: u64 = 11_000;
+
+/// Guards against combinations of evacuations with lost owners, store faults, late starts
+/// and lost workers, by seed.
+#[rstest]
+#[case::seed_1(1)]
+#[case::seed_2(2)]
+#[case::seed_3(3)]
+#[case::seed_4(4)]
+#[tokio::test(start_paused = true)]
+async fn no_rule_is_broken_by_evacuations_under_faults(#[case] seed: u64) {
+    run_with_faults(seed).await;
+}
+
+/// A longer search: `FLEET_SEEDS=200 cargo test -p masticfall-entry evacuations_over_more`.
+#[tokio::test(start_paused = true)]
+async fn no_rule_is_broken_by_evacuations_over_more_seeds() {
+    let seeds = std::env::var("FLEET_SEEDS").ok().and_then(|text| text.parse().ok());
+    for seed in 100..100 + seeds.unwrap_or(2_u64) {
+        eprintln!("seed {seed}");
+        run_with_faults(seed).await;
+    }
+}
+
+fn recover(world: &World, processes: &[&str]) {
+    world.set_store(StoreMode::Up);
+    for process in processes {
+        world.set_store_for(process, StoreMode::Up);
+    }
+    (0..WORKERS).for_each(|worker| world.set_silent(worker, false));
+}
+
+async fn run_with_faults(seed: u64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let world = two_data_centres();
+    let names = ["a", "b", "c"];
+    let mut processes = start_settled(&world, &names).await;
+    world.set_delayed_starts(random.random_range(5..20));
+    let mut jobs = Submissions::default();
+    let mut evacuated = [false; 2];
+    for number in 1..150 {
+        let index = random.random_range(0..names.len());
+        jobs.submit(&world, &processes[index].fleet, &job(number)).await;
+        sleep(Duration::from_millis(random.random_range(20..300))).await;
+        for (data_centre, is_evacuated) in ["dc", "dc2"].iter().zip(&mut evacuated) {
+            // Most evacuations outlast the limit.
+            if random.random_bool(if *is_evacuated { 0.008 } else { 0.05 }) {
+                *is_evacuated = !*is_evacuated;
+                world.set_evacuated(data_centre, *is_evacuated);
+            }
+        }
+        match random.random_range(0..14) {
+            0 => {
+                let owner = processes.iter().position(is_owner);
+                if let Some(owner) = owner {
+                    let next = launch(&world, names[owner]);
+                    std::mem::replace(&mut processes[owner], next).crash();
+                }
+            }
+            1 => world.set_store(StoreMode::Unresponsive),
+            2 => world.set_store(StoreMode::DelaysWrites),
+            3 => world.set_store_for(names[index], StoreMode::Unavailable),
+            4 => world.set_silent(random.random_range(0..WORKERS), true),
+            5 => world.lose_operator_history(),
+            6 | 7 => {
+                recover(&world, &names);
+            }
+            _ => {}
+        }
+    }
+    recover(&world, &names);
+    world.set_delayed_starts(0);
+    world.set_evacuated("dc", false);
+    world.set_evacuated("dc2", false);
+    sleep(Duration::from_mins(1)).await;
+    let late = world.starts_in_evacuated(FAULTY_LIMIT_MS);
+    assert_eq!(late, Vec::<String>::new(), "started there");
+    assert_invariants(&world, &jobs.submitted, &jobs.accepted);
+    // Those of earlier seeds would go on in the same runtime.
+    processes.into_iter().for_each(RunningFleet::crash);
+}
