The last instances of a wave begin to drain seconds before its deadline

Cause: a wave drains instances at a pace in proportion to the time left, the least used first. The last ones, which are the busiest, therefore began to drain in the last tenth of the time, and a task that runs seven times as long as estimated kept them past the deadline.

Change: the pace aims at seven seconds before the deadline. The limit of instances out at once is as before.

Result: on the decision code, 178 instances with 27 s of which the last eight take 6 s to drain: 2 were left at the deadline before, with limits of 60, 90 and 178, and none after.

--- a/crates/masticfall-core/src/fleet/machines.rs
+++ b/crates/masticfall-core/src/fleet/machines.rs
@@ -17,6 +17,12 @@
 /// Factor by which the time left to a wave's deadline is shortened for planning.
 const DEADLINE_SAFETY_FACTOR: f64 = 2.5;
 
+/// Time before a wave's deadline by which the last instance is to be draining, in
+/// milliseconds. The pace is in proportion to the time left, so that without it the last and
+/// busiest instances begin to drain in the last tenth of that time; some of their tasks run
+/// seven times as long as estimated.
+const DRAIN_RESERVE_MS: u64 = 7_000;
+
 /// Time past the planned end of its maintenance after which an instance that is
 /// listed as up counts as returned, even without a new worker.
 const RETURN_GRACE_MS: u64 = 4_000;
@@ -294,7 +300,8 @@
         if waiting.is_empty() {
             return;
         }
-        let budget_ms = self.due_ms.saturating_sub(now_ms).max(1) as f64 / DEADLINE_SAFETY_FACTOR;
+        let left_ms = self.due_ms.saturating_sub(now_ms + DRAIN_RESERVE_MS).max(1);
+        let budget_ms = left_ms as f64 / DEADLINE_SAFETY_FACTOR;
         let per_instance_ms = (DRAIN_ESTIMATE_MS + self.down_ms) as f64;
         let wanted = (waiting.len() as f64 * per_instance_ms / budget_ms).ceil() as usize;
         let wanted = wanted.clamp(1, self.max_at_once.max(1) as usize);
--- a/crates/masticfall-core/tests/suite/main.rs
+++ b/crates/masticfall-core/tests/suite/main.rs
@@ -17,6 +17,7 @@
 mod fleet_shares;
 mod fleet_sharing;
 mod fleet_takeover;
+mod fleet_wave_tail;
 mod guard;
 mod instances;
 mod jobs;
