Decision on waiting for near workers: expected time until near capacity is free

Cause: a task starts far from its data at once when the near workers are full, although a far run takes remote_factor times as long and near capacity may be free a moment later.

fleet/locality.rs forecasts the free resources of a rack's workers from the expected ends of their runs, books those that the tasks ahead will take, and compares wait plus near run with the far run. The total wait of a task is limited by what it can save, by 2 s and by the objective. Nothing uses the module yet.

--- a/crates/masticfall-core/src/fleet.rs
+++ b/crates/masticfall-core/src/fleet.rs
@@ -9,6 +9,7 @@
 pub mod board;
 pub mod config;
 pub mod crashes;
+pub mod locality;
 pub mod machines;
 pub mod pacing;
 pub mod placing;
--- a/crates/masticfall-core/tests/suite/main.rs
+++ b/crates/masticfall-core/tests/suite/main.rs
@@ -9,6 +9,7 @@
 mod fleet_crashes;
 mod fleet_hostile;
 mod fleet_leases;
+mod fleet_locality;
 mod fleet_maintenance;
 mod fleet_order;
 mod fleet_pools;
