Tasks wait for near workers where that is expected to pay off

Cause: with remote_factor 1.5 or 3, a task placed away from its data's rack while the near workers are full takes that much longer and fills the pool further.

The board keeps such a task, or a whole group that wants one rack, waiting while the forecast of the rack says that it pays off (fleet/board/near.rs). The wait counts the time in which far workers had room only, 2 s at most. Where tasks wait for the pool, what a far run costs them counts as well. Groups go to one rack that has room for all their tasks, if any has. Setting remote_factor in [fleet], 1 (off) by default.

--- a/crates/masticfall-core/src/fleet/board.rs
+++ b/crates/masticfall-core/src/fleet/board.rs
@@ -9,6 +9,7 @@
 mod crash;
 mod demand;
 mod job;
+mod near;
 mod notice;
 mod pace;
 mod permits;
@@ -159,6 +160,7 @@
     orders: Vec<Order>,
     notices: Vec<Notice>,
     needs_placement: bool,
+    locality: near::Locality,
     /// Number of workers evaluated for tasks since the board was created.
     evaluated_candidates: std::cell::Cell<u64>,
 }
@@ -200,6 +202,7 @@
             orders: Vec::new(),
             notices: Vec::new(),
             needs_placement: false,
+            locality: near::Locality::default(),
             evaluated_candidates: std::cell::Cell::new(0),
         }
     }
--- a/crates/masticfall-core/src/fleet/board/notice.rs
+++ b/crates/masticfall-core/src/fleet/board/notice.rs
@@ -1,6 +1,7 @@
 //! Decisions and changes of state that are logged.
 
 use crate::fleet::crashes::{Crash, LossCause, Verdict};
+use crate::fleet::locality::NearOutcome;
 use crate::fleet::progress::JobPhase;
 use crate::fleet::report::{RunEnd, StartOutcome};
 use crate::fleet::spec::TaskKey;
@@ -52,6 +53,8 @@
         is_late: bool,
         /// Version of the configuration used.
         config_version: u64,
+        /// Waits for near workers, and far placements.
+        near: NearOutcome,
     },
     /// A start didn't lead to a run.
     NotStarted {
--- a/crates/masticfall-core/src/fleet/board/place.rs
+++ b/crates/masticfall-core/src/fleet/board/place.rs
@@ -2,6 +2,7 @@
 
 use indexmap::IndexMap;
 
+use super::near::{GroupPlan, NearStep};
 use super::{Board, Job, Notice, Placement, TaskState};
 use crate::fleet::admission::{Rank, RankInput, SchedulingClass, rank};
 use crate::fleet::config::FleetConfig;
@@ -76,6 +77,7 @@
             return;
         }
         let Some(config) = self.config.clone() else { return };
+        self.begin_near_pass();
         let mut pools: IndexMap<PoolName, Vec<(Rank, JobId)>> = IndexMap::new();
         for (id, job) in self.jobs.iter().filter(|(_, job)| job.has_ready_tasks()) {
             let Some(queue) = config.queues.get(&job.record.queue) else { continue };
@@ -95,6 +97,7 @@
                 continue;
             }
             waiting.sort();
+            self.begin_pool_pass(&pool);
             let mut unplaceable = Unplaceable::default();
             for (rank, id) in waiting {
                 self.place_job(&id, rank, &workers, &config, &mut unplaceable, now_ms);
@@ -144,17 +147,19 @@
             let config_version = config.version;
             let job = id.clone();
             let is_late = rank.class == SchedulingClass::Late;
+            let near = self.take_near_outcome();
             self.notices.push(Notice::Placed {
                 job,
                 tasks: placed,
                 worker,
                 is_late,
                 config_version,
+                near,
             });
         }
     }
 
-    /// Places tasks of one step, a gang all or none; returns their workers.
+    /// Places tasks of one step, unless they wait for near workers; returns their workers.
     fn place_step(
         &mut self,
         keys: &[TaskKey],
@@ -164,12 +169,46 @@
         unplaceable: &mut Unplaceable,
         now_ms: u64,
     ) -> Vec<WorkerId> {
-        let mut chosen = Vec::new();
         if is_gang && !self.is_gang_ready(keys) {
-            return chosen;
+            return Vec::new();
+        }
+        let Some(near) = self.near_step(keys, config, now_ms) else {
+            return self.place_tasks(keys, None, workers, config, unplaceable, now_ms);
+        };
+        let mut chosen = Vec::new();
+        match self.plan_group(keys, &near, workers, now_ms) {
+            GroupPlan::Wait => return chosen,
+            GroupPlan::Rack(rack) => {
+                // What doesn't fit there may fit elsewhere.
+                let mut unplaceable = Unplaceable::default();
+                chosen = self.place_tasks(keys, None, &rack, config, &mut unplaceable, now_ms);
+            }
+            GroupPlan::Anywhere => {}
         }
+        if chosen.is_empty() {
+            chosen = self.place_tasks(keys, Some(&near), workers, config, unplaceable, now_ms);
+        }
+        self.end_waits(keys, &near, now_ms);
+        chosen
+    }
+
+    /// Places tasks of one step, a gang all or none; returns their workers.
+    fn place_tasks(
+        &mut self,
+        keys: &[TaskKey],
+        near: Option<&NearStep>,
+        workers: &[usize],
+        config: &FleetConfig,
+        unplaceable: &mut Unplaceable,
+        now_ms: u64,
+    ) -> Vec<WorkerId> {
+        let mut chosen = Vec::new();
+        let is_gang = keys.first().is_some_and(|key| self.is_gang(key));
         let attempt = self.gang_attempt(keys, is_gang);
         for key in keys {
+            if near.is_some_and(|near| self.waits_for_near(key, near, workers, now_ms)) {
+                continue;
+            }
             let Some(worker) = self.find_worker(key, workers, config, unplaceable, now_ms) else {
                 if is_gang {
                     self.unassign(&keys[..chosen.len()]);
@@ -181,6 +220,7 @@
                 break;
             };
             self.assign(key, &worker, attempt);
+            self.book_near(key, &worker);
             chosen.push(worker);
         }
         chosen
@@ -310,7 +350,7 @@
         context
     }
 
-    fn racks_of(&self, job: &Job, key: &TaskKey) -> Vec<Name> {
+    pub(super) fn racks_of(&self, job: &Job, key: &TaskKey) -> Vec<Name> {
         let runs = job.step(key).tasks.iter().filter_map(|task| match task.state() {
             TaskState::Placed(run) => self.workers.get(&run.worker),
             _ => None,
@@ -344,7 +384,7 @@
     }
 
     /// Returns whether the next run of a task is to be kept apart from others.
-    fn is_suspect(&self, key: &TaskKey) -> bool {
+    pub(super) fn is_suspect(&self, key: &TaskKey) -> bool {
         let task = self.jobs.get(&key.job).and_then(|job| job.task(key));
         task.is_some_and(|task| task.verdict().is_suspect())
     }
--- a/crates/masticfall-core/src/fleet/board/time.rs
+++ b/crates/masticfall-core/src/fleet/board/time.rs
@@ -22,6 +22,7 @@
         self.expire_leases(now.steady_ms);
         self.evict_from_draining(now.steady_ms);
         self.update_above_share(now.steady_ms);
+        self.update_near_backlogs(now.steady_ms);
         // Tasks may have waited for a backoff, or for the cooldown of a worker, to end.
         self.needs_placement = true;
     }
--- a/crates/masticfall-core/src/fleet/locality.rs
+++ b/crates/masticfall-core/src/fleet/locality.rs
@@ -8,10 +8,12 @@
 //! expected time until near capacity is free + near run < far run
 //! ```
 //!
+//! While other tasks wait for the pool, a far run also delays these, by the capacity that it
+//! uses beyond a near one; they use the room that the task leaves meanwhile.
+//!
 //! The expectation is revised at each pass, and could put the task off again and again. The
-//! total wait is therefore limited to what it can save, so that a task takes at most
-//! as much longer than a far start as it would have saved. `docs/design/near-workers.md`
-//! compares the alternatives.
+//! total wait is therefore limited to what a near run saves, so that a wait in vain costs at
+//! most as much. `docs/design/near-workers.md` compares the alternatives.
 
 use super::spec::Resources;
 use crate::id::Name;
@@ -264,31 +266,45 @@
     pub run_ms: u64,
     /// Multiple of it that a far run takes.
     pub remote_factor: f64,
-    /// Time for which the task has waited for near capacity, in milliseconds.
-    pub waited_ms: u64,
+    /// Time for which the task has waited for near capacity while far workers had room for
+    /// it, in milliseconds.
+    pub held_ms: u64,
+    /// Time that the pool needs for the tasks that wait for any worker, in milliseconds.
+    pub backlog_ms: u64,
     /// Time until the run has to end for the job to meet its objective, in milliseconds;
     /// negative if it can't.
     pub due_in_ms: i64,
 }
 
 impl WaitInput {
-    /// Returns the time that a near run saves, in milliseconds.
+    /// Returns the time that a near run saves the task, in milliseconds.
     pub fn saved_ms(&self) -> u64 {
         far_run_ms(self.run_ms, self.remote_factor) - self.run_ms
     }
 
+    /// Returns the time that a near run saves the task and those that wait, in milliseconds.
+    ///
+    /// A far run uses `remote_factor - 1` near runs more of the pool's capacity, and delays
+    /// each of the waiting tasks by that, divided by the capacity. Over all of them this is
+    /// the part `remote_factor - 1` of the backlog.
+    fn saved_for_all_ms(&self) -> u64 {
+        let all_ms = self.run_ms.saturating_add(self.backlog_ms);
+        far_run_ms(all_ms, self.remote_factor) - all_ms
+    }
+
     /// Returns the time for which the task may still wait, in milliseconds.
     pub fn budget_ms(&self) -> u64 {
-        let saved_ms = self.saved_ms();
-        if saved_ms < MIN_GAIN_MS {
-            return 0;
-        }
-        let budget_ms = saved_ms.min(MAX_WAIT_MS).saturating_sub(self.waited_ms);
+        let limit_ms = self.saved_for_all_ms().min(MAX_WAIT_MS);
+        let budget_ms = limit_ms.saturating_sub(self.held_ms);
         let far_ms = far_run_ms(self.run_ms, self.remote_factor);
         let slack_ms = self.due_in_ms.saturating_sub_unsigned(far_ms);
         match u64::try_from(slack_ms) {
-            // A far start after the wait, if that was in vain, still meets the objective.
-            Ok(slack_ms) => budget_ms.min(slack_ms),
+            // A far start after a wait in vain still has to meet the objective, unless it makes
+            // others miss theirs.
+            Ok(slack_ms) => {
+                let saved_for_others_ms = self.saved_for_all_ms() - self.saved_ms();
+                budget_ms.min(slack_ms.saturating_add(saved_for_others_ms))
+            }
             // A far start misses it in any case.
             Err(_) => budget_ms,
         }
@@ -297,7 +313,7 @@
     /// Returns the time within which near capacity has to become free to be worth waiting
     /// for, in milliseconds, exclusive.
     pub fn before_ms(&self) -> u64 {
-        let worth_ms = (self.saved_ms() + 1).saturating_sub(MIN_GAIN_MS);
+        let worth_ms = (self.saved_for_all_ms() + 1).saturating_sub(MIN_GAIN_MS);
         self.budget_ms().min(worth_ms)
     }
 }
@@ -327,3 +343,35 @@
         _ => Decision::TakeFar,
     }
 }
+
+/// What became of tasks that ask for near workers, as they were placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct NearOutcome {
+    /// Tasks placed away from their data, or in a group that is spread over racks.
+    pub far: u64,
+    /// Tasks that had waited for near workers.
+    pub waited: u64,
+    /// Sum of their waits, in milliseconds.
+    pub waited_ms: u64,
+    /// Longest of their waits, in milliseconds.
+    pub longest_wait_ms: u64,
+    /// Time that the waits saved, by the expected durations, in milliseconds.
+    pub gained_ms: u64,
+    /// Time lost by waits that saved less than they took, in milliseconds.
+    pub lost_ms: u64,
+}
+
+impl NearOutcome {
+    /// Records a task placed after it waited for `waited_ms`, if it did, where a near run saves
+    /// `saved_ms`.
+    pub fn record(&mut self, is_far: bool, waited_ms: Option<u64>, saved_ms: u64) {
+        self.far += u64::from(is_far);
+        let Some(waited_ms) = waited_ms else { return };
+        let saved_ms = if is_far { 0 } else { saved_ms };
+        self.waited += 1;
+        self.waited_ms += waited_ms;
+        self.longest_wait_ms = self.longest_wait_ms.max(waited_ms);
+        self.gained_ms += saved_ms.saturating_sub(waited_ms);
+        self.lost_ms += waited_ms.saturating_sub(saved_ms);
+    }
+}
--- a/crates/masticfall-entry/src/fleet/leadership/load.rs
+++ b/crates/masticfall-entry/src/fleet/leadership/load.rs
@@ -152,6 +152,7 @@
     };
     let now = fleet.now();
     let mut board = Board::new(epoch, timings, now.steady_ms);
+    board.set_remote_factor(fleet.settings.remote_factor);
     if let Some(config) = fleet.config() {
         board.set_config(config);
     }
--- a/crates/masticfall-entry/src/fleet/metrics.rs
+++ b/crates/masticfall-entry/src/fleet/metrics.rs
@@ -1,5 +1,7 @@
 //! Counters and latency histograms of a process.
 
+mod near;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -89,6 +91,8 @@
     lost_workers: Family<LossLabels, Counter>,
     jobs_given_up: Counter,
     attributed_crashes: Counter,
+    /// Waits for near workers.
+    pub near: near::NearMetrics,
 }
 
 impl FleetMetrics {
@@ -107,6 +111,7 @@
             lost_workers: Family::default(),
             jobs_given_up: Counter::default(),
             attributed_crashes: Counter::default(),
+            near: near::NearMetrics::default(),
         };
         let mut registry = Registry::with_prefix("masticfall");
         registry.register_collector(Box::new(TrafficCollector(traffic)));
@@ -125,6 +130,7 @@
         registry.register("jobs_given_up", help, m.jobs_given_up.clone());
         let help = "Crashes of workers attributed to the tasks of jobs given up";
         registry.register("attributed_crashes", help, m.attributed_crashes.clone());
+        metrics.near.register(&mut registry);
         Self { registry, ..metrics }
     }
 
--- a/crates/masticfall-entry/src/fleet/notices.rs
+++ b/crates/masticfall-entry/src/fleet/notices.rs
@@ -22,8 +22,10 @@
         Notice::JobLoaded { job, due_in_ms } => {
             tracing::info!(name: "job.taken", %process, epoch, %job, due_in_ms, "job loaded; dispatching it");
         }
-        Notice::Placed { job, tasks, worker, is_late, config_version } => {
-            tracing::info!(name: "job.placed", epoch, %job, tasks, %worker, is_late, config_version, "tasks placed");
+        Notice::Placed { job, tasks, worker, is_late, config_version, near } => {
+            fleet.metrics.near.record(near);
+            let (waited_ms, is_far) = (near.longest_wait_ms, near.far > 0);
+            tracing::info!(name: "job.placed", epoch, %job, tasks, %worker, is_late, config_version, waited_ms, is_far, "tasks placed");
         }
         Notice::NotStarted { task, attempt, worker, outcome } => {
             tracing::info!(name: "task.not_started", epoch, %task, attempt, %worker, %outcome, "run not started");
--- a/crates/masticfall-entry/src/fleet/settings.rs
+++ b/crates/masticfall-entry/src/fleet/settings.rs
@@ -59,6 +59,9 @@
 /// Maximum of the number of workers that the owner calls itself.
 const MAX_DIRECT_WORKERS_LIMIT: u64 = 100_000;
 
+/// Default of the multiple of its time that a task takes away from its data: none waits.
+const DEFAULT_REMOTE_FACTOR: f64 = 1.0;
+
 /// Settings of a process.
 #[derive(Debug, Clone)]
 pub struct FleetSettings {
@@ -106,6 +109,9 @@
     /// Number of workers up to which the owner of the cell calls all of them itself;
     /// beyond it, other processes relay its calls.
     pub max_direct_workers: u64,
+    /// Multiple of its time that a task takes away from the rack of its data, or in a group
+    /// that is spread over racks; up to 1, no task waits for near workers.
+    pub remote_factor: f64,
 }
 
 /// Result of reading settings: the settings, or all errors found.
@@ -136,6 +142,7 @@
             cpu_share: SUFFICIENT_CPU_SHARE,
             link_mbps: SUFFICIENT_LINK_MBPS,
             max_direct_workers: DEFAULT_MAX_DIRECT_WORKERS,
+            remote_factor: DEFAULT_REMOTE_FACTOR,
         }
     }
 
@@ -205,6 +212,7 @@
                 DEFAULT_MAX_DIRECT_WORKERS,
                 (0, MAX_DIRECT_WORKERS_LIMIT),
             ),
+            remote_factor: number(&mut doc, "remote_factor", DEFAULT_REMOTE_FACTOR),
         };
         let errors = doc.finish(&[], &[SECTION]);
         if errors.is_empty() { Ok(settings) } else { Err(errors) }
