--- a/crates/masticfall-core/src/fleet/board/near.rs
+++ b/crates/masticfall-core/src/fleet/board/near.rs
@@ -4,6 +4,8 @@
 //! the expected ends of their runs. They are read once in a scheduling pass, and only for
 //! racks that a task asks for while their workers are full.
 
+mod backlog;
+
 use indexmap::IndexMap;
 
 use super::{Board, Job, TaskState};
@@ -106,40 +108,6 @@
         });
     }
 
-    /// Updates the backlog of each pool, without the tasks that wait for near workers only.
-    pub(super) fn update_near_backlogs(&mut self, now_ms: u64) {
-        let Some(config) = self.config.as_ref().filter(|_| self.locality.remote_factor > 1.0)
-        else {
-            return;
-        };
-        let mut work: IndexMap<PoolName, u64> = IndexMap::new();
-        for job in self.jobs.values().filter(|job| job.has_ready_tasks()) {
-            let Some(queue) = config.queues.get(&job.record.queue) else { continue };
-            let job_work: u64 = ready_work(job);
-            match work.get_mut(&queue.pool) {
-                Some(sum) => *sum = sum.saturating_add(job_work),
-                None => drop(work.insert(queue.pool.clone(), job_work)),
-            }
-        }
-        let passes = self.locality.passes;
-        for (key, _) in self.locality.holds.iter().filter(|(_, hold)| hold.last_pass == passes) {
-            let Some(job) = self.jobs.get(&key.job) else { continue };
-            let Some(queue) = config.queues.get(&job.record.queue) else { continue };
-            if let Some(sum) = work.get_mut(&queue.pool) {
-                *sum = sum.saturating_sub(task_work(job, key.step as usize));
-            }
-        }
-        let mut millis: IndexMap<&PoolName, u64> = IndexMap::new();
-        for worker in self.workers.values().filter(|worker| worker.is_schedulable(now_ms)) {
-            *millis.entry(&worker.facts.pool).or_default() += worker.facts.capacity.cpu_millis;
-        }
-        let backlogs = work.into_iter().filter_map(|(pool, work)| {
-            let backlog_ms = work.checked_div(*millis.get(&pool)?)?;
-            Some((pool, backlog_ms))
-        });
-        self.locality.backlogs_ms = backlogs.collect();
-    }
-
     /// Records that a task waits in this pass.
     fn hold(&mut self, key: &TaskKey, now_ms: u64) {
         let held_ms = self.held_ms(key, now_ms).unwrap_or_default();
@@ -470,27 +438,6 @@
     }
 }
 
-/// Returns the expected work of a step's task, in thousandths of a core times milliseconds.
-fn task_work(job: &Job, step: usize) -> u64 {
-    let spec = &job.record.spec.steps[step];
-    spec.reserved().cpu_millis.saturating_mul(Board::expected_run_ms(job, step as u32))
-}
-
-/// Returns the expected work of a job's tasks that wait for a worker.
-fn ready_work(job: &Job) -> u64 {
-    let mut work: u64 = 0;
-    for (number, occurrence) in &job.occurrences {
-        for (index, step) in occurrence.steps.iter().enumerate() {
-            let waiting = u64::from(step.counts().waiting);
-            let is_finite = !job.record.spec.steps[index].is_long_running;
-            if waiting > 0 && is_finite && job.is_step_ready(*number, index) {
-                work = work.saturating_add(task_work(job, index).saturating_mul(waiting));
-            }
-        }
-    }
-    work
-}
-
 fn request(spec: &StepSpec, input: WaitInput, tasks: u64) -> Request {
     Request {
         needs: spec.reserved(),
