config check reviews the content and compares with the revision in force

Cause: a configuration that can be read may still leave a queue without workers, a key that never matches or limits that contradict each other; this showed only once it was in force.

config/review.rs computes findings (severity, line, section, key, message, hint), config/compare.rs the differences by section and key.

--- a/crates/masticfall-core/src/config.rs
+++ b/crates/masticfall-core/src/config.rs
@@ -3,9 +3,11 @@
 //! The document is the only source. The model is read from it and validated as
 //! a whole, so that an operator sees all errors at once.
 
+pub mod compare;
 pub mod document;
 pub mod model;
 pub mod read;
+pub mod review;
 pub mod suggest;
 
 pub use document::{ConfigError, Document};
--- a/crates/masticfall-core/src/config/document.rs
+++ b/crates/masticfall-core/src/config/document.rs
@@ -6,6 +6,7 @@
 use indexmap::IndexSet;
 use ini::Ini;
 
+use super::compare::Entries;
 use super::suggest::nearest;
 
 /// An error in a document, with its location.
@@ -94,6 +95,23 @@
         sections.filter_map(|name| name.strip_prefix(&prefix)).map(str::to_string).collect()
     }
 
+    /// Returns all values by section and key. A section without keys has an entry with an
+    /// empty key.
+    pub(super) fn entries(&self) -> Entries {
+        let mut entries = Entries::new();
+        for (section, properties) in &self.ini {
+            let section = section.unwrap_or_default();
+            if properties.is_empty() && !section.is_empty() {
+                entries.insert((section.to_string(), String::new()), String::new());
+            }
+            for (key, value) in properties {
+                let place = (section.to_string(), key.to_string());
+                entries.insert(place, value.trim().to_string());
+            }
+        }
+        entries
+    }
+
     /// Returns whether the document has a section.
     pub fn has_section(&self, section: &str) -> bool {
         self.ini.section(Some(section)).is_some()
@@ -235,7 +253,7 @@
 }
 
 /// Returns the line number of a section or key, starting at 1; 0 when it is absent.
-fn locate(text: &str, section: &str, key: &str) -> usize {
+pub(super) fn locate(text: &str, section: &str, key: &str) -> usize {
     let mut in_section = section.is_empty();
     let mut section_line = 0;
     for (index, line) in text.lines().enumerate() {
--- a/crates/masticfall-core/tests/suite/main.rs
+++ b/crates/masticfall-core/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod blame;
 mod config;
+mod config_review;
 mod errors;
 mod escrow;
 mod fleet_capacity;
--- a/crates/masticfall/src/commands/config.rs
+++ b/crates/masticfall/src/commands/config.rs
@@ -1,5 +1,7 @@
 //! `masticfall config`: checks, shows and applies the fleet's configuration.
 
+mod check;
+
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -33,7 +35,7 @@
     Command::new("config")
         .about("Check, show and apply the fleet's configuration")
         .subcommand_required(true)
-        .subcommand(Command::new("check").about("Check a file and print every fault").arg(file()))
+        .subcommand(check::command().arg(file()))
         .subcommand(Command::new("show").about("Print the configuration in force"))
         .subcommand(Command::new("history").about("List accepted revisions"))
         .subcommand(
@@ -54,7 +56,7 @@
 
 pub fn run(args: &ArgMatches) -> Result<()> {
     match args.subcommand() {
-        Some(("check", args)) => check(args),
+        Some(("check", args)) => check::run(args),
         Some(("show", args)) => block_on(show(args)),
         Some(("history", args)) => block_on(history(args)),
         Some((_, args)) => block_on(apply(args)),
@@ -81,13 +83,6 @@
     })
 }
 
-fn check(args: &ArgMatches) -> Result<()> {
-    let (path, text) = read(args)?;
-    check_config(&path.display().to_string(), &text)?;
-    println!("{}: ok", path.display());
-    Ok(())
-}
-
 async fn show(args: &ArgMatches) -> Result<()> {
     let client = ApiClient::from_args(args);
     let response =
