The expected start of a task that waits for a near worker stands for a tick

Cause: 4,000 tasks that wait for 50 full racks of a pool of 1,800 workers took 26 ms in each pass, nearly all of it searches for their expected start (trial, release build).

An expectation is revised after 100 ms, or when its time has come; until then the task is booked at the same start. Near workers that become free are seen in each pass as before. A request that found no room is remembered with its duration too, and a forecast remembers 32 at most. Views of racks are in a file of their own.

--- a/crates/masticfall-core/src/fleet/board/near.rs
+++ b/crates/masticfall-core/src/fleet/board/near.rs
@@ -5,23 +5,27 @@
 //! racks that a task asks for while their workers are full.
 
 mod backlog;
+mod views;
 
 use indexmap::IndexMap;
 
 use super::{Board, Job, TaskState};
 use crate::fleet::config::FleetConfig;
 use crate::fleet::locality::{
-    Decision, NearOutcome, Opening, RackForecast, Request, RunView, WaitInput, decide,
-    expected_left_ms, far_run_ms, left_by_progress_ms, slots,
+    Decision, NearOutcome, Opening, RackForecast, Request, WaitInput, decide,
 };
 use crate::fleet::spec::{Resources, StepSpec, TaskKey};
-use crate::fleet::worker::Worker;
 use crate::id::{Name, PoolName};
+use views::is_off_data;
 
 /// Racks considered for a group that waits, those with the most free capacity: reading the
 /// runs of a whole pool of 1,800 workers would take milliseconds in each pass.
 const MAX_GROUP_RACKS: usize = 4;
 
+/// Time for which the expectation of a task's start stands, in milliseconds: a scheduling tick.
+/// Thousands of searches in each pass would take more processor time than all other placement.
+const REVISE_AFTER_MS: u64 = 100;
+
 /// State of the waits of a board.
 #[derive(Debug, Default)]
 pub(super) struct Locality {
@@ -47,6 +51,19 @@
     last_ms: u64,
     /// Number of the pass in which that was.
     last_pass: u64,
+    /// Expected start on a near worker; `None` for a member of a group.
+    start: Option<NearStart>,
+}
+
+/// The expected start of a task on a near worker.
+#[derive(Debug, Clone, Copy)]
+struct NearStart {
+    /// Index of the worker.
+    worker: usize,
+    /// When, by the local clock.
+    at_ms: u64,
+    /// Until when the expectation stands.
+    revise_ms: u64,
 }
 
 /// What is known about the racks of a pool within one scheduling pass.
@@ -56,6 +73,11 @@
     /// Indices of the schedulable workers by rack, once a task has asked for one.
     racks: Option<IndexMap<Name, Vec<usize>>>,
     forecasts: IndexMap<Name, RackForecast>,
+    /// Expected starts of earlier passes that still stand, by rack, to be booked in its
+    /// forecast if one is made: worker, time from now, duration and resources.
+    standing: IndexMap<Name, Vec<(usize, u64, u64, Resources)>>,
+    /// Needs that fit on no worker of a rack now.
+    full: IndexMap<Name, Vec<(Option<Name>, Resources)>>,
     /// Groups for which no rack has room now.
     unplaceable_groups: Vec<(Option<Name>, Resources, u64)>,
     /// A worker that had room for the last task that waits.
@@ -109,38 +131,12 @@
     }
 
     /// Records that a task waits in this pass.
-    fn hold(&mut self, key: &TaskKey, now_ms: u64) {
+    fn hold(&mut self, key: &TaskKey, start: Option<NearStart>, now_ms: u64) {
         let held_ms = self.held_ms(key, now_ms).unwrap_or_default();
-        let hold = Hold { held_ms, last_ms: now_ms, last_pass: self.locality.passes };
+        let hold = Hold { held_ms, last_ms: now_ms, last_pass: self.locality.passes, start };
         self.locality.holds.insert(key.clone(), hold);
     }
 
-    /// Returns the expected duration of a near run of a step's tasks, in milliseconds.
-    fn expected_run_ms(job: &Job, step: u32) -> u64 {
-        job.record.spec.steps[step as usize].estimate_ms
-    }
-
-    /// Returns the expected time left of a task's run, in milliseconds; `None` if it doesn't
-    /// end by itself.
-    fn run_left_ms(&self, key: &TaskKey, worker: &Worker, now_ms: u64) -> Option<u64> {
-        let job = self.jobs.get(&key.job)?;
-        let (task, run) = (job.task(key)?, job.run(key)?);
-        let spec = &job.record.spec.steps[key.step as usize];
-        if spec.is_long_running {
-            return None;
-        }
-        let begun_ms = run.ordered_ms.or(run.first_seen_ms).unwrap_or(now_ms);
-        let age_ms = now_ms.saturating_sub(begun_ms);
-        // Progress counts from the checkpoint that a run resumed from.
-        let has_progress = run.ordered_ms.is_some() && task.checkpoint.is_none();
-        if has_progress && let Some(left_ms) = left_by_progress_ms(run.percent, run.alive_ms) {
-            return Some(left_ms.saturating_sub(age_ms.saturating_sub(run.alive_ms)));
-        }
-        let near_ms = Self::expected_run_ms(job, key.step);
-        let factor = if is_off_data(spec, worker) { self.locality.remote_factor } else { 1.0 };
-        Some(expected_left_ms(far_run_ms(near_ms, factor), age_ms))
-    }
-
     /// Returns what the waits of a step's tasks depend on; `None` if they never wait.
     pub(super) fn near_step(
         &self,
@@ -212,14 +208,15 @@
             return false;
         }
         let mut pass = std::mem::take(&mut self.locality.pass);
-        let waits = self.decide_on_task(key, input, &mut pass, workers, now_ms);
+        let start = self.decide_on_task(key, input, &mut pass, workers, now_ms);
         self.locality.pass = pass;
-        if waits {
-            self.hold(key, now_ms);
+        if start.is_some() {
+            self.hold(key, start, now_ms);
         }
-        waits
+        start.is_some()
     }
 
+    /// Returns the expected start on a near worker, if the task waits for it.
     fn decide_on_task(
         &self,
         key: &TaskKey,
@@ -227,32 +224,55 @@
         pass: &mut PoolPass,
         workers: &[usize],
         now_ms: u64,
-    ) -> bool {
+    ) -> Option<NearStart> {
         let spec = &self.jobs[&key.job].record.spec.steps[key.step as usize];
-        let Some(rack) = &spec.data_rack else { return false };
+        let rack = spec.data_rack.as_ref()?;
         let racks = pass.racks.get_or_insert_with(|| self.by_rack(workers));
-        let Some(near) = racks.get(rack) else { return false };
-        if near.iter().any(|index| self.slots_on(*index, key) > 0) {
-            return false;
+        let near = racks.get(rack)?;
+        let needs = spec.reserved();
+        let is_full = pass.full.get(rack).is_some_and(|full| {
+            full.iter().any(|(label, least)| *label == spec.required_label && least.fits(&needs))
+        });
+        if !is_full {
+            if near.iter().any(|index| self.slots_on(*index, spec, key) > 0) {
+                return None;
+            }
+            if spec.max_per_worker == 0 {
+                let full = pass.full.entry(Name::clone(rack)).or_default();
+                full.push((spec.required_label.clone(), needs));
+            }
         }
-        let forecast = pass
-            .forecasts
-            .entry(Name::clone(rack))
-            .or_insert_with(|| self.rack_forecast(near, now_ms));
-        let request = request(spec, input, 1);
-        let opening = forecast.opening(&request, |index| self.may_wait_for(index, key));
-        let decision = decide(input, opening.as_ref().map(|opening| opening.in_ms), now_ms);
-        let (Decision::Wait { .. }, Some(opening)) = (decision, opening) else { return false };
-        let has_room = |index: usize| self.slots_on(index, key) > 0;
+        // Without room elsewhere there is nothing to decide, and the wait doesn't begin.
+        let has_room = |index: usize| self.slots_on(index, spec, key) > 0;
         if !pass.roomy_worker.is_some_and(has_room) {
             pass.roomy_worker = workers.iter().copied().find(|index| has_room(*index));
         }
-        // Without room elsewhere there is nothing to decide, and the wait doesn't begin.
-        if pass.roomy_worker.is_none() {
-            return false;
+        pass.roomy_worker?;
+        let standing = self.locality.holds.get(key).and_then(|hold| hold.start);
+        if let Some(start) = standing.filter(|start| now_ms < start.revise_ms) {
+            let booking = (start.worker, start.at_ms - now_ms, input.run_ms, needs);
+            match pass.forecasts.get_mut(rack) {
+                Some(forecast) => forecast.book_worker(booking.0, booking.1, booking.2, &needs),
+                None => pass.standing.entry(Name::clone(rack)).or_default().push(booking),
+            }
+            return Some(start);
+        }
+        let forecast = pass.forecasts.entry(Name::clone(rack)).or_insert_with(|| {
+            let mut forecast = self.rack_forecast(near, now_ms);
+            for (worker, in_ms, run_ms, needs) in pass.standing.get(rack).into_iter().flatten() {
+                forecast.book_worker(*worker, *in_ms, *run_ms, needs);
+            }
+            forecast
+        });
+        let request = request(spec, input, 1);
+        let opening = forecast.opening(&request, |index| self.may_wait_for(index, spec, key))?;
+        if !matches!(decide(input, Some(opening.in_ms), now_ms), Decision::Wait { .. }) {
+            return None;
         }
         forecast.book(&opening, &request);
-        true
+        let at_ms = now_ms + opening.in_ms;
+        let revise_ms = at_ms.min(now_ms + REVISE_AFTER_MS);
+        opening.workers.first().map(|(worker, _)| NearStart { worker: *worker, at_ms, revise_ms })
     }
 
     /// Decides where the tasks of a group go, or that they wait.
@@ -271,7 +291,7 @@
         self.locality.pass = pass;
         if plan == GroupPlan::Wait {
             for key in keys {
-                self.hold(key, now_ms);
+                self.hold(key, None, now_ms);
             }
         }
         plan
@@ -302,7 +322,7 @@
                 *label == spec.required_label && least.fits(&needs) && *count <= tasks
             });
         if !is_hopeless {
-            let fitting = racks.clone().filter(|(_, rack)| self.slots_in(rack, key) >= tasks);
+            let fitting = racks.clone().filter(|(_, rack)| self.slots_in(rack, spec, key) >= tasks);
             if let Some((_, rack)) = fitting.min_by_key(|(_, rack)| self.free_millis(rack)) {
                 return GroupPlan::Rack(rack.clone());
             }
@@ -312,7 +332,7 @@
         }
         let input = self.wait_input(keys, near, pass.backlog_ms, now_ms);
         let placeable = if spec.is_gang { tasks } else { 1 };
-        if input.before_ms() == 0 || self.slots_in(workers, key) < placeable {
+        if input.before_ms() == 0 || self.slots_in(workers, spec, key) < placeable {
             return GroupPlan::Anywhere;
         }
         let mut racks: Vec<(&Name, &Vec<usize>)> = racks.collect();
@@ -324,7 +344,7 @@
                 .forecasts
                 .entry(Name::clone(name))
                 .or_insert_with(|| self.rack_forecast(rack, now_ms));
-            let opening = forecast.opening(&request, |index| self.may_wait_for(index, key));
+            let opening = forecast.opening(&request, |index| self.may_wait_for(index, spec, key));
             let Some(opening) = opening else { continue };
             if first.as_ref().is_none_or(|(_, other)| opening.in_ms < other.in_ms) {
                 first = Some((name, opening));
@@ -375,67 +395,6 @@
     pub(super) fn take_near_outcome(&mut self) -> NearOutcome {
         std::mem::take(&mut self.locality.outcome)
     }
-
-    fn by_rack(&self, workers: &[usize]) -> IndexMap<Name, Vec<usize>> {
-        let mut racks: IndexMap<Name, Vec<usize>> = IndexMap::new();
-        for index in workers {
-            let worker = self.workers.get_index(*index).map(|(_, worker)| worker);
-            let Some(rack) = worker.and_then(|worker| worker.facts.rack()) else { continue };
-            match racks.get_mut(rack) {
-                Some(rack) => rack.push(*index),
-                None => drop(racks.insert(Name::clone(rack), vec![*index])),
-            }
-        }
-        racks
-    }
-
-    fn rack_forecast(&self, workers: &[usize], now_ms: u64) -> RackForecast {
-        let mut forecast = RackForecast::default();
-        for index in workers {
-            let Some((_, worker)) = self.workers.get_index(*index) else { continue };
-            if worker.is_maintenance_due {
-                continue;
-            }
-            let runs = worker.placements.iter().filter_map(|key| {
-                let left_ms = self.run_left_ms(key, worker, now_ms)?;
-                Some(RunView { left_ms, reserved: self.jobs[&key.job].step(key).reserved_per_task })
-            });
-            forecast.add_worker(*index, worker.free(), runs.collect());
-        }
-        forecast
-    }
-
-    /// Returns how many more tasks of a step fit on a worker now.
-    fn slots_on(&self, index: usize, key: &TaskKey) -> u64 {
-        let Some((_, worker)) = self.workers.get_index(index) else { return 0 };
-        let spec = &self.jobs[&key.job].record.spec.steps[key.step as usize];
-        let needs = spec.reserved();
-        if !needs.fits(&worker.free()) || !is_open(worker, spec, key) {
-            return 0;
-        }
-        let fitting = slots(&worker.free(), &needs);
-        match u64::from(spec.max_per_worker) {
-            0 => fitting,
-            limit => fitting.min(limit.saturating_sub(same_step(worker, key))),
-        }
-    }
-
-    fn slots_in(&self, workers: &[usize], key: &TaskKey) -> u64 {
-        workers.iter().fold(0, |sum: u64, index| sum.saturating_add(self.slots_on(*index, key)))
-    }
-
-    fn free_millis(&self, workers: &[usize]) -> u64 {
-        let workers = workers.iter().filter_map(|index| self.workers.get_index(*index));
-        workers.map(|(_, worker)| worker.free().cpu_millis).sum()
-    }
-
-    /// Returns whether a worker meets the requirements of a task apart from its resources.
-    fn may_wait_for(&self, index: usize, key: &TaskKey) -> bool {
-        let Some((_, worker)) = self.workers.get_index(index) else { return false };
-        let spec = &self.jobs[&key.job].record.spec.steps[key.step as usize];
-        let limit = u64::from(spec.max_per_worker);
-        is_open(worker, spec, key) && (limit == 0 || same_step(worker, key) < limit)
-    }
 }
 
 fn request(spec: &StepSpec, input: WaitInput, tasks: u64) -> Request {
@@ -448,21 +407,3 @@
         max_per_worker: spec.max_per_worker,
     }
 }
-
-/// Returns whether a worker is away from the rack of a step's data.
-fn is_off_data(spec: &StepSpec, worker: &Worker) -> bool {
-    spec.data_rack.as_ref().is_some_and(|rack| !worker.facts.labels.contains(rack))
-}
-
-fn is_open(worker: &Worker, spec: &StepSpec, key: &TaskKey) -> bool {
-    spec.required_label.as_ref().is_none_or(|label| worker.facts.labels.contains(label))
-        && worker.on_trial.iter().all(|other| other.job == key.job)
-}
-
-/// Returns the number of tasks of a task's step on a worker.
-fn same_step(worker: &Worker, key: &TaskKey) -> u64 {
-    let is_same = |other: &&TaskKey| {
-        other.job == key.job && other.occurrence == key.occurrence && other.step == key.step
-    };
-    worker.placements.iter().filter(is_same).count() as u64
-}
--- a/crates/masticfall-core/src/fleet/locality.rs
+++ b/crates/masticfall-core/src/fleet/locality.rs
@@ -31,6 +31,10 @@
 /// on for: the longer a run has taken, the longer its rest is likely to be.
 const OVERRUN_AGE_RATIO: f64 = 0.25;
 
+/// Maximum number of refused requests that a rack's forecast remembers; each is compared with
+/// later requests.
+const MAX_REFUSED: usize = 32;
+
 /// Progress from which a run's reported progress determines its expected time left, in percent.
 const MIN_PROGRESS_PERCENT: u32 = 5;
 
@@ -190,15 +194,22 @@
             let opening = first_opening(&suitable, &least);
             let until_ms = opening.map_or(u64::MAX, |opening| opening.in_ms);
             if until_ms >= request.before_ms {
-                self.refused.retain(|(other, other_ms)| {
-                    *other_ms > until_ms || !asks_no_less(other, request)
-                });
-                self.refused.push((least, until_ms));
+                self.refuse(least, until_ms);
+            } else {
+                self.refuse(request.clone(), request.before_ms);
             }
         }
         found
     }
 
+    fn refuse(&mut self, request: Request, until_ms: u64) {
+        self.refused
+            .retain(|(other, other_ms)| *other_ms > until_ms || !asks_no_less(other, &request));
+        if self.refused.len() < MAX_REFUSED {
+            self.refused.push((request, until_ms));
+        }
+    }
+
     /// Books resources for the tasks that are expected to start in an opening, so that those
     /// behind them count on what is left.
     pub fn book(&mut self, opening: &Opening, request: &Request) {
@@ -218,7 +229,10 @@
 
 /// Returns whether a request can't be met earlier than the other one.
 fn asks_no_less(request: &Request, other: &Request) -> bool {
-    request.label == other.label && other.needs.fits(&request.needs) && request.tasks >= other.tasks
+    request.label == other.label
+        && other.needs.fits(&request.needs)
+        && request.run_ms >= other.run_ms
+        && request.tasks >= other.tasks
 }
 
 /// Returns the first opening in time.
