--- a/crates/masticfall-core/src/fleet/board.rs
+++ b/crates/masticfall-core/src/fleet/board.rs
@@ -11,6 +11,7 @@
 mod early;
 mod evacuation;
 mod job;
+mod near;
 mod notice;
 mod pace;
 mod permits;
@@ -171,6 +172,7 @@
     orders: Vec<Order>,
     notices: Vec<Notice>,
     needs_placement: bool,
+    locality: near::Locality,
     /// Number of workers evaluated for tasks since the board was created.
     evaluated_candidates: std::cell::Cell<u64>,
 }
@@ -216,6 +218,7 @@
             orders: Vec::new(),
             notices: Vec::new(),
             needs_placement: false,
+            locality: near::Locality::default(),
             evaluated_candidates: std::cell::Cell::new(0),
         }
     }
--- a/crates/masticfall-core/tests/suite/fleet_wave_tail.rs
+++ b/crates/masticfall-core/tests/suite/fleet_wave_tail.rs
@@ -17,6 +17,7 @@
         let instance = InstanceName::from(format!("m{number:03}"));
         let (pool, state) = (PoolName::from("p"), MachineState::Up);
         let view = MachineView {
+            data_centre: "dc".into(),
             instance: instance.clone(),
             pool,
             state,
--- a/crates/masticfall-core/tests/suite/main.rs
+++ b/crates/masticfall-core/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod blame;
 mod config;
+mod config_review;
 mod errors;
 mod escrow;
 mod fleet_capacity;
@@ -13,6 +14,7 @@
 mod fleet_evacuation;
 mod fleet_hostile;
 mod fleet_leases;
+mod fleet_locality;
 mod fleet_maintenance;
 mod fleet_order;
 mod fleet_pools;
--- a/crates/masticfall-entry/src/fleet/metrics.rs
+++ b/crates/masticfall-entry/src/fleet/metrics.rs
@@ -1,5 +1,7 @@
 //! Counters and latency histograms of a process.
 
+mod near;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -106,6 +108,8 @@
     attributed_crashes: Counter,
     /// Evacuated data centres.
     pub evacuation: EvacuationMetrics,
+    /// Waits for near workers.
+    pub near: near::NearMetrics,
 }
 
 impl FleetMetrics {
@@ -131,6 +135,7 @@
             jobs_given_up: Counter::default(),
             attributed_crashes: Counter::default(),
             evacuation: EvacuationMetrics::default(),
+            near: near::NearMetrics::default(),
         };
         let mut registry = Registry::with_prefix("masticfall");
         registry.register_collector(Box::new(TrafficCollector(traffic)));
@@ -162,6 +167,7 @@
         let help = "Crashes of workers attributed to the tasks of jobs given up";
         registry.register("attributed_crashes", help, m.attributed_crashes.clone());
         m.evacuation.register(&mut registry);
+        m.near.register(&mut registry);
         Self { registry, ..metrics }
     }
 
--- a/crates/masticfalld/src/lib.rs
+++ b/crates/masticfalld/src/lib.rs
@@ -28,7 +28,7 @@
     };
     let settings = match settings {
         AnySettings::Entry(settings) => settings,
-        AnySettings::Fleet(settings) => return fleet::run(path, settings, check_only, filter),
+        AnySettings::Fleet(settings) => return fleet::run(path, *settings, check_only, filter),
     };
     if check_only {
         println!("{}: ok", path.display());
@@ -51,7 +51,7 @@
 /// Settings for either kind of platform.
 enum AnySettings {
     Entry(Settings),
-    Fleet(FleetSettings),
+    Fleet(Box<FleetSettings>),
 }
 
 fn read_settings(path: &Path) -> Result<AnySettings, String> {
@@ -59,7 +59,7 @@
     let text = std::fs::read_to_string(path)
         .map_err(|error| format!("cannot read the settings in {shown}: {error}"))?;
     let settings = if FleetSettings::is_fleet_file(&text) {
-        FleetSettings::read(&text).map(AnySettings::Fleet)
+        FleetSettings::read(&text).map(|settings| AnySettings::Fleet(Box::new(settings)))
     } else {
         Settings::read(&text).map(AnySettings::Entry)
     };
