--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -490,7 +490,10 @@
                 let run = &state.runs[index];
                 let step = &state.jobs[&run.job][run.step];
                 if step.gang {
-                    gangs.entry((run.job.clone(), run.step, run.attempt)).or_default().push(index);
+                    gangs
+                        .entry((step_of(&run.task), run.step, run.attempt))
+                        .or_default()
+                        .push(index);
                     continue;
                 }
                 if now_ms >= run.started_ms + step.durations_ms[run.index] {
@@ -500,8 +503,8 @@
                 }
             }
         }
-        for ((job, step, _), members) in gangs {
-            let spec = state.jobs[&job][step].clone();
+        for ((_, step, _), members) in gangs {
+            let spec = state.jobs[&state.runs[members[0]].job][step].clone();
             let is_whole = members.len() == spec.count as usize;
             for index in members {
                 let run = &mut state.runs[index];
@@ -638,6 +641,11 @@
     }
 }
 
+/// Returns the name of a task without its index: of one step of one occurrence.
+fn step_of(task: &str) -> String {
+    task.rsplit_once('.').map_or(task, |(step, _)| step).to_string()
+}
+
 /// Spreads numbers evenly.
 fn mix(number: u64) -> u64 {
     let mixed = (number + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
