Show that an unanswered order lets a deadly task crash six executors

Cause: the life of a run counts from its first order, also if a later one has started it, so that it seems to outlive the crash before and to differ from those after. Case: two start orders get no answer. Takes the place of the case on a route that is put back.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -6,4 +6,4 @@
 cd "$here/../.." || exit 2
 program=review/target/release/review-standin
 [ -x "$program" ] && [ -x target/release/masticfalld ] || { echo "build first: deploy file, then review/build.sh" >&2; exit 2; }
-TROUBLE=${TROUBLE:-1} exec "$program" reconfigured "$here"
+TROUBLE=${TROUBLE:-1} exec "$program" deadly "$here"
--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -19,6 +19,12 @@
 /// Ends that an executor returns at a time.
 const MAX_LISTED_ENDS: usize = 500;
 
+/// Time after which an order that gets no answer is carried out, in milliseconds.
+const LATE_MS: u64 = 2_500;
+
+/// Time for which an executor is down that a task has crashed, in milliseconds.
+const DOWN_MS: u64 = 3_000;
+
 /// Interval at which runs are advanced, in milliseconds.
 const TICK_MS: u64 = 5;
 
@@ -36,6 +42,8 @@
     pub durations_ms: Vec<u64>,
     /// How its runs end by themselves.
     pub outcome: &'static str,
+    /// Age at which its runs crash their executor, in milliseconds.
+    pub deadly_ms: Option<u64>,
 }
 
 impl Step {
@@ -50,6 +58,7 @@
             estimate_ms: duration_ms,
             durations_ms: vec![duration_ms; count as usize],
             outcome: "done",
+            deadly_ms: None,
         }
     }
 
@@ -128,6 +137,8 @@
     pub workers: Vec<Worker>,
     pub jobs: HashMap<String, Vec<Step>>,
     pub runs: Vec<Run>,
+    /// Number of the next start orders of a job that get no answer and are carried out late.
+    pub late_orders: HashMap<String, u32>,
     pub record: Vec<String>,
 }
 
@@ -302,26 +313,30 @@
     }
 
     fn handle(&self, number: usize, request: &Request, stream: &TcpStream) -> Reply {
-        let is_silent =
-            |state: &State| state.workers[number].is_cut || !state.workers[number].is_up;
-        if is_silent(&self.lock()) {
-            // Bytes that arrive meanwhile are lost.
-            while is_silent(&self.lock()) && !http::is_closed(stream) {
+        // A cut delivers nothing, and bytes that arrive meanwhile are lost; a crash resets.
+        let is_cut = || self.lock().workers[number].is_cut;
+        let stay_silent = || {
+            while is_cut() && !http::is_closed(stream) {
                 thread::sleep(Duration::from_millis(20));
             }
+            Reply::Close
+        };
+        if is_cut() {
+            return stay_silent();
+        }
+        let life = || {
+            let worker = &self.lock().workers[number];
+            worker.is_up.then_some(worker.born_ms)
+        };
+        let before = life();
+        if before.is_none() {
             return Reply::Close;
         }
-        let born_ms = self.lock().workers[number].born_ms;
         let reply = self.answer(number, request);
-        let state = self.lock();
-        if is_silent(&state) || state.workers[number].born_ms != born_ms {
-            drop(state);
-            while is_silent(&self.lock()) && !http::is_closed(stream) {
-                thread::sleep(Duration::from_millis(20));
-            }
-            return Reply::Close;
+        if is_cut() {
+            return stay_silent();
         }
-        reply
+        if life() == before { reply } else { Reply::Close }
     }
 
     fn answer(&self, number: usize, request: &Request) -> Reply {
@@ -351,6 +366,26 @@
                 drop(state);
                 self.hold(number, &call, now_ms)
             }
+            "/-/run-start" if state.is_late(&call) => {
+                let line = format!(
+                    "start {} attempt {} token {token} at {}: no answer",
+                    text(&call, "task"),
+                    call["attempt"],
+                    state.workers[number].id
+                );
+                state.note(now_ms, &line);
+                let born_ms = state.workers[number].born_ms;
+                drop(state);
+                thread::sleep(Duration::from_millis(LATE_MS));
+                let now_ms = self.now_ms();
+                let mut state = self.lock();
+                let worker = &state.workers[number];
+                let clock_ms = worker.clock_ms();
+                if worker.is_up && worker.born_ms == born_ms && token >= worker.fence {
+                    let _told = state.start(number, &call, token, clock_ms, now_ms);
+                }
+                Reply::Close
+            }
             "/-/run-start" => {
                 let worker = &mut state.workers[number];
                 let answer_ms = worker.answer_ms;
@@ -433,7 +468,7 @@
             state = self.changed.wait_timeout(state, left).unwrap().0;
         }
         let now_ms = self.now_ms();
-        let State { workers, runs, jobs, record } = &mut *state;
+        let State { workers, runs, jobs, record, .. } = &mut *state;
         let worker = &workers[number];
         let running = worker.running.iter().map(|index| {
             let run = &runs[*index];
@@ -466,8 +501,29 @@
         Reply::Answer(200, body.to_string())
     }
 
+    /// Crashes the executors of deadly tasks; they start again after some seconds.
+    fn crash_deadly(self: &Arc<Self>) {
+        let now_ms = self.now_ms();
+        let state = self.lock();
+        let is_due = |run: &&Run| {
+            let deadly_ms = state.jobs[&run.job][run.step].deadly_ms;
+            run.ended.is_none() && deadly_ms.is_some_and(|age_ms| now_ms >= run.started_ms + age_ms)
+        };
+        let due: Vec<usize> = state.runs.iter().filter(is_due).map(|run| run.worker).collect();
+        drop(state);
+        for number in due {
+            self.crash(number);
+            let fleet = Arc::clone(self);
+            thread::spawn(move || {
+                thread::sleep(Duration::from_millis(DOWN_MS));
+                fleet.restart(number);
+            });
+        }
+    }
+
     /// Ends runs that are over, or whose lease is.
-    fn advance(&self) {
+    fn advance(self: &Arc<Self>) {
+        self.crash_deadly();
         let now_ms = self.now_ms();
         let mut state = self.lock();
         let mut has_ended = false;
@@ -548,6 +604,14 @@
 }
 
 impl State {
+    /// Returns whether a start order gets no answer and is carried out late.
+    fn is_late(&mut self, call: &Value) -> bool {
+        let task = text(call, "task");
+        let job = task.split('.').next().unwrap_or_default();
+        let left = self.late_orders.get_mut(job).filter(|left| **left > 0);
+        left.map(|left| *left -= 1).is_some()
+    }
+
     pub fn note(&mut self, now_ms: u64, line: &str) {
         self.record.push(format!("{now_ms:>7} ms  {line}"));
     }
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -9,10 +9,10 @@
 mod link;
 mod store;
 
+mod deadly;
 mod deaf;
 mod ends;
 mod gang;
-mod reconfigured;
 mod slow_refusal;
 
 use std::io;
@@ -36,9 +36,9 @@
 fn case(name: &str) -> Option<Case> {
     Some(match name {
         "ends" => Case { workers: 6, attempts: 4, play: ends::play },
+        "deadly" => Case { workers: 8, attempts: 4, play: deadly::play },
         "deaf" => Case { workers: 6, attempts: 4, play: deaf::play },
         "gang" => Case { workers: 6, attempts: 4, play: gang::play },
-        "reconfigured" => Case { workers: 6, attempts: 2, play: reconfigured::play },
         "slow-refusal" => Case { workers: 12, attempts: 4, play: slow_refusal::play },
         _ => return None,
     })
