--- a/review/standin/src/deaf.rs
+++ b/review/standin/src/deaf.rs
@@ -41,7 +41,10 @@
     }
     if is_troubled {
         deployment.links[other].go_silent_at_cancellation(link);
-        fleet.note("open connections go silent as the next cancellation is written");
+        fleet.note(&format!(
+            "connections go silent as the next cancellation is written: {} feeds of the owner, which has {} open connections; one of the other process, which has {}",
+            link.waiting(), deployment.nodes[owner].connections()?, deployment.nodes[other].connections()?
+        ));
     }
     let silent_ms = fleet.now_ms();
     let answer = deployment.call_at(deployment.nodes[other].front, "DELETE", JOB, "");
--- a/review/standin/src/deployment.rs
+++ b/review/standin/src/deployment.rs
@@ -1,5 +1,6 @@
 //! The project's own processes, the operator and the clients.
 
+use std::collections::HashSet;
 use std::fs::{self, File};
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -34,6 +35,26 @@
     child: Child,
 }
 
+impl Node {
+    /// Returns the number of the process's open TCP connections.
+    pub fn connections(&self) -> io::Result<usize> {
+        let mut sockets = HashSet::new();
+        for entry in fs::read_dir(format!("/proc/{}/fd", self.child.id()))? {
+            let target = fs::read_link(entry?.path()).unwrap_or_default();
+            let target = target.to_string_lossy();
+            let inode = target.strip_prefix("socket:[").and_then(|rest| rest.strip_suffix(']'));
+            sockets.extend(inode.map(str::to_string));
+        }
+        let table = fs::read_to_string(format!("/proc/{}/net/tcp", self.child.id()))?;
+        let established = table.lines().filter(|line| {
+            let fields: Vec<&str> = line.split_whitespace().collect();
+            fields.get(3) == Some(&"01")
+                && fields.get(9).is_some_and(|inode| sockets.contains(*inode))
+        });
+        Ok(established.count())
+    }
+}
+
 impl Drop for Node {
     fn drop(&mut self) {
         drop(self.child.kill());
--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -111,8 +111,11 @@
     pub is_up: bool,
     /// Time that the answer to a start order takes, in milliseconds.
     pub answer_ms: u64,
-    /// Whether it refuses two of five start orders with 503.
+    /// Whether it refuses start orders with 503: two of five, and never more than that so far.
     pub refuses: bool,
+    /// Start orders since it refuses some, and those refused.
+    pub orders: u64,
+    pub refused: u64,
     pub holds: u64,
     born_ms: u64,
     clock_zero: Instant,
@@ -123,7 +126,6 @@
     next_number: u64,
     closed: HashMap<String, u64>,
     seq: u64,
-    orders: u64,
 }
 
 impl Worker {
@@ -178,6 +180,8 @@
                 is_up: true,
                 answer_ms: 0,
                 refuses: false,
+                orders: 0,
+                refused: 0,
                 holds: 0,
                 born_ms: wall_ms(),
                 clock_zero: Instant::now(),
@@ -188,7 +192,6 @@
                 next_number: 1,
                 closed: HashMap::new(),
                 seq: 0,
-                orders: 0,
             };
             fleet.lock().workers.push(worker);
             let handler_fleet = Arc::clone(&fleet);
@@ -389,8 +392,10 @@
             "/-/run-start" => {
                 let worker = &mut state.workers[number];
                 let answer_ms = worker.answer_ms;
-                worker.orders += 1;
-                let is_refused = worker.refuses && mix(worker.orders) % 10 < 4;
+                worker.orders += u64::from(worker.refuses);
+                let is_within = (worker.refused + 1) * 5 <= worker.orders * 2;
+                let is_refused = worker.refuses && is_within && mix(worker.orders) % 10 < 6;
+                worker.refused += u64::from(is_refused);
                 let reply = if is_refused {
                     let line = format!(
                         "start {} attempt {} token {token} at {}: 503",
--- a/review/standin/src/link.rs
+++ b/review/standin/src/link.rs
@@ -44,6 +44,11 @@
         state.silent.extend(waiting);
     }
 
+    /// Returns the number of connections on which a feed waits.
+    pub fn waiting(&self) -> usize {
+        self.state.lock().unwrap().waiting.len()
+    }
+
     /// Returns for how long the feed of a table has been waiting.
     pub fn waits_for(&self, table: &str) -> Option<Duration> {
         let state = self.state.lock().unwrap();
--- a/review/standin/src/slow_refusal.rs
+++ b/review/standin/src/slow_refusal.rs
@@ -41,7 +41,11 @@
         sleep(Duration::from_millis(700));
     }
     if is_troubled {
-        fleet.note("it is well again");
+        let (orders, refused) = {
+            let worker = &fleet.lock().workers[grey];
+            (worker.orders, worker.refused)
+        };
+        fleet.note(&format!("it is well again; {refused} of {orders} start orders were refused"));
         let worker = &mut fleet.lock().workers[grey];
         (worker.answer_ms, worker.refuses) = (ANSWER_MS, false);
     }
