A run is not lost while its worker may have more ends to report

Cause: a worker lists 500 run ends at a time. `Board::reconcile` took a run that a report shows neither as active nor as ended for lapsed, and started its task again, although its end was to follow with the next report. Only the barrier after a takeover knew the limit.

Change: a report with as many ends as one holds decides nothing about a run that it doesn't show; a later report does. The limit is next to the report, one copy. A log line names the worker and how many runs are undecided. The simulated workers of the tests and of the stand-in list 500 ends too.

Related paths: the first report after a takeover goes the same way (second case of the test); a run of a former incarnation is still lost at once, since the new one has no ends of it; `Settling` uses the same predicate.

Test: fleet_reports, three cases.

--- a/crates/masticfall-core/src/fleet/board/notice.rs
+++ b/crates/masticfall-core/src/fleet/board/notice.rs
@@ -122,6 +122,16 @@
         /// Whether it answers.
         is_reached: bool,
     },
+    /// A report lists as many run ends as it can, so that runs which it doesn't show may have
+    /// ended.
+    EndsOmitted {
+        /// The worker.
+        worker: WorkerId,
+        /// Number of ends that it lists.
+        listed: usize,
+        /// Number of runs that it doesn't show.
+        undecided: usize,
+    },
     /// The runs on a worker are lost.
     WorkerLost {
         /// The worker.
--- a/crates/masticfall-core/src/fleet/board/reports.rs
+++ b/crates/masticfall-core/src/fleet/board/reports.rs
@@ -246,15 +246,20 @@
     }
 
     /// Reconciles the placements on a worker with the runs in its report.
+    ///
+    /// A run that a complete report shows neither as active nor as ended doesn't exist. After
+    /// a report that may omit ends it stays placed until a later one decides.
     fn reconcile(&mut self, id: &WorkerId, sent_ms: u64, report: WorkerReport, now_ms: u64) {
         let mut running: IndexMap<(TaskKey, u32), ActiveRun> = IndexMap::new();
         let born_wall_ms = report.born_wall_ms;
+        let (may_omit_ends, listed_ends) = (report.may_omit_ends(), report.ended.len());
         for run in report.running {
             running.insert((run.task.clone(), run.attempt), run);
         }
         let Some(worker) = self.workers.get(id) else { return };
         let mut lost = Vec::new();
         let mut unclear = Vec::new();
+        let mut undecided = 0;
         for key in worker.placements.clone() {
             let Some(task) = self.jobs.get_mut(&key.job).and_then(|job| job.task_mut(&key)) else {
                 continue;
@@ -266,6 +271,8 @@
                     OrderState::Settled(at) if at < sent_ms => {
                         if has_restarted {
                             lost.push(key);
+                        } else if may_omit_ends {
+                            undecided += 1;
                         } else {
                             self.end_run(&key, RunEnd::Lapsed, None, true, now_ms);
                         }
@@ -294,6 +301,10 @@
             self.drop_outlived_crashes(&key, alive_ms);
             self.end_trial_if_over(id, &key);
         }
+        if undecided > 0 {
+            let worker = id.clone();
+            self.notices.push(Notice::EndsOmitted { worker, listed: listed_ends, undecided });
+        }
         if !lost.is_empty() || !unclear.is_empty() {
             self.lose_runs_by_restart(id, lost, &unclear, born_wall_ms, now_ms);
         }
--- a/crates/masticfall-core/src/fleet/board/settle.rs
+++ b/crates/masticfall-core/src/fleet/board/settle.rs
@@ -11,9 +11,6 @@
 use crate::fleet::worker::{LEASE_SLACK_MS, WORKER_CLOCK_DRIFT_PER_MILLE};
 use crate::id::{JobId, PoolName, WorkerId};
 
-/// Number of ended runs in a report from which on it may not list all of them.
-const MAX_REPORTED_ENDS: usize = 500;
-
 /// A worker whose runs aren't known yet.
 #[derive(Debug)]
 struct Unsettled {
@@ -176,10 +173,10 @@
                 || report.running.iter().any(|run| is_unknown(&run.task.job)));
         if worker.waits_for_jobs {
             ReportUse::Withheld
-        } else if report.ended.len() < MAX_REPORTED_ENDS {
-            ReportUse::Settles
-        } else {
+        } else if report.may_omit_ends() {
             ReportUse::Applied
+        } else {
+            ReportUse::Settles
         }
     }
 
--- a/crates/masticfall-core/src/fleet/report.rs
+++ b/crates/masticfall-core/src/fleet/report.rs
@@ -6,6 +6,9 @@
 use super::spec::TaskKey;
 use crate::id::Name;
 
+/// Maximum number of run ends in a report; further ones follow once these are acknowledged.
+pub const MAX_REPORTED_ENDS: usize = 500;
+
 /// How a run ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Display, EnumString)]
 #[strum(serialize_all = "snake_case")]
@@ -96,10 +99,18 @@
     pub born_wall_ms: u64,
     /// Active runs.
     pub running: Vec<ActiveRun>,
-    /// Run ends that weren't acknowledged yet.
+    /// Run ends that weren't acknowledged yet, at most [`MAX_REPORTED_ENDS`].
     pub ended: Vec<EndedRun>,
 }
 
+impl WorkerReport {
+    /// Returns whether there may be run ends that the report doesn't list: a run that it shows
+    /// neither as active nor as ended may then have ended in any way.
+    pub fn may_omit_ends(&self) -> bool {
+        self.ended.len() >= MAX_REPORTED_ENDS
+    }
+}
+
 /// Outcome of a start order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
 #[strum(serialize_all = "snake_case")]
--- a/crates/masticfall-core/tests/suite/fleet_rig.rs
+++ b/crates/masticfall-core/tests/suite/fleet_rig.rs
@@ -9,7 +9,9 @@
     AccountConfig, FleetConfig, PoolConfig, QueueConfig, RequestBounds,
 };
 use masticfall_core::fleet::progress::{EndedRow, ProgressRow};
-use masticfall_core::fleet::report::{ActiveRun, EndedRun, RunEnd, StartOutcome, WorkerReport};
+use masticfall_core::fleet::report::{
+    ActiveRun, EndedRun, MAX_REPORTED_ENDS, RunEnd, StartOutcome, WorkerReport,
+};
 use masticfall_core::fleet::spec::{JobRecord, JobSpec, Resources, StepSpec, TaskKey};
 use masticfall_core::fleet::worker::WorkerFacts;
 use masticfall_core::prelude::*;
@@ -214,7 +216,7 @@
             clock_ms: self.now_ms,
             born_wall_ms: 5,
             running: worker.running.clone(),
-            ended: worker.ended.clone(),
+            ended: worker.ended.iter().take(MAX_REPORTED_ENDS).cloned().collect(),
         };
         let sent_ms = self.now_ms;
         self.now_ms += 2;
--- a/crates/masticfall-core/tests/suite/main.rs
+++ b/crates/masticfall-core/tests/suite/main.rs
@@ -19,6 +19,7 @@
 mod fleet_order;
 mod fleet_pools;
 mod fleet_relays;
+mod fleet_reports;
 mod fleet_rig;
 mod fleet_shares;
 mod fleet_sharing;
--- a/crates/masticfall-entry/src/fleet/notices.rs
+++ b/crates/masticfall-entry/src/fleet/notices.rs
@@ -45,6 +45,9 @@
         Notice::WorkerReachability { worker, is_reached } => {
             tracing::info!(name: "worker.reach", epoch, %worker, is_reached, "reachability of a worker changed");
         }
+        Notice::EndsOmitted { worker, listed, undecided } => {
+            tracing::info!(name: "worker.ends_omitted", epoch, %worker, listed, undecided, "report omits run ends; runs that it doesn't show are decided by a later one");
+        }
         Notice::WorkerLost { worker, cause, silent_ms, is_leaving, tasks } => {
             fleet.metrics.record_lost_worker(*cause);
             let (count, lost) = (tasks.len(), list_tasks(tasks));
--- a/crates/masticfall-standin/src/fleet/workers.rs
+++ b/crates/masticfall-standin/src/fleet/workers.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use masticfall_core::fleet::report::{ActiveRun, RunEnd, StartOutcome, StopOutcome, WorkerReport};
+use masticfall_core::fleet::report::{
+    ActiveRun, MAX_REPORTED_ENDS, RunEnd, StartOutcome, StopOutcome, WorkerReport,
+};
 use masticfall_core::fleet::spec::Resources;
 use masticfall_core::id::WorkerId;
 use masticfall_platform::error::UnavailableSnafu;
@@ -235,6 +237,6 @@
         clock_ms: now_ms,
         born_wall_ms: worker.facts.born_wall_ms,
         running: running.collect(),
-        ended: worker.ended.clone(),
+        ended: worker.ended.iter().take(MAX_REPORTED_ENDS).cloned().collect(),
     })
 }
