A feed on a silent connection is replaced before its changes are due

Cause: the owner learns of cancellations by the store's feed of jobs, a long poll of 4 s whose response counts as overdue 1.5 s later. Connections may go silent without a reset, which nothing else shows, so the owner could wait for 5.5 s: longer than a cancellation may take, and longer than the 3 s after which a process has to keep all bounds again.

Change: the feeds that owners follow and that of the ownership wait for 0.5 s, the operators' feed, which all processes follow, for 1 s instead of 1.5 s. With the read timeout and the pause before the retry a silent feed is replaced within 2.2 s and 2.7 s. A log line, "feed responds again", says for how long a feed had no response.

Related paths: the same wait held back leaving workers (starts up to 2.4 s after the limit in the test) and, by 0.15 s at the worst moment, the configuration and withdrawn keys.

The stand-in gains connections that go silent while new ones work.

--- a/crates/masticfall-entry/src/fleet/follow.rs
+++ b/crates/masticfall-entry/src/fleet/follow.rs
@@ -22,13 +22,16 @@
 use super::submissions::Notice;
 use super::{dispatch, evacuation, leadership};
 
-/// Long-poll time of a feed, in milliseconds; the store allows 30 s. A shorter one
-/// detects a dead connection sooner.
-const FEED_WAIT_MS: u64 = 4_000;
+/// Long-poll time of a feed, in milliseconds; the store allows 30 s.
+///
+/// A connection that has gone silent is noticed only when a response is overdue, so the wait and
+/// the read timeout of 1.5 s together stay under the 3 s within which cancellations and leaving
+/// workers have to be respected.
+const FEED_WAIT_MS: u64 = 500;
 
-/// Long-poll time of the operators' feed, which determines the valid keys, in
-/// milliseconds.
-pub const OPERATOR_FEED_WAIT_MS: u64 = 1_500;
+/// Long-poll time of the operators' feed, in milliseconds. It is longer, since all processes
+/// follow that feed and it rarely changes; the limit is the same, for configurations and keys.
+pub const OPERATOR_FEED_WAIT_MS: u64 = 1_000;
 
 /// Maximum time from a change to the response to a request that waits for it, in
 /// milliseconds; the store is slow by up to 240 ms.
@@ -50,16 +53,18 @@
 
 /// Follows the operators' announcements for as long as the process runs.
 pub async fn operators(fleet: Arc<Fleet>) {
+    let mut feed = Feed::new(&fleet, "operators");
     loop {
         let listed = (fleet.platform.operator_list)(()).await;
         fleet.record_store_result(&listed);
         let mut after = match listed {
             Ok((updates, version)) => {
+                feed.record_response(&fleet);
                 apply_operator_updates(&fleet, updates, version);
                 version
             }
             Err(error) => {
-                back_off(&fleet, "operators", &error).await;
+                feed.back_off(&fleet, &error).await;
                 continue;
             }
         };
@@ -69,6 +74,7 @@
             fleet.record_store_result(&followed);
             match followed {
                 Ok(FollowOutcome::Changes(updates, version)) => {
+                    feed.record_response(&fleet);
                     after = after.max(version);
                     apply_operator_updates(&fleet, updates, version);
                 }
@@ -76,15 +82,39 @@
                     tracing::info!(name: "feed.history_gone", feed = "operators", after, "feed history no longer available; listing again");
                     break;
                 }
-                Err(error) => back_off(&fleet, "operators", &error).await,
+                Err(error) => feed.back_off(&fleet, &error).await,
             }
         }
     }
 }
 
-async fn back_off(fleet: &Fleet, feed: &'static str, error: &PlatformError) {
-    tracing::debug!(name: "feed.failed", process = %fleet.incarnation, feed, %error, "feed request failed; retrying");
-    sleep(Duration::from_millis(RETRY_MS)).await;
+/// A feed that this process follows, and for how long it has been silent.
+struct Feed {
+    name: &'static str,
+    responded_ms: u64,
+    has_failed: bool,
+}
+
+impl Feed {
+    fn new(fleet: &Fleet, name: &'static str) -> Self {
+        Self { name, responded_ms: fleet.now_ms(), has_failed: false }
+    }
+
+    fn record_response(&mut self, fleet: &Fleet) {
+        let now_ms = fleet.now_ms();
+        if std::mem::take(&mut self.has_failed) {
+            let silent_ms = now_ms.saturating_sub(self.responded_ms);
+            tracing::info!(name: "feed.recovered", process = %fleet.incarnation, feed = self.name, silent_ms, "feed responds again");
+        }
+        self.responded_ms = now_ms;
+    }
+
+    /// Waits before a failed request is made again.
+    async fn back_off(&mut self, fleet: &Fleet, error: &PlatformError) {
+        self.has_failed = true;
+        tracing::debug!(name: "feed.failed", process = %fleet.incarnation, feed = self.name, %error, "feed request failed; retrying");
+        sleep(Duration::from_millis(RETRY_MS)).await;
+    }
 }
 
 /// Applies updates that state the operators' table up to a version, from its list or its
@@ -191,15 +221,17 @@
 /// Follows the ownership of the cell for as long as the process runs.
 pub async fn ownership(fleet: Arc<Fleet>) {
     let table = super::rows::LEAD_TABLE;
+    let mut feed = Feed::new(&fleet, table);
     loop {
         let mut after = match read_table(&fleet, table).await {
             Ok((rows, version)) => {
+                feed.record_response(&fleet);
                 apply_ownership(&fleet, &rows);
                 version
             }
             Err(error) => {
                 leadership::record_read_failure(&fleet);
-                back_off(&fleet, table, &error).await;
+                feed.back_off(&fleet, &error).await;
                 continue;
             }
         };
@@ -211,6 +243,7 @@
             wait_ms = FEED_WAIT_MS;
             match (fleet.platform.follow)(follow).await {
                 Ok(FollowOutcome::Changes(rows, version)) => {
+                    feed.record_response(&fleet);
                     fleet.record_store_response();
                     after = after.max(version);
                     apply_ownership(&fleet, &rows);
@@ -219,7 +252,7 @@
                 Err(error) => {
                     wait_ms = 0;
                     leadership::record_read_failure(&fleet);
-                    back_off(&fleet, table, &error).await;
+                    feed.back_off(&fleet, &error).await;
                 }
             }
         }
@@ -242,12 +275,14 @@
 
 /// Follows the accepted jobs while this process owns the cell in this epoch.
 pub async fn jobs(fleet: Arc<Fleet>, epoch: u32, mut after: u64) {
+    let mut feed = Feed::new(&fleet, JOBS_TABLE);
     let mut received_ms = fleet.now_ms();
     while fleet.is_owner(epoch) {
         let follow = FollowRequest { table: JOBS_TABLE, after, wait_ms: FEED_WAIT_MS };
         let sent_ms = fleet.now_ms();
         match (fleet.platform.follow)(follow).await {
             Ok(FollowOutcome::Changes(rows, version)) => {
+                feed.record_response(&fleet);
                 after = after.max(version);
                 let max_age_ms = max_row_age_ms(&fleet, received_ms, sent_ms);
                 received_ms = fleet.now_ms();
@@ -258,6 +293,7 @@
             }
             Ok(FollowOutcome::HistoryGone) => match read_jobs(&fleet).await {
                 Ok((rows, version)) => {
+                    feed.record_response(&fleet);
                     after = version;
                     let max_age_ms = max_row_age_ms(&fleet, received_ms, sent_ms);
                     received_ms = fleet.now_ms();
@@ -265,9 +301,9 @@
                         apply_job(&fleet, epoch, row, max_age_ms);
                     }
                 }
-                Err(error) => back_off(&fleet, JOBS_TABLE, &error).await,
+                Err(error) => feed.back_off(&fleet, &error).await,
             },
-            Err(error) => back_off(&fleet, JOBS_TABLE, &error).await,
+            Err(error) => feed.back_off(&fleet, &error).await,
         }
     }
 }
@@ -276,14 +312,18 @@
 /// reported runs of jobs that are not on the board. A job that an earlier owner may have known
 /// is then loaded before its runs are judged.
 pub async fn jobs_while_settling(fleet: Arc<Fleet>, epoch: u32, mut after: u64) {
+    let mut feed = Feed::new(&fleet, JOBS_TABLE);
     loop {
         let waits = fleet.with_board(epoch, |board| (board.is_settling(), board.needs_jobs_read()));
         let Some((true, needs_read)) = waits else { return };
         if needs_read {
             let sent_ms = fleet.now_ms();
             match read_jobs_until_now(&fleet, epoch, &mut after).await {
-                Ok(()) => drop(fleet.update_board(epoch, |board| board.jobs_read(sent_ms))),
-                Err(error) => back_off(&fleet, JOBS_TABLE, &error).await,
+                Ok(()) => {
+                    feed.record_response(&fleet);
+                    fleet.update_board(epoch, |board| board.jobs_read(sent_ms));
+                }
+                Err(error) => feed.back_off(&fleet, &error).await,
             }
         }
         sleep(Duration::from_millis(SETTLING_PAUSE_MS)).await;
@@ -378,14 +418,16 @@
 
 /// Follows the workers while this process owns the cell in this epoch.
 pub async fn workers(fleet: Arc<Fleet>, epoch: u32) {
+    let mut feed = Feed::new(&fleet, "workers");
     while fleet.is_owner(epoch) {
         let mut after = match (fleet.platform.worker_list)(()).await {
             Ok((updates, version)) => {
+                feed.record_response(&fleet);
                 apply_worker_list(&fleet, epoch, updates);
                 version
             }
             Err(error) => {
-                back_off(&fleet, "workers", &error).await;
+                feed.back_off(&fleet, &error).await;
                 continue;
             }
         };
@@ -393,6 +435,7 @@
             let follow = FollowRequest { table: "", after, wait_ms: FEED_WAIT_MS };
             match (fleet.platform.worker_follow)(follow).await {
                 Ok(FollowOutcome::Changes(updates, version)) => {
+                    feed.record_response(&fleet);
                     after = after.max(version);
                     for update in updates {
                         apply_worker(&fleet, epoch, update);
@@ -400,7 +443,7 @@
                     sleep(Duration::from_millis(WORKER_FEED_PAUSE_MS)).await;
                 }
                 Ok(FollowOutcome::HistoryGone) => break,
-                Err(error) => back_off(&fleet, "workers", &error).await,
+                Err(error) => feed.back_off(&fleet, &error).await,
             }
         }
     }
--- a/crates/masticfall-standin/src/fleet.rs
+++ b/crates/masticfall-standin/src/fleet.rs
@@ -138,6 +138,8 @@
     part_free_ms: IndexMap<Name, u64>,
     /// Time that a partition takes for a transaction; 0 for no limit.
     part_write_ms: u64,
+    /// Number of times that the open connections of feeds went silent.
+    feed_silences: u64,
 }
 
 /// The simulated platform, its store and its workers.
@@ -247,6 +249,25 @@
         self.state.lock().part_write_ms = ms;
     }
 
+    /// Lets the connections on which feeds wait go silent for good: these requests get no
+    /// response, while new ones work.
+    pub fn silence_open_feeds(&self) {
+        self.state.lock().feed_silences += 1;
+    }
+
+    /// Sets whether a worker is about to leave, and lists it so.
+    pub fn set_draining(&self, worker: usize, is_draining: bool) {
+        let mut state = self.state.lock();
+        let Some((id, worker)) = state.workers.get_index_mut(worker) else { return };
+        worker.facts.is_draining = is_draining;
+        let id = id.clone();
+        state.version += 1;
+        let version = state.version;
+        state.worker_log.push((version, id));
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
     /// Sets whether a worker is unresponsive and unlisted; its running tasks continue.
     pub fn set_silent(&self, worker: usize, is_unresponsive: bool) {
         let mut state = self.state.lock();
--- a/crates/masticfall-standin/src/fleet/store.rs
+++ b/crates/masticfall-standin/src/fleet/store.rs
@@ -10,7 +10,7 @@
     RowTransaction, WorkerUpdate,
 };
 use masticfall_platform::{Operation, operation_on};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use super::{
     CALL_LATENCY_MS, CALL_TIMEOUT_MS, StoreMode, WRITE_DELAY_MS, World, WorldState, sleep_ms,
@@ -193,14 +193,20 @@
     wait_ms: u64,
     read: impl Fn(&WorldState) -> Vec<T>,
 ) -> Result<(Vec<T>, u64)> {
+    let silences = world.state.lock().feed_silences;
+    let silent_until = Instant::now() + Duration::from_millis(wait_ms + READ_TIMEOUT_MS);
     call_store(world, process).await?;
     let until = Instant::now() + Duration::from_millis(wait_ms);
     loop {
         let notified = world.changed.notified();
-        let (changes, version) = {
+        let (changes, version, is_silent) = {
             let state = world.state.lock();
-            (read(&state), state.version)
+            (read(&state), state.version, state.feed_silences != silences)
         };
+        if is_silent {
+            sleep_until(silent_until).await;
+            return UnavailableSnafu { reason: "the connection is silent" }.fail();
+        }
         if !changes.is_empty() || Instant::now() >= until {
             // If the store failed during the wait, this call fails like a new one.
             call_store(world, process).await?;
