A run has lived only since it is known to have started

Cause: the time for which a run is known to be alive was counted from its first start order. If that order gets no answer and a repeated one starts the run, the run seems older than it is: 0.1 s after its start it "outlived" the crash before, which was dropped. Each crash then stood alone, so that the task never became a suspect for good.

Change: a placement knows by when its run had started, from the first answer that confirms the order or the first report that shows the run. The time alive, a lower bound, counts from there; the age at a crash, an upper bound, counts from the first order as before, since any of the orders may have been carried out.

Tests: fleet_crashes, `deadly_task_is_given_up_although_orders_of_its_starts_ were_lost` (the lost orders belong to the second start, the first two, the second and third, or all), and `run_of_a_repeated_order_outlives_the_crash_ before`.

--- a/crates/masticfall-core/src/fleet/board/job.rs
+++ b/crates/masticfall-core/src/fleet/board/job.rs
@@ -35,10 +35,11 @@
     pub order: OrderState,
     /// Whether an earlier start order of this run had an unknown outcome.
     pub had_unknown_outcome: bool,
-    /// When its start was first ordered; `None` if an earlier owner ordered it.
+    /// When its start was first ordered; `None` if an earlier owner ordered it. It may have
+    /// started at any time from then on: an order without an answer may be carried out late.
     pub ordered_ms: Option<u64>,
-    /// When a report first showed it.
-    pub first_seen_ms: Option<u64>,
+    /// By when it had started: when the order was confirmed, or a report first showed it.
+    pub started_by_ms: Option<u64>,
     /// Time for which it is known to have been alive, in milliseconds.
     pub alive_ms: u64,
     /// Start time of the worker's incarnation, in milliseconds since the Unix epoch, if known.
@@ -422,7 +423,7 @@
             order: OrderState::Unstored,
             had_unknown_outcome: false,
             ordered_ms: None,
-            first_seen_ms: None,
+            started_by_ms: None,
             alive_ms: 0,
             born_wall_ms: None,
             stop_sent_ms: None,
@@ -435,8 +436,8 @@
     /// Records that a report shows the run, of the worker's incarnation that started at
     /// `born_wall_ms`.
     pub fn record_alive(&mut self, born_wall_ms: u64, now_ms: u64) {
-        let first_seen_ms = *self.first_seen_ms.get_or_insert(now_ms);
-        self.alive_ms = now_ms.saturating_sub(self.ordered_ms.unwrap_or(first_seen_ms));
+        let started_by_ms = *self.started_by_ms.get_or_insert(now_ms);
+        self.alive_ms = now_ms.saturating_sub(started_by_ms);
         self.born_wall_ms = Some(born_wall_ms);
     }
 
--- a/crates/masticfall-core/src/fleet/board/near/views.rs
+++ b/crates/masticfall-core/src/fleet/board/near/views.rs
@@ -25,7 +25,7 @@
         if spec.is_long_running {
             return None;
         }
-        let begun_ms = run.ordered_ms.or(run.first_seen_ms).unwrap_or(now_ms);
+        let begun_ms = run.ordered_ms.or(run.started_by_ms).unwrap_or(now_ms);
         let age_ms = now_ms.saturating_sub(begun_ms);
         // Progress counts from the checkpoint that a run resumed from.
         let has_progress = run.ordered_ms.is_some() && task.checkpoint.is_none();
--- a/crates/masticfall-core/src/fleet/board/results.rs
+++ b/crates/masticfall-core/src/fleet/board/results.rs
@@ -31,6 +31,7 @@
         match outcome {
             StartOutcome::Started => {
                 run.order = OrderState::Settled(now_ms);
+                run.started_by_ms.get_or_insert(now_ms);
                 self.mark_running(&key.job);
                 return;
             }
--- a/crates/masticfall-core/tests/suite/fleet_crashes.rs
+++ b/crates/masticfall-core/tests/suite/fleet_crashes.rs
@@ -1,9 +1,9 @@
 //! Which tasks are suspected of crashing their workers, and which are given up.
 
-use masticfall_core::fleet::board::Notice;
+use masticfall_core::fleet::board::{Notice, Order};
 use masticfall_core::fleet::crashes::{Company, Crash, Verdict, judge};
 use masticfall_core::fleet::progress::{JobPhase, TaskStage};
-use masticfall_core::fleet::report::{RunEnd, WorkerReport};
+use masticfall_core::fleet::report::{RunEnd, StartOutcome, WorkerReport};
 use masticfall_core::prelude::*;
 use rstest::rstest;
 
@@ -268,3 +268,76 @@
     let reason = rig.ended[&JobId::from(JOB)].reason.clone().expect("a reason");
     assert!(reason.len() < 200 && reason.contains("and 142 more"), "{reason}");
 }
+
+/// Time that an order waits for its answer, in milliseconds.
+const ORDER_TIMEOUT_MS: u64 = 700;
+
+/// Places tasks, and lets the next start order time out.
+fn time_out_order(rig: &mut Rig) {
+    rig.board.place(rig.now_ms);
+    rig.store();
+    let orders = rig.board.take_orders();
+    let start = orders.iter().find_map(|order| match order {
+        Order::Start(start) => Some(start),
+        Order::Stop(_) | Order::Pace(_) => None,
+    });
+    let start = start.expect("a start order");
+    rig.advance(ORDER_TIMEOUT_MS);
+    let (task, attempt, now_ms) = (&start.task, start.attempt, rig.now_ms);
+    rig.board.start_result(&start.worker, task, attempt, StartOutcome::Unknown, now_ms);
+}
+
+/// Lets the worker of the last start crash 400 ms after it; a report shows the run before.
+fn crash_after_start(rig: &mut Rig) {
+    let worker = rig.started.last().expect("a start").worker.clone();
+    rig.advance(300);
+    rig.poll(&worker);
+    rig.advance(100);
+    lose_worker(rig, &worker);
+}
+
+/// Guards against a deadly task that crashes worker after worker: the life of a run counted
+/// from an order that was not carried out, so that it seemed to outlive the crashes before.
+#[rstest]
+#[case::second_start(&[1])]
+#[case::first_two_starts(&[0, 1])]
+#[case::second_and_third_start(&[1, 2])]
+#[case::every_start(&[0, 1, 2])]
+fn deadly_task_is_given_up_although_orders_of_its_starts_were_lost(#[case] lost: &[usize]) {
+    let mut rig = Rig::new(WORKERS);
+    rig.submit(JOB, vec![step(1, 1)]);
+    for start in 0..3 {
+        if lost.contains(&start) {
+            time_out_order(&mut rig);
+            rig.advance(300);
+            time_out_order(&mut rig);
+            rig.advance(300);
+        }
+        rig.settle();
+        assert_eq!(rig.started.len(), start + 1);
+        crash_after_start(&mut rig);
+    }
+    rig.settle();
+    assert_eq!(rig.started.len(), 3, "not started after the third crash");
+    assert_eq!(rig.ended[&JobId::from(JOB)].phase, JobPhase::Failed);
+}
+
+/// Guards against a task that stays a suspect for good: a run that was started by a repeated
+/// order outlives the crash before from the time on at which a report shows it.
+#[test]
+fn run_of_a_repeated_order_outlives_the_crash_before() {
+    let mut rig = Rig::new(WORKERS);
+    rig.submit(JOB, vec![step(1, 1)]);
+    rig.settle();
+    crash_after_start(&mut rig);
+    time_out_order(&mut rig);
+    // The order is carried out now, and its answer is lost again.
+    let id = JobId::from(JOB);
+    let (task, worker) = rig.board.jobs[&id].placements(&id).remove(0);
+    rig.run(&worker, &task, 2);
+    rig.poll(&worker);
+    assert_eq!(verdict(&rig, JOB), Verdict::Watched, "0.7 s after the order, seen just now");
+    rig.advance(600);
+    rig.poll(&worker);
+    assert_eq!(verdict(&rig, JOB), Verdict::Clear);
+}
