--- a/crates/masticfall-entry/src/fleet/follow.rs
+++ b/crates/masticfall-entry/src/fleet/follow.rs
@@ -69,7 +69,8 @@
             }
         };
         loop {
-            let follow = FollowRequest { table: "", after, wait_ms: OPERATOR_FEED_WAIT_MS };
+            let wait_ms = feed.wait_ms(OPERATOR_FEED_WAIT_MS);
+            let follow = FollowRequest { table: "", after, wait_ms };
             let followed = (fleet.platform.operator_follow)(follow).await;
             fleet.record_store_result(&followed);
             match followed {
@@ -109,6 +110,12 @@
         self.responded_ms = now_ms;
     }
 
+    /// Returns the long-poll time of the next request: none after a failure, so that the
+    /// recovery is noticed even if nothing has changed.
+    fn wait_ms(&self, usual_ms: u64) -> u64 {
+        if self.has_failed { 0 } else { usual_ms }
+    }
+
     /// Waits before a failed request is made again.
     async fn back_off(&mut self, fleet: &Fleet, error: &PlatformError) {
         self.has_failed = true;
@@ -235,12 +242,8 @@
                 continue;
             }
         };
-        // No long poll after a failure, so that the store's recovery is noticed even
-        // if nothing has changed.
-        let mut wait_ms = FEED_WAIT_MS;
         loop {
-            let follow = FollowRequest { table, after, wait_ms };
-            wait_ms = FEED_WAIT_MS;
+            let follow = FollowRequest { table, after, wait_ms: feed.wait_ms(FEED_WAIT_MS) };
             match (fleet.platform.follow)(follow).await {
                 Ok(FollowOutcome::Changes(rows, version)) => {
                     feed.record_response(&fleet);
@@ -250,7 +253,6 @@
                 }
                 Ok(FollowOutcome::HistoryGone) => break,
                 Err(error) => {
-                    wait_ms = 0;
                     leadership::record_read_failure(&fleet);
                     feed.back_off(&fleet, &error).await;
                 }
@@ -278,7 +280,8 @@
     let mut feed = Feed::new(&fleet, JOBS_TABLE);
     let mut received_ms = fleet.now_ms();
     while fleet.is_owner(epoch) {
-        let follow = FollowRequest { table: JOBS_TABLE, after, wait_ms: FEED_WAIT_MS };
+        let wait_ms = feed.wait_ms(FEED_WAIT_MS);
+        let follow = FollowRequest { table: JOBS_TABLE, after, wait_ms };
         let sent_ms = fleet.now_ms();
         match (fleet.platform.follow)(follow).await {
             Ok(FollowOutcome::Changes(rows, version)) => {
@@ -432,7 +435,8 @@
             }
         };
         while fleet.is_owner(epoch) {
-            let follow = FollowRequest { table: "", after, wait_ms: FEED_WAIT_MS };
+            let wait_ms = feed.wait_ms(FEED_WAIT_MS);
+            let follow = FollowRequest { table: "", after, wait_ms };
             match (fleet.platform.worker_follow)(follow).await {
                 Ok(FollowOutcome::Changes(updates, version)) => {
                     feed.record_response(&fleet);
