An odd entry among the workers' no longer stops the owner or its pool

Tried with a real process, 28 odd entries by the list and 28 by the feed.

What callers would see: an entry with much processor and little memory, at an address where nobody answers, made the backlog of its pool 760,000,000 s instead of 15.2 s, so that all its jobs were refused. With the largest numbers of their type the sums of the pool round overflowed: in a build with overflow checks the owner stepped down, twice in 14 s, and the next one would have; the released program goes on with wrapped sums.

Cause: figures of an entry were taken as they are, and the size of a pool's workers was that of the largest one listed, whether it had answered or not.

The size of a pool's workers is that of the largest one that has answered. The log of pools compares its figures with zero without adding them.

Excluded: nesting, ports above 65,535, wrong types and unreadable bytes were rejected one by one before; jobs with such figures are invalid already.

--- a/crates/masticfall-core/src/fleet/board/demand.rs
+++ b/crates/masticfall-core/src/fleet/board/demand.rs
@@ -89,10 +89,12 @@
         }
     }
 
-    /// Returns the capacity of each pool's largest worker.
+    /// Returns the capacity of each pool's largest worker, of those that have answered: an
+    /// entry in the list may name a worker that isn't there.
     pub(super) fn worker_sizes(&self) -> IndexMap<PoolName, Resources> {
         let mut sizes: IndexMap<PoolName, Resources> = IndexMap::new();
-        for worker in self.workers.values().filter(|worker| worker.is_listed) {
+        let listed = self.workers.values().filter(|worker| worker.is_listed);
+        for worker in listed.filter(|worker| worker.clock.is_some()) {
             let size = sizes.entry(worker.facts.pool.clone()).or_default();
             if worker.facts.capacity.cpu_millis > size.cpu_millis {
                 *size = worker.facts.capacity;
--- a/crates/masticfall-core/tests/suite/fleet_hostile.rs
+++ b/crates/masticfall-core/tests/suite/fleet_hostile.rs
@@ -4,11 +4,12 @@
 use masticfall_core::fleet::board::Now;
 use masticfall_core::fleet::pools::PoolPlanner;
 use masticfall_core::fleet::spec::{JobSpec, Resources, SpecError, StepSpec};
+use masticfall_core::fleet::worker::WorkerFacts;
 use masticfall_core::prelude::*;
 use proptest::prelude::*;
 use rstest::rstest;
 
-use crate::fleet_rig::{Rig, config, now, queue, record, step};
+use crate::fleet_rig::{Rig, config, facts, now, queue, record, step};
 
 /// Figures as callers send them: mostly plain ones, some at the ends of the range.
 fn figure() -> impl Strategy<Value = u64> {
@@ -136,3 +137,23 @@
         assert_eq!(rig.board.jobs[&id].occurrences.len(), begun, "at {at_ms} ms");
     }
 }
+
+/// Guards against an entry that names no worker: its figures made the backlog of its pool look
+/// endless, so that jobs were refused.
+#[test]
+fn entry_of_a_worker_that_never_answers_changes_no_backlog() {
+    let backlog_ms = |has_odd_entry: bool| {
+        let mut rig = Rig::new(&[("w1", 8), ("w2", 8)]);
+        if has_odd_entry {
+            let capacity = Resources { cpu_millis: 4_000_000_000, memory_mib: 1, accelerators: 0 };
+            rig.board.list_worker(WorkerFacts { capacity, ..facts("odd", 8) });
+        }
+        rig.submit("00000000000000f3", vec![step(40, 8)]);
+        rig.settle();
+        rig.advance(100);
+        rig.board.load_by_pool(rig.now_ms)[&PoolName::from("p")].backlog_ms
+    };
+    let expected_ms = backlog_ms(false);
+    assert!(expected_ms > 0);
+    assert_eq!(backlog_ms(true), expected_ms);
+}
--- a/crates/masticfall-entry/src/fleet/machines.rs
+++ b/crates/masticfall-entry/src/fleet/machines.rs
@@ -136,7 +136,7 @@
             (millis(demand.placed), millis(demand.long_running));
         let (waiting_millis, offered_millis) = (millis(demand.waiting), millis(demand.offered));
         let workers = demand.min_workers;
-        if placed_millis + waiting_millis + offered_millis > 0 {
+        if placed_millis.max(waiting_millis).max(offered_millis) > 0 {
             tracing::info!(name: "pool.demand", epoch, %pool, wanted_millis, held_millis, empty_instances, placed_millis, lasting_millis = long_running_millis, waiting_millis, offered_millis, workers, "pool demand and capacity");
         }
     }
--- a/crates/masticfalld/tests/suite/main.rs
+++ b/crates/masticfalld/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod answers;
 mod edge;
 mod fleet;
+mod odd_entries;
 mod orders;
 mod settings;
 mod shutdown;
