A member whose gang is done is done, whatever became of its run

Cause: when one member's end was read, the members that waited were completed. One that was still placed, and was lost afterwards, returned to waiting. Gangs are started as a whole, so it was never started again, and the step was never completed.

Change: the end of a member's run counts as done if its gang is done, in the one function through which all ends go. An owner that loads a job which an earlier version left so completes it. The job of a completed gang is not given up for a crash under one of its members.

Tests: fleet_gangs. Six cases (worker restarted, silent or replaced, under one owner or after a takeover) failed before: 2 starts for 3.

--- a/crates/masticfall-core/src/fleet/board.rs
+++ b/crates/masticfall-core/src/fleet/board.rs
@@ -254,6 +254,10 @@
         let due_in_ms = job.due_ms as i64 - now.steady_ms as i64;
         self.notices.push(Notice::JobLoaded { job: id.clone(), due_in_ms });
         self.needs_placement = true;
+        for key in self.jobs[id].waiting_members_of_done_gangs(id) {
+            self.complete_task(&key, now.steady_ms);
+            self.dirty.insert(id.clone());
+        }
         if self.jobs[id].phase.is_final() {
             self.stop_placements(id, StopReason::Cancelled, now.steady_ms);
             self.dirty.insert(id.clone());
--- a/crates/masticfall-core/src/fleet/board/crash.rs
+++ b/crates/masticfall-core/src/fleet/board/crash.rs
@@ -2,7 +2,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::{Board, DropReason, Notice, OrderState, Placement, StopReason, Task};
+use super::{Board, DropReason, Notice, OrderState, Placement, StopReason, Task, TaskState};
 use crate::fleet::crashes::{Company, Crash, LossCause, Verdict};
 use crate::fleet::progress::JobPhase;
 use crate::fleet::report::RunEnd;
@@ -180,9 +180,9 @@
         let Some(job) = self.jobs.get_mut(&key.job).filter(|job| !job.phase.is_final()) else {
             return;
         };
-        let Some(task) = job.task(key).filter(|task| task.verdict() == Verdict::GivenUp) else {
-            return;
-        };
+        let is_given_up =
+            |task: &&Task| task.verdict() == Verdict::GivenUp && *task.state() != TaskState::Done;
+        let Some(task) = job.task(key).filter(is_given_up) else { return };
         let workers: Vec<&str> = task.crashes.iter().map(|crash| crash.worker.as_str()).collect();
         let crashes = workers.len();
         // Tasks of one job run together while they are suspects.
--- a/crates/masticfall-core/src/fleet/board/job.rs
+++ b/crates/masticfall-core/src/fleet/board/job.rs
@@ -322,6 +322,25 @@
         true
     }
 
+    /// Returns whether a task belongs to a gang that is completed: one completed member stands
+    /// for all, whatever became of the runs of the others.
+    pub fn is_gang_done(&self, key: &TaskKey) -> bool {
+        self.record.spec.steps[key.step as usize].is_gang
+            && self.occurrences.contains_key(&key.occurrence)
+            && self.step(key).counts().done > 0
+    }
+
+    /// Returns the waiting members of gangs that are completed.
+    pub(super) fn waiting_members_of_done_gangs(&self, id: &JobId) -> Vec<TaskKey> {
+        let mut waiting = Vec::new();
+        self.for_each_task(id, |key, task| {
+            if task.state == TaskState::Waiting && self.is_gang_done(&key) {
+                waiting.push(key);
+            }
+        });
+        waiting
+    }
+
     /// Returns whether all occurrences are completed.
     pub fn is_done(&self) -> bool {
         self.occurrences_done.len() == self.record.spec.occurrences() as usize
--- a/crates/masticfall-core/src/fleet/board/reports.rs
+++ b/crates/masticfall-core/src/fleet/board/reports.rs
@@ -178,6 +178,8 @@
     ) {
         let age_ms = self.run_age_ms(key, now_ms);
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        // The run of a member ended with its gang, even if its own end was never read.
+        let end = if job.is_gang_done(key) { RunEnd::Done } else { end };
         let Some(task) = job.task_mut(key) else { return };
         let attempt = task.attempt;
         if checkpoint.is_some() {
@@ -215,7 +217,7 @@
         }
     }
 
-    fn complete_task(&mut self, key: &TaskKey, now_ms: u64) {
+    pub(super) fn complete_task(&mut self, key: &TaskKey, now_ms: u64) {
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let is_long_running = job.record.spec.steps[key.step as usize].is_long_running;
         if is_long_running || job.phase.is_final() {
--- a/crates/masticfall-core/tests/suite/main.rs
+++ b/crates/masticfall-core/tests/suite/main.rs
@@ -12,6 +12,7 @@
 mod fleet_early_rules;
 mod fleet_early_world;
 mod fleet_evacuation;
+mod fleet_gangs;
 mod fleet_hostile;
 mod fleet_leases;
 mod fleet_locality;
