A start order counts as refused only if its repetition was refused too

Cause: a start order without an answer after 150 ms is sent again. The refusal of the first one was taken for the outcome of both, although the second one was carried out, and the task was started elsewhere.

Change: an answer that says that the run is or was there, or that a later owner exists, holds at once. A refusal waits for the other order's answer; with no answer to one of them the outcome is unknown.

Tests: fleet_hedge, four new cases. Two failed before: Unhealthy for Started and NoRoom for Unknown.

--- a/crates/masticfall-entry/src/fleet/dispatch.rs
+++ b/crates/masticfall-entry/src/fleet/dispatch.rs
@@ -264,8 +264,8 @@
             outcome
         })
     };
-    let accepts = hedge::Accepts { first: Result::is_ok, second: Result::is_ok };
-    hedge::hedged(relay::poll(fleet, target, call), delay, second, &accepts).await
+    let reports = hedge::Hedge { is_final: Result::is_ok, combine: |first, _| first };
+    hedge::hedged(relay::poll(fleet, target, call), delay, second, &reports).await
 }
 
 async fn send_stop(fleet: Arc<Fleet>, epoch: u32, order: StopOrder) {
--- a/crates/masticfall-entry/src/fleet/hedge.rs
+++ b/crates/masticfall-entry/src/fleet/hedge.rs
@@ -11,38 +11,40 @@
 use masticfall_core::fleet::report::StartOutcome;
 use tokio::time::sleep;
 
-/// Which answers to the two calls are used; an answer that is not used waits for the other.
+/// How the answers to the two calls are combined.
 #[derive(Debug)]
-pub struct Accepts<T> {
-    /// Whether the first call's answer is used.
-    pub first: fn(&T) -> bool,
-    /// Whether the second call's answer is used while the first has none.
-    pub second: fn(&T) -> bool,
+pub struct Hedge<T> {
+    /// Whether an answer holds whatever becomes of the other call.
+    pub is_final: fn(&T) -> bool,
+    /// Combines the answers to the first and the second call if neither is final.
+    pub combine: fn(T, T) -> T,
 }
 
-/// Returns which outcomes of start orders are used.
+/// Returns how the outcomes of a start order and its repetition are combined.
 ///
-/// A refusal of the second order says nothing about the first one, which may still be
-/// carried out.
-pub fn start_outcomes() -> Accepts<StartOutcome> {
-    Accepts {
-        first: |outcome| *outcome != StartOutcome::Unknown,
-        second: |outcome| {
+/// A refusal of one says nothing about the other, which may have been or may yet be carried
+/// out: the run has not started only if both were refused.
+pub fn start_outcomes() -> Hedge<StartOutcome> {
+    Hedge {
+        is_final: |outcome| {
             matches!(
                 outcome,
                 StartOutcome::Started | StartOutcome::Superseded | StartOutcome::Fenced
             )
         },
+        combine: |first, second| {
+            if second == StartOutcome::Unknown { second } else { first }
+        },
     }
 }
 
-/// Returns the result of `first`, or that of `second`, which is made if `first` has no
-/// answer after `delay`; the first call's result if neither is accepted.
+/// Returns the answer to `first`, which is called again as `second` if it has no answer after
+/// `delay`; then the first answer that is final, or both combined.
 pub async fn hedged<T, F: Future<Output = T>>(
     first: impl Future<Output = T>,
     delay: Duration,
     second: impl FnOnce() -> Option<F>,
-    accepts: &Accepts<T>,
+    hedge: &Hedge<T>,
 ) -> T {
     let mut first = pin!(first);
     tokio::select! {
@@ -52,20 +54,26 @@
     }
     let Some(second) = second() else { return first.await };
     let mut second = pin!(second);
-    tokio::select! {
+    let (first, second) = tokio::select! {
         biased;
         answer = &mut first => {
-            if (accepts.first)(&answer) {
+            if (hedge.is_final)(&answer) {
                 return answer;
             }
-            let other = second.await;
-            if (accepts.second)(&other) { other } else { answer }
+            (answer, second.await)
         }
         other = &mut second => {
-            if (accepts.second)(&other) {
+            if (hedge.is_final)(&other) {
                 return other;
             }
-            first.await
+            (first.await, other)
         }
+    };
+    if (hedge.is_final)(&first) {
+        first
+    } else if (hedge.is_final)(&second) {
+        second
+    } else {
+        (hedge.combine)(first, second)
     }
 }
--- a/crates/masticfall-entry/tests/suite/fleet_hedge.rs
+++ b/crates/masticfall-entry/tests/suite/fleet_hedge.rs
@@ -25,8 +25,8 @@
     outcome
 }
 
-/// A refusal of the second order must not hide that the first one may still be carried out,
-/// or its task would be started elsewhere as well.
+/// A refusal of one order must not hide that the other one was or may still be carried out, or
+/// its task would be started elsewhere as well.
 #[rstest]
 #[case::first_answers_in_time((StartOutcome::Started, 5), (StartOutcome::NoRoom, 5), StartOutcome::Started, 5)]
 #[case::second_starts((StartOutcome::Unknown, CALL_TIMEOUT_MS), (StartOutcome::Started, 5), StartOutcome::Started, 155)]
@@ -34,6 +34,10 @@
 #[case::both_are_refused((StartOutcome::NoRoom, 200), (StartOutcome::NoRoom, 5), StartOutcome::NoRoom, 200)]
 #[case::first_is_slow((StartOutcome::Started, 300), (StartOutcome::NoRoom, 5), StartOutcome::Started, 300)]
 #[case::neither_answers((StartOutcome::Unknown, CALL_TIMEOUT_MS), (StartOutcome::Unknown, CALL_TIMEOUT_MS), StartOutcome::Unknown, 850)]
+#[case::first_is_refused_and_second_starts((StartOutcome::Unhealthy, 200), (StartOutcome::Started, 200), StartOutcome::Started, 350)]
+#[case::first_is_refused_and_second_starts_at_once((StartOutcome::Unhealthy, 200), (StartOutcome::Started, 5), StartOutcome::Started, 155)]
+#[case::first_is_refused_and_second_unanswered((StartOutcome::NoRoom, 200), (StartOutcome::Unknown, CALL_TIMEOUT_MS), StartOutcome::Unknown, 850)]
+#[case::second_is_refused_first((StartOutcome::NoRoom, 400), (StartOutcome::Unhealthy, 5), StartOutcome::NoRoom, 400)]
 #[case::a_later_owner((StartOutcome::Unknown, CALL_TIMEOUT_MS), (StartOutcome::Fenced, 5), StartOutcome::Fenced, 155)]
 #[tokio::test(start_paused = true)]
 async fn outcome_of_a_start_is_never_better_known_than_it_is(
@@ -44,9 +48,9 @@
 ) {
     let begun = Instant::now();
     let delay = Duration::from_millis(HEDGE_MS);
-    let accepts = start_outcomes();
+    let outcomes = start_outcomes();
     let outcome =
-        hedged(answer(first.0, first.1), delay, || Some(answer(second.0, second.1)), &accepts);
+        hedged(answer(first.0, first.1), delay, || Some(answer(second.0, second.1)), &outcomes);
     assert_eq!(outcome.await, expected);
     assert_eq!(begun.elapsed().as_millis() as u64, expected_ms);
 }
