A crash under a run that is not known to have started counts for less

Cause: a start order without an answer was sent to a worker that crashed under another task. The crash counted against the ordered run as one at its start, since the age of a run counts from its order, although nothing showed that the run had begun. `has_started` was also true after an accepted stop.

Change: a run has started if an answer or a report says so. Two crashes at the start give a task up only if both runs are known to have started. A crash before the answer counts if the run was alone, from the third crash on.

Related paths: the count of all crashes (five, or four early ones) stays, so that a task which crashes its workers before they answer is given up too.

Tests: fleet_crashes::verdict_follows_the_evidence, new cases; three failed before (given up for isolated).

--- a/crates/masticfall-core/src/fleet/board/crash.rs
+++ b/crates/masticfall-core/src/fleet/board/crash.rs
@@ -151,8 +151,7 @@
         let age_ms = self.run_age_ms(key, now_ms);
         let Some(run) = self.run(key) else { return };
         let (born_wall_ms, alive_ms) = (run.born_wall_ms, run.alive_ms);
-        let has_started =
-            run.started_by_ms.is_some() || matches!(run.order, OrderState::Settled(at) if at > 0);
+        let has_started = run.started_by_ms.is_some();
         let worker = id.clone();
         let crash =
             Crash { worker, born_wall_ms, age_ms, alive_ms, has_started, company, is_shared };
--- a/crates/masticfall-core/src/fleet/board/reports.rs
+++ b/crates/masticfall-core/src/fleet/board/reports.rs
@@ -370,6 +370,7 @@
         task.attempt = task.attempt.max(run.attempt);
         let mut placement = Placement::new(id, run.attempt);
         placement.order = OrderState::Settled(now_ms);
+        placement.started_by_ms = Some(now_ms);
         placement.percent = run.percent;
         job.set_state(&run.task, TaskState::Placed(placement));
         self.add_usage(&run.task, id);
--- a/crates/masticfall-core/src/fleet/crashes.rs
+++ b/crates/masticfall-core/src/fleet/crashes.rs
@@ -10,6 +10,9 @@
 //! 3. It is given up once it has lost another worker on which no other job can be the
 //!    cause, at an age that its earlier runs haven't outlived and without other workers of
 //!    the rack; or too many workers altogether.
+//!
+//! An order without an answer may have come after the crash, so a run that isn't known to have
+//! started counts for less: only if it was alone, and only from the third crash on.
 
 use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
@@ -75,7 +78,7 @@
     /// Time for which the run is known to have been alive, in milliseconds.
     pub alive_ms: u64,
     /// Whether the run is known to have started: an order without an answer may have
-    /// been sent after the crash.
+    /// been sent after the crash, or never been carried out.
     pub has_started: bool,
     /// What else ran there.
     pub company: Company,
@@ -89,6 +92,12 @@
         self.age_ms.is_some_and(|age_ms| age_ms <= START_WINDOW_MS)
     }
 
+    /// Returns whether the run may be the cause: it is known to have started, or its order got no
+    /// answer and nothing else was there that could have crashed the worker.
+    fn is_attributable(&self) -> bool {
+        self.has_started || (self.is_at_start() && self.company == Company::Alone)
+    }
+
     /// Returns whether one cause that strikes at a certain age can explain both crashes.
     fn is_consistent_with(&self, other: &Self) -> bool {
         let may_be = |age_ms: Option<u64>, alive_ms| age_ms.is_none_or(|age_ms| alive_ms <= age_ms);
@@ -143,10 +152,12 @@
     let early = crashes.iter().filter(|crash| crash.is_at_start() || crash.age_ms.is_none());
     let has_too_many = early.count() >= MAX_CRASHES_AT_START || crashes.len() >= MAX_CRASHES;
     let is_repeated = !last.is_shared && crashes.iter().all(|crash| crash.is_consistent_with(last));
+    let is_known = |crash: &Crash| crash.is_at_start() && crash.has_started;
+    let known_at_start = crashes.iter().filter(|crash| is_known(crash)).count();
     let is_start_to_blame =
-        last.is_at_start() && at_start > 1 && last.company != Company::Unsettled;
-    let started = crashes.iter().filter(|crash| crash.has_started || crash.is_at_start());
-    let is_only_cause = started.count() > 2 && last.company == Company::Alone;
+        is_known(last) && known_at_start > 1 && last.company != Company::Unsettled;
+    let attributable = crashes.iter().filter(|crash| crash.is_attributable());
+    let is_only_cause = attributable.count() > 2 && last.company == Company::Alone;
     if is_repeated && (is_start_to_blame || is_only_cause) || has_too_many {
         return Verdict::GivenUp;
     }
--- a/crates/masticfall-core/tests/suite/fleet_crashes.rs
+++ b/crates/masticfall-core/tests/suite/fleet_crashes.rs
@@ -70,6 +70,18 @@
 #[case::orders_without_answers(
     vec![unanswered(late(Company::Alone)), late(Company::Alone), late(Company::Alone)],
     Verdict::Isolated)]
+#[case::orders_that_may_have_come_after_the_crash(
+    vec![unanswered(early(Company::Settled)), early(Company::Settled)], Verdict::Isolated)]
+#[case::last_order_may_have_come_after_the_crash(
+    vec![early(Company::Settled), unanswered(early(Company::Settled))], Verdict::Isolated)]
+#[case::second_real_crash(
+    vec![early(Company::Settled), unanswered(early(Company::Settled)), early(Company::Settled)],
+    Verdict::GivenUp)]
+#[case::two_crashes_before_the_answer(
+    vec![unanswered(early(Company::Alone)), unanswered(early(Company::Alone))],
+    Verdict::Isolated)]
+#[case::three_crashes_before_the_answer(
+    vec![unanswered(early(Company::Alone)); 3], Verdict::GivenUp)]
 #[case::too_many_at_the_start(vec![early(Company::Unsettled); 4], Verdict::GivenUp)]
 #[case::too_many(vec![late(Company::Unsettled); 5], Verdict::GivenUp)]
 #[test]
