Compare failures with the limit again when a queue returns

Cause: failures are compared with the limit of the queue at the moment of a failure. While the queue is out of the configuration the limit is unknown, and nothing compared them when it was back.

Change: a new configuration, or the load of a job with progress, makes the next pass compare the failures of all tasks that would be started. Runs in progress are left to their end.

Related paths: a takeover while the queue is out (second case).

Tests: fleet_attempts. Two cases failed before: 3 starts for 2.

--- a/crates/masticfall-core/src/fleet/board.rs
+++ b/crates/masticfall-core/src/fleet/board.rs
@@ -172,6 +172,8 @@
     orders: Vec<Order>,
     notices: Vec<Notice>,
     needs_placement: bool,
+    /// Whether jobs were loaded, or the limits on failures changed, since the last pass.
+    needs_failure_check: bool,
     locality: near::Locality,
     /// Number of workers evaluated for tasks since the board was created.
     evaluated_candidates: std::cell::Cell<u64>,
@@ -218,6 +220,7 @@
             orders: Vec::new(),
             notices: Vec::new(),
             needs_placement: false,
+            needs_failure_check: false,
             locality: near::Locality::default(),
             evaluated_candidates: std::cell::Cell::new(0),
         }
@@ -228,6 +231,7 @@
         if self.config.as_ref().is_none_or(|current| current.version < config.version) {
             self.config = Some(config);
             self.needs_placement = true;
+            self.needs_failure_check = true;
         }
     }
 
@@ -243,6 +247,7 @@
                 self.track_unlisted_worker(worker, *address);
             }
             job.restore(&progress, now.steady_ms);
+            self.needs_failure_check = true;
         }
         let placements = job.placements(id);
         self.jobs.insert(id.clone(), job);
--- a/crates/masticfall-core/src/fleet/board/job.rs
+++ b/crates/masticfall-core/src/fleet/board/job.rs
@@ -103,6 +103,15 @@
         self.verdict().is_suspect() && run.alive_ms < trial_ms(&self.crashes)
     }
 
+    /// Returns whether it waits to be placed or for its start to be ordered.
+    fn is_to_be_started(&self) -> bool {
+        match &self.state {
+            TaskState::Waiting => true,
+            TaskState::Placed(run) => run.order == OrderState::Unstored,
+            TaskState::Done => false,
+        }
+    }
+
     /// Returns the current run.
     pub fn run_mut(&mut self) -> Option<&mut Placement> {
         match &mut self.state {
@@ -341,6 +350,19 @@
         waiting
     }
 
+    /// Returns a task that would be started after it has failed `max_attempts` times, and how
+    /// often it has; long-running tasks have no such limit.
+    pub(super) fn exhausted_task(&self, id: &JobId, max_attempts: u32) -> Option<(TaskKey, u32)> {
+        let mut exhausted = None;
+        self.for_each_task(id, |key, task| {
+            let is_limited = !self.record.spec.steps[key.step as usize].is_long_running;
+            if is_limited && task.failures >= max_attempts && task.is_to_be_started() {
+                exhausted.get_or_insert((key, task.failures));
+            }
+        });
+        exhausted
+    }
+
     /// Returns whether all occurrences are completed.
     pub fn is_done(&self) -> bool {
         self.occurrences_done.len() == self.record.spec.occurrences() as usize
--- a/crates/masticfall-core/src/fleet/board/place.rs
+++ b/crates/masticfall-core/src/fleet/board/place.rs
@@ -77,6 +77,10 @@
             return;
         }
         let Some(config) = self.config.clone() else { return };
+        if std::mem::take(&mut self.needs_failure_check) {
+            let loaded = self.jobs.keys().cloned().collect();
+            self.fail_exhausted(loaded, now_ms);
+        }
         self.begin_near_pass();
         let mut pools: IndexMap<PoolName, Vec<(Rank, JobId)>> = IndexMap::new();
         for (id, job) in self.jobs.iter().filter(|(_, job)| job.has_ready_tasks()) {
--- a/crates/masticfall-core/src/fleet/board/reports.rs
+++ b/crates/masticfall-core/src/fleet/board/reports.rs
@@ -195,7 +195,9 @@
         } else {
             let task = key.clone();
             self.notices.push(Notice::RunEnded { task, attempt, worker, end, is_inferred, age_ms });
-            self.count_failure(key, end, now_ms);
+            if end == RunEnd::Failed {
+                self.fail_exhausted(vec![key.job.clone()], now_ms);
+            }
         }
     }
 
@@ -230,20 +232,25 @@
         }
     }
 
-    fn count_failure(&mut self, key: &TaskKey, end: RunEnd, now_ms: u64) {
-        let Some(job) = self.jobs.get_mut(&key.job) else { return };
-        let step = &job.record.spec.steps[key.step as usize];
-        let is_counted = end == RunEnd::Failed && !step.is_long_running && !job.phase.is_final();
-        let queue = self.config.as_ref().and_then(|config| config.queues.get(&job.record.queue));
-        let Some(queue) = queue.filter(|_| is_counted) else { return };
-        let failures = match job.task(key) {
-            Some(task) => task.failures,
-            None => return,
-        };
-        if failures >= queue.max_attempts {
+    /// Fails those jobs of which a task has failed as often as its queue allows.
+    ///
+    /// The limit is unknown while the configuration doesn't have the queue, and may be another
+    /// one when it has it again.
+    pub(super) fn fail_exhausted(&mut self, ids: Vec<JobId>, now_ms: u64) {
+        for id in ids {
+            let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.phase.is_final()) else {
+                continue;
+            };
+            let config = self.config.as_ref();
+            let Some(queue) = config.and_then(|config| config.queues.get(&job.record.queue)) else {
+                continue;
+            };
+            let Some((key, failures)) = job.exhausted_task(&id, queue.max_attempts) else {
+                continue;
+            };
             job.phase = JobPhase::Failed;
             job.reason = Some(format!("task {} failed {failures} times", key.in_job()).into());
-            self.finish(&key.job, StopReason::JobFailed, now_ms);
+            self.finish(&id, StopReason::JobFailed, now_ms);
         }
     }
 
--- a/crates/masticfall-core/tests/suite/main.rs
+++ b/crates/masticfall-core/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod config_review;
 mod errors;
 mod escrow;
+mod fleet_attempts;
 mod fleet_capacity;
 mod fleet_counts;
 mod fleet_crashes;
