A restarted worker gets no tasks by the labels of its former life

Cause: entries and reports carry the start of the incarnation that wrote them; the one of the entry was compared with nothing.

Change: a worker whose entry is older than the incarnation that reports gets no tasks until its new entry is there. A placement decided for the former life and not yet ordered is withdrawn, a gang's as a whole.

Tests: fleet_leases, two new ones; both failed before.

--- a/crates/masticfall-core/src/fleet/board/store.rs
+++ b/crates/masticfall-core/src/fleet/board/store.rs
@@ -168,6 +168,16 @@
         }
     }
 
+    /// Returns whether the worker of a placed task has restarted since the placement, maybe as
+    /// another kind.
+    fn has_restarted_since(&self, key: &TaskKey) -> bool {
+        self.run(key).is_some_and(|run| {
+            let worker = self.workers.get(&run.worker);
+            run.born_wall_ms.is_some()
+                && worker.is_some_and(|worker| worker.born_wall_ms != run.born_wall_ms)
+        })
+    }
+
     /// Issues the start order of a placed task, for the first time or again.
     pub(super) fn order_start(&mut self, key: &TaskKey, attempt: u32, now_ms: u64) {
         let lease_ms = self.timings.lease_ms;
@@ -180,7 +190,8 @@
         let is_gang = self.is_gang(key);
         let is_too_large = self.is_overcommitted(&worker_id) && !(is_unsent && is_gang);
         let is_evacuated = self.is_evacuated(&worker_id);
-        let is_unfit = is_too_large || is_evacuated;
+        let is_outdated = is_unsent && self.has_restarted_since(key);
+        let is_unfit = is_too_large || is_evacuated || is_outdated;
         let Some(lease_deadline_ms) = lease.filter(|_| !is_final && !is_unfit) else {
             if is_unsent {
                 self.requeue(key, None);
--- a/crates/masticfall-core/src/fleet/worker.rs
+++ b/crates/masticfall-core/src/fleet/worker.rs
@@ -201,9 +201,18 @@
         self.facts.capacity.minus(&self.used)
     }
 
+    /// Returns whether its listed properties are those of an incarnation before the one that
+    /// reports: a worker may restart as another kind under its identifier.
+    fn has_outdated_facts(&self) -> bool {
+        // Some platforms list workers without the start of their incarnation.
+        self.facts.born_wall_ms > 0
+            && self.born_wall_ms.is_some_and(|born_wall_ms| self.facts.born_wall_ms < born_wall_ms)
+    }
+
     /// Returns whether tasks may be placed on it.
     pub fn is_schedulable(&self, now_ms: u64) -> bool {
         self.is_listed
+            && !self.has_outdated_facts()
             && !self.facts.is_draining
             && !self.is_cordoned
             && !self.is_evacuated
--- a/crates/masticfall-core/tests/suite/fleet_leases.rs
+++ b/crates/masticfall-core/tests/suite/fleet_leases.rs
@@ -1,8 +1,9 @@
 //! Leases of workers that stop answering or drain.
 
 use masticfall_core::fleet::board::Order;
-use masticfall_core::fleet::report::RunEnd;
+use masticfall_core::fleet::report::{RunEnd, WorkerReport};
 use masticfall_core::fleet::spec::StepSpec;
+use masticfall_core::fleet::worker::WorkerFacts;
 use masticfall_core::prelude::*;
 
 use crate::fleet_rig::{LEASE_MS, Rig, facts, step};
@@ -133,3 +134,45 @@
     rig.board.poll_unanswered(&worker);
     assert_eq!(ack_cursor(&mut rig), 0, "its relay was lost");
 }
+
+/// Lets a worker restart under its identifier; its entry still describes its former life.
+fn restart(rig: &mut Rig, id: &str, born_wall_ms: u64) {
+    rig.advance(50);
+    let now_ms = rig.now_ms;
+    let report = WorkerReport { clock_ms: now_ms, born_wall_ms, ..WorkerReport::default() };
+    rig.board.report(&id.into(), now_ms, report, now_ms);
+}
+
+/// Guards against tasks that are started by the labels of a worker's former life: its report
+/// comes before its new entry.
+#[test]
+fn restarted_worker_gets_tasks_by_its_new_labels_only() {
+    let mut rig = Rig::new(&[("w1", 8)]);
+    restart(&mut rig, "w1", 6);
+    let labelled = StepSpec { required_label: Some("kind".into()), ..step(1, 1) };
+    rig.submit(JOB, vec![labelled]);
+    rig.settle();
+    assert!(rig.started.is_empty(), "its kind isn't known");
+    let labels = vec!["other".into(), "rack-w1".into()];
+    rig.board.list_worker(WorkerFacts { born_wall_ms: 6, labels, ..facts("w1", 8) });
+    rig.settle();
+    assert!(rig.started.is_empty(), "it is of another kind");
+    rig.submit("00000000000000cd", vec![step(1, 1)]);
+    rig.settle();
+    assert_eq!(rig.started.len(), 1, "it is in use");
+}
+
+/// Guards against an order that was decided for a worker's former life and goes to the new one.
+#[test]
+fn placement_on_a_worker_that_restarts_before_the_order_is_withdrawn() {
+    let mut rig = Rig::new(&[("w1", 8)]);
+    rig.submit(JOB, vec![step(1, 1)]);
+    rig.board.place(rig.now_ms);
+    restart(&mut rig, "w1", 6);
+    rig.store();
+    rig.execute_orders();
+    assert!(rig.started.is_empty());
+    rig.board.list_worker(WorkerFacts { born_wall_ms: 6, ..facts("w1", 8) });
+    rig.settle();
+    assert_eq!(rig.started.len(), 1);
+}
--- a/crates/masticfall-soak/src/play.rs
+++ b/crates/masticfall-soak/src/play.rs
@@ -54,6 +54,9 @@
 /// milliseconds: covers consecutive lapses of 6 s leases and the tasks themselves.
 const COMPLETION_TIMEOUT_MS: u64 = 45_000;
 
+/// Interval at which workers that have restarted write their entries, in milliseconds.
+const REGISTER_INTERVAL_MS: u64 = 200;
+
 /// One job in this many has a task that crashes each worker that starts it.
 const JOBS_PER_CRASHING_JOB: u64 = 23;
 
@@ -134,6 +137,7 @@
         return Ok(report);
     }
     let clients = tokio::spawn(Arc::clone(&testbed).submit_jobs(plan.seed, plan.length_ms));
+    let registrations = tokio::spawn(Arc::clone(&testbed).register_restarted());
     let world = Arc::clone(&testbed.world);
     let evacuations = tokio::spawn(evacuate::play(world, plan.seed, plan.length_ms));
     report.faults = testbed.inject(plan).await?;
@@ -141,6 +145,7 @@
     // A panic here is a fault of the soak itself.
     clients.await.map_err(io::Error::other)?;
     testbed.wait_completed().await;
+    registrations.abort();
     report.faults.extend(evacuations.await.map_err(io::Error::other)?);
     report.violations.extend(evacuate::violations(&testbed.world));
     testbed.check(&mut report);
@@ -196,6 +201,25 @@
         })
     }
 
+    /// Writes the entries of workers that have restarted, as these do themselves, for as long as
+    /// it runs.
+    async fn register_restarted(self: Arc<Self>) {
+        let mut listed: Vec<u64> =
+            self.world.worker_facts().iter().map(|facts| facts.born_wall_ms).collect();
+        loop {
+            sleep(Duration::from_millis(REGISTER_INTERVAL_MS)).await;
+            let workers = self.world.worker_facts();
+            for ((facts, link), listed) in workers.iter().zip(&self.worker_links).zip(&mut listed) {
+                // The store may not take the entry now.
+                if facts.born_wall_ms != *listed
+                    && write_worker_row(&self.world, facts, Some(link.address)).await.is_ok()
+                {
+                    *listed = facts.born_wall_ms;
+                }
+            }
+        }
+    }
+
     fn client<'a>(&'a self, key: &'a str) -> Client<'a> {
         Client { http_client: &self.http_client, key, timeout_ms: CALL_TIMEOUT_MS }
     }
