Members of a gang resume from one checkpoint

Members whose last checkpoints were read at different times resumed from different points.

Change: when a gang is placed, all members get the latest checkpoint that this owner has learned of; after a takeover, the one of a stored member.

Test: fleet_gangs::members_resume_from_the_latest_checkpoint_of_any, failed before (each its own).

--- a/crates/masticfall-core/src/fleet/board/job.rs
+++ b/crates/masticfall-core/src/fleet/board/job.rs
@@ -76,6 +76,8 @@
     pub failures: u32,
     /// Checkpoint to resume from.
     pub checkpoint: Option<Name>,
+    /// When this owner learned of the checkpoint, by the local clock.
+    checkpoint_ms: u64,
     /// Time before which it isn't placed again.
     pub not_before_ms: u64,
     /// Workers on which it failed.
@@ -103,6 +105,14 @@
         self.verdict().is_suspect() && run.alive_ms < trial_ms(&self.crashes)
     }
 
+    /// Remembers a reported checkpoint, if there is one.
+    pub(super) fn save_checkpoint(&mut self, checkpoint: Option<Name>, now_ms: u64) {
+        if checkpoint.is_some() && checkpoint != self.checkpoint {
+            self.checkpoint = checkpoint;
+            self.checkpoint_ms = now_ms;
+        }
+    }
+
     /// Returns whether it waits to be placed or for its start to be ordered.
     fn is_to_be_started(&self) -> bool {
         match &self.state {
@@ -250,6 +260,7 @@
                 attempt: 0,
                 failures: 0,
                 checkpoint: None,
+                checkpoint_ms: 0,
                 not_before_ms: 0,
                 failed_on: Vec::new(),
                 crashes: Vec::new(),
@@ -363,6 +374,20 @@
         exhausted
     }
 
+    /// Gives all members of a gang the latest of their checkpoints: they resume from the same
+    /// one, and any member's is valid for all.
+    pub(super) fn share_checkpoint(&mut self, member: &TaskKey) {
+        let Some(occurrence) = self.occurrences.get_mut(&member.occurrence) else { return };
+        let tasks = &mut occurrence.steps[member.step as usize].tasks;
+        let saved = tasks.iter().filter(|task| task.checkpoint.is_some());
+        let Some(latest) = saved.max_by_key(|task| task.checkpoint_ms) else { return };
+        let (checkpoint, checkpoint_ms) = (latest.checkpoint.clone(), latest.checkpoint_ms);
+        for task in tasks {
+            task.checkpoint.clone_from(&checkpoint);
+            task.checkpoint_ms = checkpoint_ms;
+        }
+    }
+
     /// Returns whether all occurrences are completed.
     pub fn is_done(&self) -> bool {
         self.occurrences_done.len() == self.record.spec.occurrences() as usize
--- a/crates/masticfall-core/src/fleet/board/place.rs
+++ b/crates/masticfall-core/src/fleet/board/place.rs
@@ -240,6 +240,12 @@
             self.book_near(key, &worker);
             chosen.push(worker);
         }
+        if is_gang
+            && let Some(member) = keys.first()
+            && let Some(job) = self.jobs.get_mut(&member.job)
+        {
+            job.share_checkpoint(member);
+        }
         chosen
     }
 
--- a/crates/masticfall-core/src/fleet/board/reports.rs
+++ b/crates/masticfall-core/src/fleet/board/reports.rs
@@ -182,9 +182,7 @@
         let end = if job.is_gang_done(key) { RunEnd::Done } else { end };
         let Some(task) = job.task_mut(key) else { return };
         let attempt = task.attempt;
-        if checkpoint.is_some() {
-            task.checkpoint = checkpoint;
-        }
+        task.save_checkpoint(checkpoint, now_ms);
         if end == RunEnd::Failed {
             task.failures += 1;
         }
@@ -299,9 +297,7 @@
             let is_stop_overdue = run
                 .stop_sent_ms
                 .is_some_and(|sent| now_ms > sent + self.timings.stop_grace_ms + STOP_RETRY_MS);
-            if reported.checkpoint.is_some() {
-                task.checkpoint = reported.checkpoint;
-            }
+            task.save_checkpoint(reported.checkpoint, now_ms);
             let job = &self.jobs[&key.job];
             if is_stop_overdue || (job.phase.is_final() && !is_stopping(job.task(&key))) {
                 self.stop(&key, StopReason::Cancelled, now_ms);
--- a/crates/masticfall-core/tests/suite/fleet_gangs.rs
+++ b/crates/masticfall-core/tests/suite/fleet_gangs.rs
@@ -117,3 +117,25 @@
     let starts: Vec<u32> = rig.started.iter().map(|start| start.attempt).collect();
     assert_eq!(starts, [1, 1, 2, 2], "both members, with one attempt number");
 }
+
+/// Guards against members that resume from different points: each was started with its own
+/// checkpoint.
+#[test]
+fn members_resume_from_the_latest_checkpoint_of_any() {
+    let mut rig = Rig::new(WORKERS);
+    let second = start_gang(&mut rig);
+    for (index, checkpoint) in [(0, "older"), (1, "latest")] {
+        let task = &rig.started.iter().find(|start| start.task.index == index).expect("a member");
+        let worker = task.worker.clone();
+        rig.workers[&worker].running[0].checkpoint = Some(checkpoint.into());
+        rig.advance(100);
+        rig.poll(&worker);
+    }
+    lose(&mut rig, &second, Loss::Restart);
+    rig.end(&format!("{JOB}.0.0.0"), RunEnd::Broken);
+    rig.advance(100);
+    rig.poll_all();
+    rig.settle();
+    let resumed: Vec<_> = rig.started[2..].iter().map(|start| start.checkpoint.clone()).collect();
+    assert_eq!(resumed, [Some("latest".into()), Some("latest".into())]);
+}
