--- a/crates/masticfall-core/src/fleet/board/stored.rs
+++ b/crates/masticfall-core/src/fleet/board/stored.rs
@@ -4,7 +4,8 @@
 
 use indexmap::IndexMap;
 
-use super::job::{Job, Placement, TaskState};
+use super::Placement;
+use super::job::{Job, TaskState};
 use crate::fleet::progress::{
     CrashTable, ProgressRow, RowSize, TaskRow, TaskStage, WIDE_JOB_TASKS, max_placed_bytes,
 };
--- a/crates/masticfall-soak/src/lib.rs
+++ b/crates/masticfall-soak/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod play;
 pub mod process;
 pub mod proxy;
+pub mod register;
--- a/crates/masticfall-soak/src/main.rs
+++ b/crates/masticfall-soak/src/main.rs
@@ -6,7 +6,8 @@
 
 use clap::{Arg, Command, value_parser};
 use indexmap::IndexSet;
-use masticfall_soak::play::{Plan, Report, run_plan, seed_folder};
+use masticfall_soak::play::{Plan, Report, run_plan};
+use masticfall_soak::process::seed_folder;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Semaphore;
 
--- a/crates/masticfall-soak/src/play.rs
+++ b/crates/masticfall-soak/src/play.rs
@@ -1,7 +1,7 @@
 //! Runs one seed: a fault schedule, a load of jobs, and the checks.
 
 use std::io;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,7 +26,8 @@
 use crate::evacuate;
 use crate::load::{random_spec, restart_plan};
 use crate::process::Process;
-use crate::proxy::{LinkMode, Proxy};
+use crate::proxy::{LinkMode, Proxy, silence_one};
+use crate::register::keep_entries;
 
 /// Number of simulated workers.
 const WORKERS: usize = 6;
@@ -54,8 +55,8 @@
 /// milliseconds: covers consecutive lapses of 6 s leases and the tasks themselves.
 const COMPLETION_TIMEOUT_MS: u64 = 45_000;
 
-/// Interval at which workers that have restarted write their entries, in milliseconds.
-const REGISTER_INTERVAL_MS: u64 = 200;
+/// Probability that open connections of a link go silent, in each step of the fault schedule.
+const SILENCE_PROBABILITY: f64 = 0.15;
 
 /// One job in this many has a task that crashes each worker that starts it.
 const JOBS_PER_CRASHING_JOB: u64 = 23;
@@ -137,7 +138,9 @@
         return Ok(report);
     }
     let clients = tokio::spawn(Arc::clone(&testbed).submit_jobs(plan.seed, plan.length_ms));
-    let registrations = tokio::spawn(Arc::clone(&testbed).register_restarted());
+    let addresses = testbed.worker_links.iter().map(|link| link.address).collect();
+    let entries = keep_entries(Arc::clone(&testbed.world), addresses);
+    let registrations = tokio::spawn(entries);
     let world = Arc::clone(&testbed.world);
     let evacuations = tokio::spawn(evacuate::play(world, plan.seed, plan.length_ms));
     report.faults = testbed.inject(plan).await?;
@@ -201,25 +204,6 @@
         })
     }
 
-    /// Writes the entries of workers that have restarted, as these do themselves, for as long as
-    /// it runs.
-    async fn register_restarted(self: Arc<Self>) {
-        let mut listed: Vec<u64> =
-            self.world.worker_facts().iter().map(|facts| facts.born_wall_ms).collect();
-        loop {
-            sleep(Duration::from_millis(REGISTER_INTERVAL_MS)).await;
-            let workers = self.world.worker_facts();
-            for ((facts, link), listed) in workers.iter().zip(&self.worker_links).zip(&mut listed) {
-                // The store may not take the entry now.
-                if facts.born_wall_ms != *listed
-                    && write_worker_row(&self.world, facts, Some(link.address)).await.is_ok()
-                {
-                    *listed = facts.born_wall_ms;
-                }
-            }
-        }
-    }
-
     fn client<'a>(&'a self, key: &'a str) -> Client<'a> {
         Client { http_client: &self.http_client, key, timeout_ms: CALL_TIMEOUT_MS }
     }
@@ -292,6 +276,7 @@
         let mut random = StdRng::seed_from_u64(plan.seed);
         // Of their own, so that the other faults of kept seeds stay as they were.
         let mut crash_random = StdRng::seed_from_u64(plan.seed ^ 0xc4a5);
+        let mut silence_random = StdRng::seed_from_u64(plan.seed ^ 0x51e7);
         let started = Instant::now();
         let mut version = 1;
         let mut faults = Vec::new();
@@ -306,6 +291,10 @@
                 let fault = format!("worker {worker} crashed");
                 faults.push((started.elapsed().as_millis() as u64, fault));
             }
+            if silence_random.random_bool(SILENCE_PROBABILITY) {
+                let fault = silence_one(&self.store_links, &self.worker_links, &mut silence_random);
+                faults.push((started.elapsed().as_millis() as u64, fault));
+            }
             self.check_withdrawn_key().await;
         }
         Ok(faults)
@@ -508,16 +497,3 @@
         report.refused = observed.refused.len();
     }
 }
-
-/// Creates an empty folder for a seed and returns its path.
-///
-/// # Errors
-/// The system's error.
-pub fn seed_folder(parent: &Path, seed: u64) -> io::Result<PathBuf> {
-    let folder = parent.join(format!("seed-{seed}"));
-    if folder.exists() {
-        std::fs::remove_dir_all(&folder)?;
-    }
-    std::fs::create_dir_all(&folder)?;
-    Ok(folder)
-}
--- a/crates/masticfall-soak/src/process.rs
+++ b/crates/masticfall-soak/src/process.rs
@@ -108,6 +108,19 @@
     }
 }
 
+/// Creates an empty folder for a seed and returns its path.
+///
+/// # Errors
+/// The system's error.
+pub fn seed_folder(parent: &Path, seed: u64) -> io::Result<PathBuf> {
+    let folder = parent.join(format!("seed-{seed}"));
+    if folder.exists() {
+        fs::remove_dir_all(&folder)?;
+    }
+    fs::create_dir_all(&folder)?;
+    Ok(folder)
+}
+
 /// Returns a loopback address with an unused port.
 ///
 /// Each port is assigned only once. It lies below the ephemeral port range, since
--- a/crates/masticfall-soak/src/proxy.rs
+++ b/crates/masticfall-soak/src/proxy.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rand::Rng;
+use rand::rngs::StdRng;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -36,6 +38,8 @@
     /// Address on which the proxy listens.
     pub address: SocketAddr,
     mode: watch::Sender<LinkMode>,
+    /// Number of times that the open connections went silent.
+    silences: watch::Sender<u64>,
     accept_task: JoinHandle<()>,
 }
 
@@ -48,12 +52,14 @@
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
         let (mode, mode_receiver) = watch::channel(LinkMode::Open);
+        let (silences, silence_receiver) = watch::channel(0);
         let accept_task = tokio::spawn(async move {
             while let Ok((client, _)) = listener.accept().await {
-                tokio::spawn(forward_connection(client, server, mode_receiver.clone()));
+                let silences = silence_receiver.clone();
+                tokio::spawn(forward_connection(client, server, mode_receiver.clone(), silences));
             }
         });
-        Ok(Self { address, mode, accept_task })
+        Ok(Self { address, mode, silences, accept_task })
     }
 
     /// Returns the current mode.
@@ -65,6 +71,25 @@
     pub fn set(&self, mode: LinkMode) {
         self.mode.send_replace(mode);
     }
+
+    /// Lets the open connections go silent for good: they stay open and deliver nothing, while
+    /// new ones work.
+    pub fn silence_open(&self) {
+        self.silences.send_modify(|count| *count += 1);
+    }
+}
+
+/// Lets the open connections of one link go silent; returns which one.
+pub fn silence_one(store_links: &[Proxy], worker_links: &[Proxy], random: &mut StdRng) -> String {
+    let goes_to_store = random.random_bool(0.5);
+    let links = if goes_to_store { store_links } else { worker_links };
+    let index = random.random_range(0..links.len());
+    links[index].silence_open();
+    if goes_to_store {
+        format!("open connections from p{index} to the store went silent")
+    } else {
+        format!("open connections to worker {index} went silent")
+    }
 }
 
 impl Drop for Proxy {
@@ -78,7 +103,10 @@
     client: TcpStream,
     server: SocketAddr,
     mut mode: watch::Receiver<LinkMode>,
+    silences: watch::Receiver<u64>,
 ) {
+    let silences_before = *silences.borrow();
+    let is_silent = || *silences.borrow() != silences_before;
     if *mode.borrow() == LinkMode::Reset {
         return;
     }
@@ -86,8 +114,10 @@
     let (client_in, client_out) = client.into_split();
     let (server_in, server_out) = server.into_split();
     let (mode_to_server, mode_to_client) = (mode.clone(), mode.clone());
-    let drops_to_server = |mode| matches!(mode, LinkMode::DropToServer | LinkMode::Blackhole);
-    let drops_to_client = |mode| matches!(mode, LinkMode::DropToClient | LinkMode::Blackhole);
+    let drops_to_server =
+        |mode| is_silent() || matches!(mode, LinkMode::DropToServer | LinkMode::Blackhole);
+    let drops_to_client =
+        |mode| is_silent() || matches!(mode, LinkMode::DropToClient | LinkMode::Blackhole);
     tokio::select! {
         () = forward(client_in, server_out, mode_to_server, drops_to_server) => {}
         () = forward(server_in, client_out, mode_to_client, drops_to_client) => {}
--- a/crates/masticfall-soak/tests/suite/proxy.rs
+++ b/crates/masticfall-soak/tests/suite/proxy.rs
@@ -55,3 +55,17 @@
     let mut stream = TcpStream::connect(proxy.address).await.expect("connected");
     assert!(is_echoed(&mut stream).await);
 }
+
+#[tokio::test]
+async fn silence_applies_to_open_connections_only() {
+    let proxy = start_echo_proxy().await;
+    let mut open = TcpStream::connect(proxy.address).await.expect("connected");
+    assert!(is_echoed(&mut open).await);
+    proxy.silence_open();
+    assert!(!is_echoed(&mut open).await);
+    let mut new = TcpStream::connect(proxy.address).await.expect("connected");
+    assert!(is_echoed(&mut new).await);
+    assert!(!is_echoed(&mut open).await, "it stays silent");
+    proxy.silence_open();
+    assert!(!is_echoed(&mut new).await);
+}
