--- a/crates/masticfalld/tests/suite/odd_entries.rs
+++ b/crates/masticfalld/tests/suite/odd_entries.rs
@@ -39,7 +39,7 @@
         "state": "ready", "cold_remaining_ms": 0, "seq": 1, "born": 1,
         "capacity": { "cpu": 8_000, "mem_mb": 64_000, "gpu": 0 }, "labels": ["kind", "r0"],
     });
-    // The values are no JSON that a decoder would keep as they are.
+    // Inserted as text, since some values are not valid JSON.
     entry[field] = json!("VALUE");
     entry.to_string().replace("\"VALUE\"", value).into_bytes()
 }
