Logs lead from a task that ran twice to the cause

Cause: of two runs of one task, ordered by successive owners, the logs don't tell why the second owner took the first run for ended. The line of an expired lease names neither the bound nor where it came from, nothing says how the previous owner had left or what was under way when it stepped down, and a placement names one worker and no attempt.

Change, without one of a decision: notices carry the runs placed (task, attempt, worker), the cause of an end, and the bound on a worker's leases with its source and the age of its inputs. New lines, one a takeover: the claim as the store confirmed it, announcements found and repeated. New lines, one a decision: announcements made, runs adopted, workers with unknown runs given up, outcomes after the end of an ownership. The line of a step-down has the calls without an outcome, and for how long ownership was unconfirmed when the last lease was given; notices that waited on the board are logged before it. Two metrics, `expired_runs` by bound and `predecessors` by how they left.

Volume on a deployment isn't measured.

--- a/crates/masticfall-core/src/fleet/board.rs
+++ b/crates/masticfall-core/src/fleet/board.rs
@@ -10,6 +10,7 @@
 mod demand;
 mod early;
 mod evacuation;
+mod evidence;
 mod job;
 mod near;
 mod notice;
@@ -30,8 +31,9 @@
 use indexmap::{IndexMap, IndexSet};
 
 pub use evacuation::EvacuationLoad;
+pub use evidence::{EarlierLeases, OpenCalls};
 pub use job::{Job, Occurrence, Step, Task, TaskCounts, TaskState};
-pub use notice::{DropReason, Notice, StopReason};
+pub use notice::{DropReason, EndCause, LeaseFacts, Notice, RunRef, StopReason};
 pub use permits::AdviceRequest;
 pub use placement::{OrderState, Placement};
 pub use reports::PollRequest;
@@ -133,6 +135,8 @@
     /// Configuration in force.
     pub config: Option<Arc<FleetConfig>>,
     timings: BoardTimings,
+    /// When this ownership began.
+    begun_ms: u64,
     /// Time until which runs may end because of stop orders of the previous owner.
     previous_stops_until_ms: u64,
     /// Time until which leases of the previous owner may be valid, and tasks
@@ -193,6 +197,7 @@
             account_usage: IndexMap::new(),
             config: None,
             timings,
+            begun_ms: now_ms,
             previous_stops_until_ms: if epoch > 1 {
                 now_ms + timings.stop_grace_ms + FIRST_CONTACT_MS
             } else {
--- a/crates/masticfall-core/src/fleet/board/crash.rs
+++ b/crates/masticfall-core/src/fleet/board/crash.rs
@@ -2,7 +2,9 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::{Board, DropReason, Notice, OrderState, Placement, StopReason, Task, TaskState};
+use super::{
+    Board, DropReason, EndCause, Notice, OrderState, Placement, StopReason, Task, TaskState,
+};
 use crate::fleet::crashes::{Company, Crash, LossCause, Verdict};
 use crate::fleet::progress::JobPhase;
 use crate::fleet::report::RunEnd;
@@ -44,7 +46,7 @@
         let ordered: Vec<TaskKey> = keys.iter().filter(is_ordered).cloned().collect();
         self.record_loss(id, &ordered, cause, now_ms);
         for key in keys {
-            self.end_run(&key, RunEnd::Lapsed, None, true, now_ms);
+            self.end_run(&key, RunEnd::Lapsed, None, cause.into(), now_ms);
         }
         for key in ordered {
             self.apply_verdict(&key, now_ms);
@@ -65,7 +67,7 @@
         let all: Vec<TaskKey> = lost.iter().chain(unclear).cloned().collect();
         self.record_loss(id, &all, LossCause::Restarted, now_ms);
         for key in lost {
-            self.end_run(&key, RunEnd::Lapsed, None, true, now_ms);
+            self.end_run(&key, RunEnd::Lapsed, None, EndCause::Restarted, now_ms);
         }
         for key in unclear {
             let run = self.jobs.get_mut(&key.job).and_then(|job| job.task_mut(key));
@@ -94,6 +96,7 @@
             cause,
             silent_ms: silent_since_ms.map_or(0, |since_ms| now_ms.saturating_sub(since_ms)),
             is_leaving,
+            leases: self.lease_facts(id, now_ms),
             tasks: keys.to_vec(),
         });
         if is_leaving {
--- a/crates/masticfall-core/src/fleet/board/notice.rs
+++ b/crates/masticfall-core/src/fleet/board/notice.rs
@@ -5,6 +5,7 @@
 use crate::fleet::progress::JobPhase;
 use crate::fleet::report::{RunEnd, StartOutcome};
 use crate::fleet::spec::TaskKey;
+use crate::fleet::worker::{AppliedAnnouncement, LeaseBound};
 use crate::id::{JobId, Name, WorkerId};
 
 /// Why a run is stopped.
@@ -33,6 +34,73 @@
     Outlived,
 }
 
+/// How an owner learned that a run has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum EndCause {
+    /// The worker reported the end.
+    Reported,
+    /// A complete report shows neither the run nor its end.
+    Absent,
+    /// The leases of the unresponsive worker had expired.
+    LeaseExpired,
+    /// The worker reports a later start under the same identifier.
+    Restarted,
+    /// Another worker answers at its address.
+    Replaced,
+    /// The worker is one that this owner never saw, and its leases had expired.
+    Unlisted,
+}
+
+impl EndCause {
+    /// Returns whether the end was inferred instead of reported by the worker.
+    pub fn is_inferred(self) -> bool {
+        self != Self::Reported
+    }
+}
+
+impl From<LossCause> for EndCause {
+    fn from(cause: LossCause) -> Self {
+        match cause {
+            LossCause::LeaseExpired => Self::LeaseExpired,
+            LossCause::Restarted => Self::Restarted,
+            LossCause::Replaced => Self::Replaced,
+            LossCause::Unlisted => Self::Unlisted,
+        }
+    }
+}
+
+/// A run of a task on a worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunRef {
+    /// The task.
+    pub task: TaskKey,
+    /// Attempt number.
+    pub attempt: u32,
+    /// The worker.
+    pub worker: WorkerId,
+}
+
+/// What an owner knows of the leases of a worker at a moment.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LeaseFacts {
+    /// The bound on them.
+    pub bound: LeaseBound,
+    /// Time since the bound passed, in milliseconds; negative if it has yet to pass.
+    pub since_bound_ms: i64,
+    /// Time since this owner took over, in milliseconds.
+    pub since_takeover_ms: u64,
+    /// Time since the worker last answered this owner, which is also the age of the reading of
+    /// its clock, in milliseconds; `None` if it never did.
+    pub since_answer_ms: Option<u64>,
+    /// Time since this owner last gave it a lease, in milliseconds; `None` if it never did.
+    pub since_lease_ms: Option<u64>,
+    /// Announcement of the previous owner that was applied, if any.
+    pub announcement: Option<AppliedAnnouncement>,
+    /// Time since it was applied, in milliseconds.
+    pub since_announcement_ms: Option<u64>,
+}
+
 /// A decision or a change of state, to be logged.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Notice {
@@ -47,10 +115,8 @@
     Placed {
         /// The job.
         job: JobId,
-        /// Number of tasks placed in this pass.
-        tasks: u32,
-        /// Worker of the last of them.
-        worker: WorkerId,
+        /// Runs placed in this pass.
+        runs: Vec<RunRef>,
         /// Whether the job is too late to meet its objective.
         is_late: bool,
         /// Version of the configuration used.
@@ -68,6 +134,10 @@
         worker: WorkerId,
         /// How the order ended.
         outcome: StartOutcome,
+        /// Whether the task may be placed again, since the order counts as refused.
+        is_requeued: bool,
+        /// Whether an earlier order of the run had an unknown outcome.
+        was_in_doubt: bool,
     },
     /// A run ended without completing its task.
     RunEnded {
@@ -79,9 +149,8 @@
         worker: WorkerId,
         /// How it ended.
         end: RunEnd,
-        /// Whether the end was inferred, from an expired lease or the run's
-        /// absence from a report, instead of reported by the worker.
-        is_inferred: bool,
+        /// How the owner learned of it.
+        cause: EndCause,
         /// Time from its start order to its end, or to the worker's last answer if the
         /// worker was lost, in milliseconds; `None` if an earlier owner ordered it.
         age_ms: Option<u64>,
@@ -142,9 +211,31 @@
         silent_ms: u64,
         /// Whether it was about to leave.
         is_leaving: bool,
+        /// What is known of its leases.
+        leases: LeaseFacts,
         /// Tasks whose runs were ordered there.
         tasks: Vec<TaskKey>,
     },
+    /// Runs that a worker reports became the current ones of their tasks.
+    RunsAdopted {
+        /// The worker.
+        worker: WorkerId,
+        /// The runs.
+        runs: Vec<RunRef>,
+    },
+    /// Unresponsive workers are announced to the next owner from now on.
+    Announced {
+        /// The workers, with the time in milliseconds until their leases have expired.
+        workers: Vec<(WorkerId, u64)>,
+    },
+    /// A worker that may run tasks unknown to the store counts as running none, since its
+    /// leases have expired.
+    UnsettledExpired {
+        /// The worker.
+        worker: WorkerId,
+        /// What is known of its leases.
+        leases: LeaseFacts,
+    },
     /// A crash of a worker counts against a task.
     CrashCounted {
         /// The task.
--- a/crates/masticfall-core/src/fleet/board/place.rs
+++ b/crates/masticfall-core/src/fleet/board/place.rs
@@ -139,8 +139,7 @@
         unplaceable: &mut Unplaceable,
         now_ms: u64,
     ) {
-        let mut placed = 0;
-        let mut last = None;
+        let mut runs = Vec::new();
         for (occurrence, step) in ready_steps(&self.jobs[id]) {
             if unplaceable.covers(&self.jobs[id].record.spec.steps[step as usize]) {
                 continue;
@@ -155,24 +154,16 @@
             if chosen.len() < keys.len() {
                 self.request_permits(&keys[chosen.len()..], workers, config);
             }
-            placed += chosen.len() as u32;
-            last = chosen.into_iter().next_back().or(last);
+            runs.extend(self.run_refs(&keys));
         }
-        if let Some(worker) = last {
+        if !runs.is_empty() {
             self.dirty.insert(id.clone());
             self.urgent.insert(id.clone());
             let config_version = config.version;
             let job = id.clone();
             let is_late = rank.class == SchedulingClass::Late;
             let near = self.take_near_outcome();
-            self.notices.push(Notice::Placed {
-                job,
-                tasks: placed,
-                worker,
-                is_late,
-                config_version,
-                near,
-            });
+            self.notices.push(Notice::Placed { job, runs, is_late, config_version, near });
         }
     }
 
--- a/crates/masticfall-core/src/fleet/board/reports.rs
+++ b/crates/masticfall-core/src/fleet/board/reports.rs
@@ -3,11 +3,13 @@
 use indexmap::IndexMap;
 
 use super::settle::ReportUse;
-use super::{Board, Notice, Order, OrderState, Placement, StopOrder, StopReason, TaskState};
+use super::{
+    Board, EndCause, Notice, Order, OrderState, Placement, RunRef, StopOrder, StopReason, TaskState,
+};
 use crate::fleet::progress::JobPhase;
 use crate::fleet::report::{ActiveRun, EndedRun, RunEnd, WorkerReport};
 use crate::fleet::spec::TaskKey;
-use crate::fleet::worker::ClockReading;
+use crate::fleet::worker::{AppliedAnnouncement, ClockReading, OpenPoll};
 use crate::id::{JobId, Name, WorkerId};
 
 /// Time after the stop grace period before a stop order is sent again to a worker
@@ -47,6 +49,8 @@
         let is_unsettled = self.is_unsettled(id);
         let worker = self.workers.get_mut(id)?;
         let lease_deadline_ms = worker.lease(now_ms, lease_ms);
+        let has_lease = lease_deadline_ms.is_some();
+        worker.open_poll = Some(OpenPoll { prepared_ms: now_ms, has_lease });
         // A new incarnation would discard run ends that nobody has read.
         let ack_cursor = if worker.may_have_restarted { 0 } else { worker.ack_cursor };
         let wait_ms = match lease_deadline_ms {
@@ -63,9 +67,16 @@
     /// milliseconds until their leases have expired. They get no lease from now on.
     pub fn announce_unresponsive(&mut self, now_ms: u64) -> IndexMap<WorkerId, u64> {
         let mut unresponsive = IndexMap::new();
+        let mut added = Vec::new();
         for (id, worker) in self.workers.iter_mut().filter(|(_, worker)| worker.is_unresponsive) {
-            worker.is_announced_unresponsive = true;
-            unresponsive.insert(id.clone(), worker.lease_expiry_ms().saturating_sub(now_ms));
+            let left_ms = worker.lease_expiry_ms().saturating_sub(now_ms);
+            if !std::mem::replace(&mut worker.is_announced_unresponsive, true) {
+                added.push((id.clone(), left_ms));
+            }
+            unresponsive.insert(id.clone(), left_ms);
+        }
+        if !added.is_empty() {
+            self.notices.push(Notice::Announced { workers: added });
         }
         unresponsive
     }
@@ -80,12 +91,21 @@
         }
     }
 
-    /// Applies the announcement of the previous owner.
-    pub fn apply_announcement(&mut self, unresponsive: &IndexMap<WorkerId, u64>, now_ms: u64) {
+    /// Applies the announcement of the previous owner, from a heartbeat of this epoch.
+    pub fn apply_announcement(
+        &mut self,
+        epoch: u32,
+        unresponsive: &IndexMap<WorkerId, u64>,
+        now_ms: u64,
+    ) {
         for (id, left_ms) in unresponsive {
             if let Some(worker) = self.workers.get_mut(id) {
                 let expiry_ms = now_ms + left_ms;
-                worker.previous_lease_until_ms = worker.previous_lease_until_ms.min(expiry_ms);
+                if expiry_ms < worker.previous_lease_until_ms {
+                    worker.previous_lease_until_ms = expiry_ms;
+                    worker.announcement =
+                        Some(AppliedAnnouncement { epoch, left_ms: *left_ms, applied_ms: now_ms });
+                }
             }
         }
     }
@@ -93,6 +113,7 @@
     /// Records that a worker didn't answer.
     pub fn poll_failed(&mut self, id: &WorkerId, now_ms: u64) {
         let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.open_poll = None;
         worker.may_have_restarted = true;
         if !std::mem::replace(&mut worker.is_unresponsive, true) {
             worker.unresponsive_since_ms = Some(now_ms);
@@ -104,6 +125,7 @@
     /// Records that a poll of a worker was lost on its way, which says nothing about the worker.
     pub fn poll_unanswered(&mut self, id: &WorkerId) {
         if let Some(worker) = self.workers.get_mut(id) {
+            worker.open_poll = None;
             worker.may_have_restarted = true;
         }
     }
@@ -112,6 +134,7 @@
     pub fn report(&mut self, id: &WorkerId, sent_ms: u64, report: WorkerReport, now_ms: u64) {
         let lease_ms = self.timings.lease_ms;
         let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.open_poll = None;
         worker.may_have_restarted = false;
         if std::mem::replace(&mut worker.is_unresponsive, false) {
             self.notices.push(Notice::WorkerReachability { worker: id.clone(), is_reached: true });
@@ -126,6 +149,7 @@
             worker.ack_cursor = 0;
             // The previous owner may have just renewed the lease for its full length.
             worker.max_lease_deadline_ms = report.clock_ms + lease_ms;
+            worker.leased_ms = None;
             self.needs_placement = true;
         }
         worker.clock = Some(ClockReading { local_ms: now_ms, worker_ms: report.clock_ms });
@@ -164,7 +188,8 @@
         if run.worker != *id {
             return;
         }
-        self.end_run(&ended.task, ended.end, ended.checkpoint.clone(), false, now_ms);
+        let (end, checkpoint) = (ended.end, ended.checkpoint.clone());
+        self.end_run(&ended.task, end, checkpoint, EndCause::Reported, now_ms);
     }
 
     /// Ends the current run of a task, and requeues or completes the task.
@@ -173,7 +198,7 @@
         key: &TaskKey,
         end: RunEnd,
         checkpoint: Option<Name>,
-        is_inferred: bool,
+        cause: EndCause,
         now_ms: u64,
     ) {
         let age_ms = self.run_age_ms(key, now_ms);
@@ -192,7 +217,7 @@
             self.complete_task(key, now_ms);
         } else {
             let task = key.clone();
-            self.notices.push(Notice::RunEnded { task, attempt, worker, end, is_inferred, age_ms });
+            self.notices.push(Notice::RunEnded { task, attempt, worker, end, cause, age_ms });
             if end == RunEnd::Failed {
                 self.fail_exhausted(vec![key.job.clone()], now_ms);
             }
@@ -281,7 +306,7 @@
                         } else if may_omit_ends {
                             undecided += 1;
                         } else {
-                            self.end_run(&key, RunEnd::Lapsed, None, true, now_ms);
+                            self.end_run(&key, RunEnd::Lapsed, None, EndCause::Absent, now_ms);
                         }
                     }
                     OrderState::Unknown(at) if at < sent_ms && has_restarted => unclear.push(key),
@@ -316,8 +341,17 @@
         if let Some(worker) = self.workers.get_mut(id) {
             worker.strays.retain(|stray, _| running.contains_key(stray));
         }
-        for run in running.values() {
-            self.handle_stray(id, run, now_ms);
+        let mut adopted = Vec::new();
+        for run in running.into_values() {
+            if self.adopt(id, &run, now_ms) {
+                let worker = id.clone();
+                adopted.push(RunRef { task: run.task, attempt: run.attempt, worker });
+            } else {
+                self.stop_stray(id, &run, now_ms);
+            }
+        }
+        if !adopted.is_empty() {
+            self.notices.push(Notice::RunsAdopted { worker: id.clone(), runs: adopted });
         }
     }
 
@@ -331,12 +365,8 @@
         }
     }
 
-    /// Handles a run that belongs to no placement: adopts it if its task has yet to
-    /// start, else stops it.
-    fn handle_stray(&mut self, id: &WorkerId, run: &ActiveRun, now_ms: u64) {
-        if self.adopt(id, run, now_ms) {
-            return;
-        }
+    /// Stops a run that belongs to no placement.
+    fn stop_stray(&mut self, id: &WorkerId, run: &ActiveRun, now_ms: u64) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         let stray = (run.task.clone(), run.attempt);
         let retry_ms = self.timings.stop_grace_ms + STOP_RETRY_MS;
--- a/crates/masticfall-core/src/fleet/board/results.rs
+++ b/crates/masticfall-core/src/fleet/board/results.rs
@@ -28,6 +28,7 @@
     ) {
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let Some(run) = job.run_mut(key, attempt) else { return };
+        let was_in_doubt = run.had_unknown_outcome;
         match outcome {
             StartOutcome::Started => {
                 run.order = OrderState::Settled(now_ms);
@@ -73,9 +74,17 @@
                 }
             }
         }
+        let is_requeued = self.run(key).is_none();
         self.break_up_gang(key, now_ms);
         let (task, worker) = (key.clone(), worker.clone());
-        self.notices.push(Notice::NotStarted { task, attempt, worker, outcome });
+        self.notices.push(Notice::NotStarted {
+            task,
+            attempt,
+            worker,
+            outcome,
+            is_requeued,
+            was_in_doubt,
+        });
     }
 
     /// Stops the other members of a gang of which one has not started: they would wait for
--- a/crates/masticfall-core/src/fleet/board/settle.rs
+++ b/crates/masticfall-core/src/fleet/board/settle.rs
@@ -209,6 +209,8 @@
             settling.expired += expired.len();
         }
         for id in expired {
+            let leases = self.lease_facts(&id, now_ms);
+            self.notices.push(Notice::UnsettledExpired { worker: id.clone(), leases });
             self.settle(&id, now_ms);
         }
         self.end_settling_if_done(now_ms);
--- a/crates/masticfall-core/src/fleet/worker.rs
+++ b/crates/masticfall-core/src/fleet/worker.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use indexmap::{IndexMap, IndexSet};
+use strum::{Display, IntoStaticStr};
 
 use super::spec::{Resources, TaskKey};
 use crate::id::{DataCentre, JobId, Name, PoolName, WorkerId};
@@ -82,6 +83,49 @@
     pub worker_ms: u64,
 }
 
+/// Where the bound on a worker's leases comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum BoundSource {
+    /// Leases that this owner gave it.
+    OwnLease,
+    /// The longest lease that it may have had when this incarnation first answered this owner.
+    FirstAnswer,
+    /// The announcement of the previous owner.
+    Announcement,
+    /// The longest lease that an earlier owner may have given it, counted from the takeover.
+    Takeover,
+}
+
+/// The time after which a worker runs nothing unless its lease is extended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaseBound {
+    /// The time, by the local clock.
+    pub until_ms: u64,
+    /// Where it comes from.
+    pub source: BoundSource,
+}
+
+/// An announcement by which an earlier owner has bounded the leases of a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AppliedAnnouncement {
+    /// Epoch in the heartbeat that carried it.
+    pub epoch: u32,
+    /// Time that it named until the leases have expired, in milliseconds.
+    pub left_ms: u64,
+    /// When it was applied, by the local clock.
+    pub applied_ms: u64,
+}
+
+/// A poll that has no outcome yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OpenPoll {
+    /// When it was prepared.
+    pub prepared_ms: u64,
+    /// Whether it extends the lease.
+    pub has_lease: bool,
+}
+
 /// A worker and the tasks placed on it.
 #[expect(clippy::struct_excessive_bools, reason = "independent reasons not to place tasks on it")]
 #[derive(Debug, Clone)]
@@ -109,8 +153,14 @@
     pub clock: Option<ClockReading>,
     /// Latest lease deadline that it may have been given, by its clock.
     pub max_lease_deadline_ms: u64,
+    /// When this owner last gave this incarnation a lease.
+    pub leased_ms: Option<u64>,
+    /// Poll that has no outcome yet.
+    pub open_poll: Option<OpenPoll>,
     /// Time until which leases of an earlier owner may be valid, by the local clock.
     pub previous_lease_until_ms: u64,
+    /// Announcement that `previous_lease_until_ms` comes from, if one was applied.
+    pub announcement: Option<AppliedAnnouncement>,
     /// Resources reserved by its placements.
     pub used: Resources,
     /// Tasks placed on it.
@@ -152,7 +202,10 @@
             born_wall_ms: None,
             clock: None,
             max_lease_deadline_ms: 0,
+            leased_ms: None,
+            open_poll: None,
             previous_lease_until_ms,
+            announcement: None,
             used: Resources::default(),
             placements: IndexSet::new(),
             on_trial: IndexSet::new(),
@@ -184,6 +237,7 @@
         }
         let until = self.estimated_clock_ms(now_ms)? + lease_ms;
         self.max_lease_deadline_ms = self.max_lease_deadline_ms.max(until);
+        self.leased_ms = Some(now_ms);
         Some(until)
     }
 
@@ -196,6 +250,17 @@
         clock.local_ms + max_left_ms + LEASE_SLACK_MS
     }
 
+    /// Returns [`Worker::lease_expiry_ms`] with its source.
+    pub fn lease_bound(&self) -> LeaseBound {
+        let source = match (self.clock, self.leased_ms, self.announcement) {
+            (Some(_), Some(_), _) => BoundSource::OwnLease,
+            (Some(_), None, _) => BoundSource::FirstAnswer,
+            (None, _, Some(_)) => BoundSource::Announcement,
+            (None, _, None) => BoundSource::Takeover,
+        };
+        LeaseBound { until_ms: self.lease_expiry_ms(), source }
+    }
+
     /// Returns the unreserved resources.
     pub fn free(&self) -> Resources {
         self.facts.capacity.minus(&self.used)
--- a/crates/masticfall-core/tests/suite/fleet_leases.rs
+++ b/crates/masticfall-core/tests/suite/fleet_leases.rs
@@ -12,7 +12,7 @@
 const JOB: &str = "00000000000000cc";
 
 /// Fails all polls of a worker for some time, at the intervals of an owner.
-fn fail_polls(rig: &mut Rig, id: &str, for_ms: u64) {
+pub fn fail_polls(rig: &mut Rig, id: &str, for_ms: u64) {
     let until_ms = rig.now_ms + for_ms;
     while rig.now_ms < until_ms {
         rig.advance(200);
@@ -82,7 +82,7 @@
     assert!(unresponsive[&WorkerId::from(worker.as_str())] <= LEASE_MS - 2_500);
     rig.take_over(2);
     rig.list(&[(other, 8)]);
-    rig.board.apply_announcement(&unresponsive, now_ms);
+    rig.board.apply_announcement(1, &unresponsive, now_ms);
     rig.poll(&other.into());
     rig.settle();
     assert_eq!(rig.started.len(), 1, "the run may still be active");
--- a/crates/masticfall-core/tests/suite/main.rs
+++ b/crates/masticfall-core/tests/suite/main.rs
@@ -13,6 +13,7 @@
 mod fleet_early_rules;
 mod fleet_early_world;
 mod fleet_evacuation;
+mod fleet_evidence;
 mod fleet_gangs;
 mod fleet_hostile;
 mod fleet_leases;
--- a/crates/masticfall-entry/src/fleet/dispatch.rs
+++ b/crates/masticfall-entry/src/fleet/dispatch.rs
@@ -204,9 +204,13 @@
         return;
     }
     let now_ms = fleet.now_ms();
-    fleet.update_board(epoch, |board| {
+    let applied = fleet.update_board(epoch, |board| {
         board.start_result(&order.worker, &order.task, order.attempt, outcome, now_ms);
     });
+    if applied.is_none() {
+        let StartOrder { task, attempt, worker, .. } = order;
+        tracing::info!(name: "task.start_late", epoch, %task, attempt, %worker, %outcome, "outcome of a start order came after the ownership had ended");
+    }
 }
 
 /// Sends a start order, and sends it again if the worker doesn't answer.
--- a/crates/masticfall-entry/src/fleet/leadership.rs
+++ b/crates/masticfall-entry/src/fleet/leadership.rs
@@ -11,6 +11,7 @@
 //! slow owner would serve a large cell badly for as long as it holds it.
 
 mod bid;
+mod evidence;
 mod load;
 mod open_rows;
 mod writes;
@@ -246,8 +247,9 @@
 pub fn step_down(fleet: &Fleet, reason: &str) {
     let mut shared = fleet.shared();
     let Some(ownership) = shared.ownership.take() else { return };
-    shared.board = None;
-    tracing::warn!(name: "cell.given_up", process = %fleet.incarnation, epoch = ownership.epoch, reason, "stepped down; no longer dispatching");
+    let (board, confirmed_ms) = (shared.board.take(), shared.confirmed_ms);
+    drop(shared);
+    evidence::log_step_down(fleet, ownership.epoch, reason, board, confirmed_ms);
 }
 
 fn should_take_over(fleet: &Fleet, delay_ms: u64) -> bool {
@@ -305,11 +307,12 @@
     if !should_take_over(fleet, 0) {
         return Ok(());
     }
-    let (epoch, version, heartbeat_version) = {
+    let (epoch, version, heartbeat_version, predecessor) = {
         let tracked = fleet.ownership_tracker.0.lock();
         let (epoch, version) =
             tracked.owner.as_ref().map_or((1, 0), |(owner, version)| (owner.epoch + 1, *version));
-        (epoch, version, tracked.heartbeat_version)
+        let predecessor = evidence::Predecessor::observe(&tracked, fleet.now_ms());
+        (epoch, version, tracked.heartbeat_version, predecessor)
     };
     let process = Some(fleet.incarnation.clone());
     let owner =
@@ -338,6 +341,7 @@
     };
     let previous = fleet.ownership_tracker.0.lock().owner.replace((owner, version));
     fleet.shared().confirmed_ms = sent_ms;
+    evidence::record_claim(fleet, epoch, sent_ms, &predecessor);
     // An owner that handed over has stopped; one that timed out may still dispatch.
     let previous_timed_out = previous.is_some_and(|(owner, _)| {
         owner.process.is_some() && !is_previous_incarnation(fleet, &owner)
@@ -359,6 +363,7 @@
 /// Writes heartbeats until the ownership is lost. Until the cell is loaded, they
 /// repeat the previous owner's last report.
 async fn send_heartbeats(fleet: Arc<Fleet>, ownership: Ownership, last: Option<HeartbeatRow>) {
+    evidence::log_repeated_announcement(ownership.epoch, last.as_ref());
     let HeartbeatRow { waiting, loads, silent_ms, workers, .. } = last.unwrap_or_default();
     let initial = (waiting, loads, silent_ms, workers);
     let mut sequence = WriteSequence::new(cell_row_key(LEAD_TABLE, HEARTBEAT_KEY));
@@ -466,7 +471,7 @@
         let writes = vec![(cell_row_key(LEAD_TABLE, OWNER_KEY), Some(bytes.clone()))];
         match write_as_owner(fleet, ownership, writes).await {
             Ok(is_done) => {
-                tracing::info!(name: "cell.handed_over", epoch, is_done, "released the cell");
+                tracing::info!(name: "cell.handed_over", process = %fleet.incarnation, epoch, is_done, "released the cell");
                 return;
             }
             Err(error) => {
--- a/crates/masticfall-entry/src/fleet/leadership/load.rs
+++ b/crates/masticfall-entry/src/fleet/leadership/load.rs
@@ -7,14 +7,14 @@
 
 use futures_util::FutureExt;
 use futures_util::future::try_join;
-use masticfall_core::fleet::board::{Board, BoardTimings, FoundOpenSet};
+use masticfall_core::fleet::board::{Board, BoardTimings, EarlierLeases, FoundOpenSet};
 use masticfall_core::fleet::progress::ProgressRow;
 use masticfall_core::id::{JobId, WorkerId};
 use masticfall_platform::Result;
 use masticfall_platform::fleet::{FleetRow, read_all};
 use tokio::time::{Instant, sleep};
 
-use super::{FAILOVER_TIMEOUT_MS, MAX_UNCONFIRMED_MS, open_rows, send_heartbeats};
+use super::{FAILOVER_TIMEOUT_MS, MAX_UNCONFIRMED_MS, evidence, open_rows, send_heartbeats};
 use crate::fleet::context::{Fleet, Ownership};
 use crate::fleet::fence::{ProgressFence, replace_fence};
 use crate::fleet::rows::{
@@ -51,14 +51,17 @@
     let Some(LoadedCell { mut board, jobs_version, rows, archived }) = loaded else { return };
     // If an epoch lies in between, its owner may have reached these workers
     // without writing a heartbeat.
-    if let Some(heartbeat) = last.filter(|heartbeat| heartbeat.epoch + 1 == epoch) {
-        board.apply_announcement(&heartbeat.silent_ms, fleet.now_ms());
+    let is_applied = last.as_ref().is_some_and(|heartbeat| heartbeat.epoch + 1 == epoch);
+    evidence::log_found_announcement(epoch, last.as_ref(), is_applied);
+    if let Some(heartbeat) = last.filter(|_| is_applied) {
+        board.apply_announcement(heartbeat.epoch, &heartbeat.silent_ms, fleet.now_ms());
     }
     let Some(open_set) = open_set else { return };
     board.begin_settling(open_set, MAX_UNCONFIRMED_MS - FAILOVER_TIMEOUT_MS, fleet.now_ms());
     board.set_early_start_after(fleet.settings.early_start_after_ms);
     let is_settling = board.is_settling();
     let count = board.jobs.len();
+    let EarlierLeases { overlap_ms, left_ms } = board.earlier_leases(fleet.now_ms());
     let workers: Vec<WorkerId> = board.workers.keys().cloned().collect();
     {
         let mut shared = fleet.shared();
@@ -71,7 +74,7 @@
         shared.jobs_version = jobs_version;
     }
     let took_ms = begun.elapsed().as_millis() as u64;
-    tracing::info!(name: "cell.taken", process = %fleet.incarnation, epoch, jobs = count, rows, took_ms, fell_silent = previous_timed_out, "took over the cell; now dispatching");
+    tracing::info!(name: "cell.taken", process = %fleet.incarnation, epoch, jobs = count, rows, took_ms, fell_silent = previous_timed_out, overlap_ms, earlier_leases_left_ms = left_ms, "took over the cell; now dispatching");
     fleet.metrics.takeovers.inc();
     for worker in workers {
         supervise(fleet, epoch, "poll", dispatch::poll_worker(Arc::clone(fleet), epoch, worker));
--- a/crates/masticfall-entry/src/fleet/metrics.rs
+++ b/crates/masticfall-entry/src/fleet/metrics.rs
@@ -7,6 +7,7 @@
 
 use masticfall_core::error::ErrorKind;
 use masticfall_core::fleet::crashes::LossCause;
+use masticfall_core::fleet::worker::BoundSource;
 use masticfall_platform::traffic::{Traffic, TrafficCount};
 use prometheus_client::collector::Collector;
 use prometheus_client::encoding::text::encode;
@@ -40,6 +41,18 @@
     cause: &'static str,
 }
 
+/// Labels of the counter of runs whose leases expired.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct BoundLabels {
+    bound: &'static str,
+}
+
+/// Labels of the counter of predecessors.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PredecessorLabels {
+    end: &'static str,
+}
+
 /// Exposes the traffic with the platform by kind of call.
 #[derive(Debug)]
 struct TrafficCollector(Arc<Traffic>);
@@ -104,6 +117,8 @@
     /// seconds.
     pub takeover_barrier: Histogram,
     lost_workers: Family<LossLabels, Counter>,
+    expired_runs: Family<BoundLabels, Counter>,
+    predecessors: Family<PredecessorLabels, Counter>,
     jobs_given_up: Counter,
     attributed_crashes: Counter,
     /// Evacuated data centres.
@@ -132,6 +147,8 @@
             unstored_runs: Gauge::default(),
             takeover_barrier: histogram(),
             lost_workers: Family::default(),
+            expired_runs: Family::default(),
+            predecessors: Family::default(),
             jobs_given_up: Counter::default(),
             attributed_crashes: Counter::default(),
             evacuation: EvacuationMetrics::default(),
@@ -162,6 +179,10 @@
         registry.register("takeover_barrier_seconds", help, m.takeover_barrier.clone());
         let help = "Workers lost with tasks on them, by how that became known";
         registry.register("lost_workers", help, m.lost_workers.clone());
+        let help = "Runs counted as ended by an expired lease, by where its bound came from";
+        registry.register("expired_runs", help, m.expired_runs.clone());
+        let help = "Claims of the cell, by how the previous owner had left";
+        registry.register("predecessors", help, m.predecessors.clone());
         let help = "Jobs given up since a task crashes the workers that start it";
         registry.register("jobs_given_up", help, m.jobs_given_up.clone());
         let help = "Crashes of workers attributed to the tasks of jobs given up";
@@ -182,6 +203,19 @@
         self.lost_workers.get_or_create(&LossLabels { cause: cause.into() }).inc();
     }
 
+    /// Records that runs count as ended since a lease expired.
+    pub fn record_expired_runs(&self, bound: BoundSource, runs: usize) {
+        if runs > 0 {
+            let labels = BoundLabels { bound: bound.into() };
+            self.expired_runs.get_or_create(&labels).inc_by(runs as u64);
+        }
+    }
+
+    /// Records a claim of the cell.
+    pub fn record_claim(&self, predecessor_end: &'static str) {
+        self.predecessors.get_or_create(&PredecessorLabels { end: predecessor_end }).inc();
+    }
+
     /// Records a request that was answered or refused.
     pub fn record_request(&self, method: &str, refused: Option<ErrorKind>, latency: Duration) {
         let end = refused.map_or("answered", Into::into);
--- a/crates/masticfall-entry/tests/suite/main.rs
+++ b/crates/masticfall-entry/tests/suite/main.rs
@@ -13,6 +13,7 @@
 mod fleet_crashes;
 mod fleet_early;
 mod fleet_evacuation;
+mod fleet_evidence;
 mod fleet_faults;
 mod fleet_fence;
 mod fleet_hedge;
