Model: links between one process and one worker

Cause: the model could cut a worker off from all processes only, so that no test had a worker that only a former owner reaches, the case in which leases alone keep a task from running twice over a takeover.

Change: World::set_link sets the link of a process to a worker. A cut link loses calls and responses; a held one loses responses and carries the calls out in order once it is open, also after their callers gave up. An order fails 0.7 s after it was sent, a poll 0.7 s after its wait, as with the adapter. Links stay with the address of a worker that restarts.

--- a/crates/masticfall-standin/src/fleet.rs
+++ b/crates/masticfall-standin/src/fleet.rs
@@ -2,11 +2,13 @@
 //!
 //! The simulation keeps its own record of runs, which the functions in [`check`]
 //! examine. Tests inject faults: a store that is down, is unavailable to one
-//! process or loses responses, unresponsive workers, and delayed starts.
+//! process or loses responses, workers that are unresponsive to all processes or to one,
+//! and delayed starts.
 
 pub mod check;
 pub mod crash;
 pub mod evacuation;
+pub mod links;
 mod store;
 mod workers;
 
@@ -17,6 +19,7 @@
 use crash::{CrashPlan, CrashRecord, CrashingTask};
 use evacuation::Evacuations;
 use indexmap::{IndexMap, IndexSet};
+use links::WorkerLinks;
 use masticfall_core::fleet::config::FleetConfig;
 use masticfall_core::fleet::report::{EndedRun, RunEnd};
 use masticfall_core::fleet::spec::{JobSpec, Resources, TaskKey};
@@ -140,6 +143,7 @@
     part_write_ms: u64,
     /// Number of times that the open connections of feeds went silent.
     feed_silences: u64,
+    worker_links: WorkerLinks,
 }
 
 /// The simulated platform, its store and its workers.
@@ -323,10 +327,10 @@
             report_wave: operation(|_| async { Ok(()) }),
             worker_list: store::worker_list(self, &process),
             worker_follow: store::worker_follow(self, &process),
-            start: workers::start(self),
-            stop: workers::stop(self),
-            pace: workers::pace(self),
-            poll: workers::poll(self),
+            start: workers::start(self, &process),
+            stop: workers::stop(self, &process),
+            pace: workers::pace(self, &process),
+            poll: workers::poll(self, &process),
             machines: self.machines(),
             change_machine: self.change_machine(),
             advise: operation(|_| async {
--- a/crates/masticfall-standin/src/fleet/workers.rs
+++ b/crates/masticfall-standin/src/fleet/workers.rs
@@ -7,12 +7,13 @@
     ActiveRun, MAX_REPORTED_ENDS, RunEnd, StartOutcome, StopOutcome, WorkerReport,
 };
 use masticfall_core::fleet::spec::Resources;
-use masticfall_core::id::WorkerId;
+use masticfall_core::id::{Name, WorkerId};
 use masticfall_platform::error::UnavailableSnafu;
 use masticfall_platform::fleet::{PollCall, PollOutcome, RunCall, StartCall};
 use masticfall_platform::{Operation, operation_on};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
+use super::links::WorkerCall;
 use super::{
     CALL_LATENCY_MS, CALL_TIMEOUT_MS, RunRecord, SimulatedRun, World, WorldState, sleep_ms,
 };
@@ -87,6 +88,14 @@
         StopOutcome::Accepted
     }
 
+    fn pace(&mut self, call: &RunCall) {
+        let worker = self.workers.get_mut(&call.worker);
+        let key = (call.task.clone(), call.attempt);
+        if let Some(run) = worker.and_then(|worker| worker.running.get_mut(&key)) {
+            run.pace_percent = call.pace_percent;
+        }
+    }
+
     /// Returns whether a worker gives no response. An unknown one was replaced by another
     /// worker, which answers at its address.
     fn is_unresponsive(&self, worker: &WorkerId) -> bool {
@@ -102,9 +111,14 @@
     }
 }
 
-pub(super) fn start(world: &Arc<World>) -> Operation<StartCall, StartOutcome> {
-    operation_on(world, move |world, call: StartCall| async move {
+pub(super) fn start(world: &Arc<World>, process: &Name) -> Operation<StartCall, StartOutcome> {
+    let context = (Arc::clone(world), Name::clone(process));
+    operation_on(&context, move |(world, process), call: StartCall| async move {
         sleep_ms(CALL_LATENCY_MS).await;
+        if !world.carries(&process, &WorkerCall::Start(call.clone())) {
+            sleep_ms(CALL_TIMEOUT_MS).await;
+            return Ok(StartOutcome::Unknown);
+        }
         let is_delayed = {
             let mut state = world.state.lock();
             state.starts += 1;
@@ -156,9 +170,14 @@
     false
 }
 
-pub(super) fn stop(world: &Arc<World>) -> Operation<RunCall, StopOutcome> {
-    operation_on(world, move |world, call: RunCall| async move {
+pub(super) fn stop(world: &Arc<World>, process: &Name) -> Operation<RunCall, StopOutcome> {
+    let context = (Arc::clone(world), Name::clone(process));
+    operation_on(&context, move |(world, process), call: RunCall| async move {
         sleep_ms(CALL_LATENCY_MS).await;
+        if !world.carries(&process, &WorkerCall::Stop(call.clone())) {
+            sleep_ms(CALL_TIMEOUT_MS).await;
+            return Ok(StopOutcome::Unknown);
+        }
         if world.state.lock().is_unresponsive(&call.worker) {
             sleep_ms(CALL_TIMEOUT_MS).await;
             return Ok(StopOutcome::Unknown);
@@ -170,24 +189,31 @@
     })
 }
 
-pub(super) fn pace(world: &Arc<World>) -> Operation<RunCall, StopOutcome> {
-    operation_on(world, move |world, call: RunCall| async move {
+pub(super) fn pace(world: &Arc<World>, process: &Name) -> Operation<RunCall, StopOutcome> {
+    let context = (Arc::clone(world), Name::clone(process));
+    operation_on(&context, move |(world, process), call: RunCall| async move {
         sleep_ms(CALL_LATENCY_MS).await;
-        let mut state = world.state.lock();
-        let worker = state.workers.get_mut(&call.worker);
-        let key = (call.task.clone(), call.attempt);
-        if let Some(run) = worker.and_then(|worker| worker.running.get_mut(&key)) {
-            run.pace_percent = call.pace_percent;
+        if !world.carries(&process, &WorkerCall::Pace(call.clone())) {
+            sleep_ms(CALL_TIMEOUT_MS).await;
+            return Ok(StopOutcome::Unknown);
         }
+        world.state.lock().pace(&call);
         Ok(StopOutcome::Accepted)
     })
 }
 
-pub(super) fn poll(world: &Arc<World>) -> Operation<PollCall, PollOutcome> {
-    operation_on(world, move |world, call: PollCall| async move {
+pub(super) fn poll(world: &Arc<World>, process: &Name) -> Operation<PollCall, PollOutcome> {
+    let context = (Arc::clone(world), Name::clone(process));
+    operation_on(&context, move |(world, process), call: PollCall| async move {
         sleep_ms(CALL_LATENCY_MS).await;
         let until = Instant::now() + Duration::from_millis(call.wait_ms);
+        let mut is_lost = !world.carries(&process, &WorkerCall::Poll(call.clone()));
         loop {
+            is_lost |= !world.state.lock().worker_links.is_open(&process, call.address);
+            if is_lost {
+                sleep_until(until + Duration::from_millis(CALL_TIMEOUT_MS)).await;
+                return UnavailableSnafu { reason: "the link to the worker is cut" }.fail();
+            }
             if world.state.lock().refuses(&call.worker) {
                 return UnavailableSnafu { reason: "the connection was reset" }.fail();
             }
@@ -211,6 +237,25 @@
     })
 }
 
+/// Carries out a call that was held on its way, and whose caller has given up.
+pub(super) fn carry_out(world: &Arc<World>, call: &WorkerCall) {
+    if world.state.lock().is_unresponsive(call.worker()) {
+        return;
+    }
+    let now_ms = world.now_ms();
+    match call {
+        WorkerCall::Start(call) => {
+            let outcome = world.state.lock().start(call, now_ms);
+            crash_if_due(world, call, outcome);
+        }
+        WorkerCall::Stop(call) => {
+            world.state.lock().stop(call, now_ms);
+        }
+        WorkerCall::Pace(call) => world.state.lock().pace(call),
+        WorkerCall::Poll(call) => drop(poll_once(world, call)),
+    }
+}
+
 fn poll_once(world: &World, call: &PollCall) -> PollOutcome {
     let now_ms = world.now_ms();
     let mut state = world.state.lock();
