--- a/crates/masticfall-entry/tests/suite/main.rs
+++ b/crates/masticfall-entry/tests/suite/main.rs
@@ -23,6 +23,7 @@
 mod fleet_silence;
 mod fleet_slow_store;
 mod fleet_submissions;
+mod fleet_succession;
 mod fleet_world;
 mod jobs;
 mod keys;
