--- a/crates/masticfall-entry/src/fleet/leadership.rs
+++ b/crates/masticfall-entry/src/fleet/leadership.rs
@@ -21,6 +21,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use indexmap::IndexMap;
 use masticfall_core::fleet::board::Board;
 use masticfall_core::id::Incarnation;
 use masticfall_platform::fleet::{FleetRow, RowCommit, RowKey, RowTransaction};
@@ -361,11 +362,11 @@
 }
 
 /// Writes heartbeats until the ownership is lost. Until the cell is loaded, they
-/// repeat the previous owner's last report.
+/// repeat the load that the previous owner last reported. They announce no workers:
+/// an announcement holds only for the owner that gives these workers no leases.
 async fn send_heartbeats(fleet: Arc<Fleet>, ownership: Ownership, last: Option<HeartbeatRow>) {
-    evidence::log_repeated_announcement(ownership.epoch, last.as_ref());
-    let HeartbeatRow { waiting, loads, silent_ms, workers, .. } = last.unwrap_or_default();
-    let initial = (waiting, loads, silent_ms, workers);
+    let HeartbeatRow { waiting, loads, workers, .. } = last.unwrap_or_default();
+    let initial = (waiting, loads, IndexMap::new(), workers);
     let mut sequence = WriteSequence::new(cell_row_key(LEAD_TABLE, HEARTBEAT_KEY));
     let mut number = 0;
     let mut failures = 0;
@@ -377,10 +378,22 @@
             let workers = board.listed_workers().count() as u32;
             (board.waiting_by_queue(), loads, board.announce_unresponsive(sent_ms), workers)
         });
+        if report.is_none() && !fleet.is_owner(epoch) {
+            return;
+        }
         let (waiting, loads, silent_ms, workers) = report.unwrap_or_else(|| initial.clone());
         number += 1;
         let calls_done = fleet.completed_call_round.load(Ordering::Acquire);
-        let row = HeartbeatRow { epoch, number, waiting, loads, silent_ms, calls_done, workers };
+        let row = HeartbeatRow {
+            epoch,
+            number,
+            waiting,
+            loads,
+            silent_ms,
+            announces_own: true,
+            calls_done,
+            workers,
+        };
         let bytes = encode_row(&row);
         let row_bytes = bytes.as_ref().map_or(0, Vec::len);
         let written = match bytes {
--- a/crates/masticfall-entry/src/fleet/leadership/evidence.rs
+++ b/crates/masticfall-entry/src/fleet/leadership/evidence.rs
@@ -92,19 +92,11 @@
     tracing::warn!(name: "cell.given_up", process = %fleet.incarnation, epoch, reason, unconfirmed_ms, open_starts, unsent_starts, runs, open_polls = polls, oldest_poll_ms, leases_left_ms, since_lease_ms, lease_unconfirmed_ms, "stepped down; no longer dispatching");
 }
 
-/// Logs the announcement that the heartbeats of a new owner repeat until it has loaded the cell.
-pub(super) fn log_repeated_announcement(epoch: u32, last: Option<&HeartbeatRow>) {
-    for_each_part(last, |heartbeat, count, workers| {
-        let HeartbeatRow { epoch: announced_epoch, number, .. } = heartbeat;
-        tracing::info!(name: "cell.repeats_announcement", epoch, announced_epoch, number, count, workers, "heartbeats repeat the previous owner's announcement of unresponsive workers");
-    });
-}
-
 /// Logs the announcement that a new owner has found.
 pub(super) fn log_found_announcement(epoch: u32, last: Option<&HeartbeatRow>, is_applied: bool) {
     for_each_part(last, |heartbeat, count, workers| {
-        let HeartbeatRow { epoch: announced_epoch, number, .. } = heartbeat;
-        tracing::info!(name: "cell.announcement_found", epoch, announced_epoch, number, is_applied, count, workers, "found an announcement of unresponsive workers");
+        let HeartbeatRow { epoch: announced_epoch, number, announces_own, .. } = heartbeat;
+        tracing::info!(name: "cell.announcement_found", epoch, announced_epoch, number, announces_own, is_applied, count, workers, "found an announcement of unresponsive workers");
     });
 }
 
--- a/crates/masticfall-entry/src/fleet/leadership/load.rs
+++ b/crates/masticfall-entry/src/fleet/leadership/load.rs
@@ -51,7 +51,8 @@
     let Some(LoadedCell { mut board, jobs_version, rows, archived }) = loaded else { return };
     // If an epoch lies in between, its owner may have reached these workers
     // without writing a heartbeat.
-    let is_applied = last.as_ref().is_some_and(|heartbeat| heartbeat.epoch + 1 == epoch);
+    let is_applied =
+        last.as_ref().is_some_and(|last| last.announces_own && last.epoch + 1 == epoch);
     evidence::log_found_announcement(epoch, last.as_ref(), is_applied);
     if let Some(heartbeat) = last.filter(|_| is_applied) {
         board.apply_announcement(heartbeat.epoch, &heartbeat.silent_ms, fleet.now_ms());
--- a/crates/masticfall-entry/src/fleet/rows.rs
+++ b/crates/masticfall-entry/src/fleet/rows.rs
@@ -108,6 +108,10 @@
     /// in milliseconds. The owner grants such a worker a lease only after a
     /// heartbeat that no longer lists it.
     pub silent_ms: IndexMap<WorkerId, u64>,
+    /// Whether the owner of this epoch made the announcement itself. Earlier versions also
+    /// repeated that of the previous owner, and don't write this field.
+    #[serde(default)]
+    pub announces_own: bool,
     /// Last completed round of instance calls.
     pub calls_done: u64,
     /// Number of listed workers.
