--- a/crates/masticfall-entry/src/fleet/context.rs
+++ b/crates/masticfall-entry/src/fleet/context.rs
@@ -59,6 +59,9 @@
     pub epoch: u32,
     /// Version of the owner row, on which every write is conditional.
     pub version: u64,
+    /// Time until which owners of earlier epochs may still extend leases, by
+    /// [`Fleet::now_ms`].
+    pub overlap_until_ms: u64,
 }
 
 /// State shared by the tasks of a process.
--- a/crates/masticfall-entry/src/fleet/leadership.rs
+++ b/crates/masticfall-entry/src/fleet/leadership.rs
@@ -70,6 +70,10 @@
 /// take over; an owner that was replaced is fenced off by the workers.
 pub const MAX_UNCONFIRMED_MS: u64 = 6_000;
 
+/// Maximum time for which an owner that timed out may dispatch after the cell was claimed, in
+/// milliseconds.
+const MAX_OVERLAP_MS: u64 = MAX_UNCONFIRMED_MS - FAILOVER_TIMEOUT_MS;
+
 /// Time after a store outage before an owner can time out, in milliseconds:
 /// a live owner's heartbeat is due within [`HEARTBEAT_INTERVAL_MS`].
 const STORE_RECOVERY_GRACE_MS: u64 = 600;
@@ -308,16 +312,22 @@
     if !should_take_over(fleet, 0) {
         return Ok(());
     }
-    let (epoch, version, heartbeat_version, predecessor) = {
+    let (epoch, version, heartbeat_version, overlap_ms, predecessor) = {
         let tracked = fleet.ownership_tracker.0.lock();
-        let (epoch, version) =
-            tracked.owner.as_ref().map_or((1, 0), |(owner, version)| (owner.epoch + 1, *version));
+        let (epoch, version, overlap_ms) =
+            tracked.owner.as_ref().map_or((1, 0, 0), |(owner, version)| {
+                (owner.epoch + 1, *version, overlap_after(fleet, owner))
+            });
         let predecessor = evidence::Predecessor::observe(&tracked, fleet.now_ms());
-        (epoch, version, tracked.heartbeat_version, predecessor)
+        (epoch, version, tracked.heartbeat_version, overlap_ms, predecessor)
+    };
+    let owner = OwnerRow {
+        process: Some(fleet.incarnation.clone()),
+        epoch,
+        fitness_percent: bid::fitness_percent(fleet),
+        heir: None,
+        overlap_ms: Some(overlap_ms),
     };
-    let process = Some(fleet.incarnation.clone());
-    let owner =
-        OwnerRow { process, epoch, fitness_percent: bid::fitness_percent(fleet), heir: None };
     let claim = RowTransaction {
         // A heartbeat that was stored since the read would have confirmed the ownership of
         // the previous owner for longer than the board's `takeover_overlap_ms` allows for.
@@ -340,17 +350,23 @@
         },
         Err(error) => return Err(error),
     };
-    let previous = fleet.ownership_tracker.0.lock().owner.replace((owner, version));
+    fleet.ownership_tracker.0.lock().owner = Some((owner, version));
     fleet.shared().confirmed_ms = sent_ms;
     evidence::record_claim(fleet, epoch, sent_ms, &predecessor);
-    // An owner that handed over has stopped; one that timed out may still dispatch.
-    let previous_timed_out = previous.is_some_and(|(owner, _)| {
-        owner.process.is_some() && !is_previous_incarnation(fleet, &owner)
-    });
-    load::start_ownership(fleet, Ownership { epoch, version }, previous_timed_out).await;
+    let overlap_until_ms = fleet.now_ms() + overlap_ms;
+    let ownership = Ownership { epoch, version, overlap_until_ms };
+    load::start_ownership(fleet, ownership, overlap_ms).await;
     Ok(())
 }
 
+/// Returns the time for which earlier owners may still dispatch once the cell is claimed
+/// from this one, in milliseconds. An owner that released the cell has stopped; one that
+/// timed out may go on, and so may one that an owner in between replaced.
+fn overlap_after(fleet: &Fleet, owner: &OwnerRow) -> u64 {
+    let has_timed_out = owner.process.is_some() && !is_previous_incarnation(fleet, owner);
+    if has_timed_out { MAX_OVERLAP_MS } else { owner.overlap_ms.unwrap_or(MAX_OVERLAP_MS) }
+}
+
 /// Returns the owner row's version if a claim of unknown outcome took effect.
 async fn read_back_claim(fleet: &Fleet, claim: &OwnerRow) -> Result<Option<u64>> {
     let (rows, _) = follow::read_table(fleet, LEAD_TABLE).await?;
@@ -471,8 +487,9 @@
         "the process is shutting down"
     };
     let epoch = ownership.epoch;
-    let row = OwnerRow { process: None, epoch, fitness_percent: 0, heir: successor };
     step_down(fleet, reason);
+    let overlap_ms = Some(ownership.overlap_until_ms.saturating_sub(fleet.now_ms()));
+    let row = OwnerRow { process: None, epoch, fitness_percent: 0, heir: successor, overlap_ms };
     let bytes = match encode_row(&row) {
         Ok(bytes) => bytes,
         Err(error) => {
--- a/crates/masticfall-entry/src/fleet/leadership/load.rs
+++ b/crates/masticfall-entry/src/fleet/leadership/load.rs
@@ -14,7 +14,7 @@
 use masticfall_platform::fleet::{FleetRow, read_all};
 use tokio::time::{Instant, sleep};
 
-use super::{FAILOVER_TIMEOUT_MS, MAX_UNCONFIRMED_MS, evidence, open_rows, send_heartbeats};
+use super::{MAX_OVERLAP_MS, evidence, open_rows, send_heartbeats};
 use crate::fleet::context::{Fleet, Ownership};
 use crate::fleet::fence::{ProgressFence, replace_fence};
 use crate::fleet::rows::{
@@ -26,13 +26,9 @@
 /// Delay before a failed read is retried, in milliseconds.
 const RETRY_MS: u64 = 100;
 
-/// Loads the cell's rows and starts the owner's tasks. A previous owner that timed
-/// out may still be dispatching.
-pub(super) async fn start_ownership(
-    fleet: &Arc<Fleet>,
-    ownership: Ownership,
-    previous_timed_out: bool,
-) {
+/// Loads the cell's rows and starts the owner's tasks. Earlier owners may still be
+/// dispatching for `overlap_ms`.
+pub(super) async fn start_ownership(fleet: &Arc<Fleet>, ownership: Ownership, overlap_ms: u64) {
     let begun = Instant::now();
     let epoch = ownership.epoch;
     fleet.completed_call_round.store(0, Ordering::Release);
@@ -45,7 +41,7 @@
     supervise(fleet, epoch, "relays", relay::maintain(Arc::clone(fleet), epoch, expected_workers));
     let Some(fence) = raise_fence(fleet, epoch).await else { return };
     let (loaded, open_set) = tokio::join!(
-        retry_read(fleet, epoch, || load(fleet, epoch, previous_timed_out)),
+        retry_read(fleet, epoch, || load(fleet, epoch, overlap_ms)),
         retry_read(fleet, epoch, || read_open_set(fleet)),
     );
     let Some(LoadedCell { mut board, jobs_version, rows, archived }) = loaded else { return };
@@ -58,11 +54,11 @@
         board.apply_announcement(heartbeat.epoch, &heartbeat.silent_ms, fleet.now_ms());
     }
     let Some(open_set) = open_set else { return };
-    board.begin_settling(open_set, MAX_UNCONFIRMED_MS - FAILOVER_TIMEOUT_MS, fleet.now_ms());
+    board.begin_settling(open_set, MAX_OVERLAP_MS, fleet.now_ms());
     board.set_early_start_after(fleet.settings.early_start_after_ms);
     let is_settling = board.is_settling();
     let count = board.jobs.len();
-    let EarlierLeases { overlap_ms, left_ms } = board.earlier_leases(fleet.now_ms());
+    let EarlierLeases { left_ms, .. } = board.earlier_leases(fleet.now_ms());
     let workers: Vec<WorkerId> = board.workers.keys().cloned().collect();
     {
         let mut shared = fleet.shared();
@@ -75,7 +71,7 @@
         shared.jobs_version = jobs_version;
     }
     let took_ms = begun.elapsed().as_millis() as u64;
-    tracing::info!(name: "cell.taken", process = %fleet.incarnation, epoch, jobs = count, rows, took_ms, fell_silent = previous_timed_out, overlap_ms, earlier_leases_left_ms = left_ms, "took over the cell; now dispatching");
+    tracing::info!(name: "cell.taken", process = %fleet.incarnation, epoch, jobs = count, rows, took_ms, fell_silent = overlap_ms > 0, overlap_ms, earlier_leases_left_ms = left_ms, "took over the cell; now dispatching");
     fleet.metrics.takeovers.inc();
     for worker in workers {
         supervise(fleet, epoch, "poll", dispatch::poll_worker(Arc::clone(fleet), epoch, worker));
@@ -167,7 +163,7 @@
     archived: Vec<JobId>,
 }
 
-async fn load(fleet: &Fleet, epoch: u32, previous_timed_out: bool) -> Result<LoadedCell> {
+async fn load(fleet: &Fleet, epoch: u32, overlap_ms: u64) -> Result<LoadedCell> {
     // Listed, since this process may have its configuration from a peer and not have read
     // the operators' table for long.
     let operators = (fleet.platform.operator_list)(());
@@ -178,7 +174,7 @@
     // Read after the progress: a job that ends in between is then absent, not
     // loaded without its progress.
     let (jobs, jobs_version) = follow::read_jobs(fleet).await?;
-    let (board, archived) = load_board(fleet, epoch, previous_timed_out, &jobs, &progress);
+    let (board, archived) = load_board(fleet, epoch, overlap_ms, &jobs, &progress);
     let rows = jobs.len() + progress.len();
     Ok(LoadedCell { board, jobs_version, rows, archived })
 }
@@ -186,18 +182,14 @@
 fn load_board(
     fleet: &Fleet,
     epoch: u32,
-    previous_timed_out: bool,
+    overlap_ms: u64,
     jobs: &[FleetRow],
     progress: &[FleetRow],
 ) -> (Board, Vec<JobId>) {
     let timings = BoardTimings {
         lease_ms: fleet.settings.worker_lease_ms,
         stop_grace_ms: fleet.settings.stop_grace_ms,
-        takeover_overlap_ms: if previous_timed_out {
-            MAX_UNCONFIRMED_MS - FAILOVER_TIMEOUT_MS
-        } else {
-            0
-        },
+        takeover_overlap_ms: overlap_ms,
     };
     let now = fleet.now();
     let mut board = Board::new(epoch, timings, now.steady_ms);
--- a/crates/masticfall-entry/src/fleet/leadership/writes.rs
+++ b/crates/masticfall-entry/src/fleet/leadership/writes.rs
@@ -23,7 +23,7 @@
 }
 
 impl From<Ownership> for WriteCondition {
-    fn from(Ownership { epoch, version }: Ownership) -> Self {
+    fn from(Ownership { epoch, version, .. }: Ownership) -> Self {
         Self { epoch, row_key: cell_row_key(LEAD_TABLE, OWNER_KEY), version }
     }
 }
--- a/crates/masticfall-entry/src/fleet/rows.rs
+++ b/crates/masticfall-entry/src/fleet/rows.rs
@@ -81,6 +81,10 @@
     pub fitness_percent: u32,
     /// Successor that the previous owner designated when it released the cell.
     pub heir: Option<Incarnation>,
+    /// Time for which owners of earlier epochs may still extend leases, in milliseconds from
+    /// when the row was written; unknown in the rows of earlier versions.
+    #[serde(default)]
+    pub overlap_ms: Option<u64>,
 }
 
 /// A bid: the request of a fitter candidate to be handed the cell.
