A late rejection ends the ownership that it is about, not a later one

A process that owns the cell again drops it when a call of its earlier ownership is rejected late. Nobody dispatches until the failover timeout, and the next owner waits 4.5 s longer for workers that it can't reach.

Cause: `step_down` ended whatever ownership the process had; the answers of calls to workers led there without a look at the epoch.

Change: `step_down` names the epoch, and compares it under the lock.

Result: the test holds the polls of epoch 1 until the process owns epoch 2. It failed before (no ownership after the rejection, epoch 2 expected) and passes.

--- a/crates/masticfall-entry/src/fleet/dispatch.rs
+++ b/crates/masticfall-entry/src/fleet/dispatch.rs
@@ -81,6 +81,9 @@
 /// more than 3 s; of these, 0.4 s are for the feed and 0.3 s for the order.
 const MAX_UNINFORMED_MS: u64 = 2_300;
 
+/// Why an owner steps down that a worker rejects.
+const FENCED_REASON: &str = "a worker rejected the fencing token: a later owner exists";
+
 /// Places tasks, sends orders and requests advice until the cell is lost.
 pub async fn run_scheduler(fleet: Arc<Fleet>, epoch: u32) {
     let mut ticked_ms = 0;
@@ -200,7 +203,7 @@
         }
     };
     if outcome == StartOutcome::Fenced {
-        leadership::step_down(&fleet, "a worker rejected the fencing token: a later owner exists");
+        leadership::step_down(&fleet, epoch, FENCED_REASON);
         return;
     }
     let now_ms = fleet.now_ms();
@@ -425,10 +428,7 @@
                 POLL_PAUSE_MS
             }
             Ok(PollOutcome::Fenced) => {
-                leadership::step_down(
-                    &fleet,
-                    "a worker rejected the fencing token: a later owner exists",
-                );
+                leadership::step_down(&fleet, epoch, FENCED_REASON);
                 return;
             }
             Ok(PollOutcome::WrongWorker) => {
--- a/crates/masticfall-entry/src/fleet/leadership.rs
+++ b/crates/masticfall-entry/src/fleet/leadership.rs
@@ -242,19 +242,22 @@
         .as_ref()
         .is_some_and(|(o, _)| o.epoch > ownership.epoch);
     if is_replaced {
-        step_down(fleet, "another process owns the cell");
+        step_down(fleet, ownership.epoch, "another process owns the cell");
     } else if now_ms > fleet.shared().confirmed_ms + MAX_UNCONFIRMED_MS {
-        step_down(fleet, "the store has not confirmed the ownership");
+        step_down(fleet, ownership.epoch, "the store has not confirmed the ownership");
     }
 }
 
-/// Stops dispatching. Writes nothing: the next owner loads all state from the store.
-pub fn step_down(fleet: &Fleet, reason: &str) {
+/// Stops dispatching in an epoch. Writes nothing: the next owner loads all state from the
+/// store. A call of an earlier ownership may end during a later one, which goes on.
+pub fn step_down(fleet: &Fleet, epoch: u32, reason: &str) {
     let mut shared = fleet.shared();
-    let Some(ownership) = shared.ownership.take() else { return };
+    if shared.ownership.take_if(|ownership| ownership.epoch == epoch).is_none() {
+        return;
+    }
     let (board, confirmed_ms) = (shared.board.take(), shared.confirmed_ms);
     drop(shared);
-    evidence::log_step_down(fleet, ownership.epoch, reason, board, confirmed_ms);
+    evidence::log_step_down(fleet, epoch, reason, board, confirmed_ms);
 }
 
 fn should_take_over(fleet: &Fleet, delay_ms: u64) -> bool {
@@ -487,7 +490,7 @@
         "the process is shutting down"
     };
     let epoch = ownership.epoch;
-    step_down(fleet, reason);
+    step_down(fleet, epoch, reason);
     let overlap_ms = Some(ownership.overlap_until_ms.saturating_sub(fleet.now_ms()));
     let row = OwnerRow { process: None, epoch, fitness_percent: 0, heir: successor, overlap_ms };
     let bytes = match encode_row(&row) {
--- a/crates/masticfall-entry/src/fleet/leadership/load.rs
+++ b/crates/masticfall-entry/src/fleet/leadership/load.rs
@@ -102,7 +102,7 @@
         let has_panicked = AssertUnwindSafe(work).catch_unwind().await.is_err();
         if has_panicked && fleet.is_owner(epoch) {
             tracing::error!(name: "cell.task_failed", epoch, task, "a task of the owner failed");
-            super::step_down(&fleet, "a task of the owner failed");
+            super::step_down(&fleet, epoch, "a task of the owner failed");
         }
     });
 }
@@ -134,7 +134,7 @@
         let took_ms = begun.elapsed().as_millis() as u64;
         tracing::info!(name: "cell.fenced", process = %fleet.incarnation, epoch, took_ms, "fenced the progress rows off from earlier owners");
     } else if fleet.is_owner(epoch) {
-        super::step_down(fleet, "a later owner has fenced the progress rows");
+        super::step_down(fleet, epoch, "a later owner has fenced the progress rows");
     }
     fence
 }
--- a/crates/masticfall-entry/src/fleet/leadership/writes.rs
+++ b/crates/masticfall-entry/src/fleet/leadership/writes.rs
@@ -123,6 +123,6 @@
         } else {
             "the owner row has changed"
         };
-        super::step_down(fleet, reason);
+        super::step_down(fleet, condition.epoch, reason);
     }
 }
--- a/crates/masticfall-entry/tests/suite/fleet_owners.rs
+++ b/crates/masticfall-entry/tests/suite/fleet_owners.rs
@@ -9,10 +9,11 @@
 use masticfall_core::fleet::spec::JobSpec;
 use masticfall_core::id::{JobId, Name, QueueName};
 use masticfall_entry::fleet::{FleetSettings, RunningFleet, start};
-use masticfall_platform::fleet::FollowRequest;
+use masticfall_platform::fleet::{FollowRequest, PollCall, PollOutcome};
 use masticfall_platform::operation;
 use masticfall_standin::fleet::check::calls_within_lease;
 use masticfall_standin::fleet::{StoreMode, World};
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::fleet_world::{
@@ -261,3 +262,37 @@
     let epoch = process.fleet.shared().ownership.map(|ownership| ownership.epoch);
     assert!(epoch > Some(1), "the process took the cell over again: {epoch:?}");
 }
+
+/// Otherwise nobody dispatches until the failover timeout, though a process owns the cell.
+#[tokio::test(start_paused = true)]
+async fn late_rejection_of_an_earlier_ownership_does_not_end_a_later_one() {
+    let world = World::new(WORKERS, "p");
+    world.set_config(config(1, &["key"]));
+    let mut platform = world.platform("a");
+    let (poll, rejects) = (Arc::clone(&platform.poll), watch::channel(false));
+    let (reject, receiver) = rejects;
+    platform.poll = operation(move |call: PollCall| {
+        let (poll, mut receiver) = (Arc::clone(&poll), receiver.clone());
+        async move {
+            if call.fencing_token > 1 {
+                return poll(call).await;
+            }
+            drop(receiver.wait_for(|is_due| *is_due).await);
+            Ok(PollOutcome::Fenced)
+        }
+    });
+    let clock = Arc::clone(&world);
+    let settings = FleetSettings::local("a", "dc");
+    let process = start(settings, platform, Arc::new(move || clock.now_ms()), unreachable_peers());
+    sleep(Duration::from_secs(2)).await;
+    world.set_store_for("a", StoreMode::Unavailable);
+    sleep(Duration::from_secs(7)).await;
+    assert!(!is_owner(&process));
+    world.set_store_for("a", StoreMode::Up);
+    sleep(Duration::from_secs(4)).await;
+    let epoch = || process.fleet.shared().ownership.map(|ownership| ownership.epoch);
+    assert_eq!(epoch(), Some(2));
+    reject.send_replace(true);
+    sleep(Duration::from_millis(50)).await;
+    assert_eq!(epoch(), Some(2), "the call was one of epoch 1");
+}
