--- a/crates/masticfall-entry/src/fleet/context.rs
+++ b/crates/masticfall-entry/src/fleet/context.rs
@@ -16,7 +16,7 @@
 use rand::Rng;
 use tokio::sync::Notify;
 
-use super::leadership::WriteSequence;
+use super::leadership::{self, WriteSequence};
 use super::metrics::FleetMetrics;
 use super::peers::{PeerCalls, PeerRow};
 use super::relay::Relays;
@@ -277,7 +277,14 @@
 
     /// Accesses the board if this process still owns the cell in this epoch, without
     /// waking the scheduler.
+    ///
+    /// After a suspension any task may run before the one that checks the ownership
+    /// regularly, so it is checked at each access. The time from which `change` counts leases
+    /// is to be read before the call.
     pub fn with_board<R>(&self, epoch: u32, change: impl FnOnce(&mut Board) -> R) -> Option<R> {
+        if leadership::step_down_if_unconfirmed(self, epoch) {
+            return None;
+        }
         let mut shared = self.shared();
         shared.board.as_mut().filter(|board| board.epoch == epoch).map(change)
     }
--- a/crates/masticfall-entry/src/fleet/leadership.rs
+++ b/crates/masticfall-entry/src/fleet/leadership.rs
@@ -233,19 +233,24 @@
 /// confirmed the ownership for [`MAX_UNCONFIRMED_MS`].
 fn check_ownership(fleet: &Fleet) {
     let Some(ownership) = fleet.shared().ownership else { return };
-    let now_ms = fleet.now_ms();
-    let is_replaced = fleet
-        .ownership_tracker
-        .0
-        .lock()
-        .owner
-        .as_ref()
-        .is_some_and(|(o, _)| o.epoch > ownership.epoch);
-    if is_replaced {
-        step_down(fleet, ownership.epoch, "another process owns the cell");
-    } else if now_ms > fleet.shared().confirmed_ms + MAX_UNCONFIRMED_MS {
-        step_down(fleet, ownership.epoch, "the store has not confirmed the ownership");
+    let epoch = ownership.epoch;
+    let tracked_epoch =
+        fleet.ownership_tracker.0.lock().owner.as_ref().map(|(owner, _)| owner.epoch);
+    if tracked_epoch > Some(epoch) {
+        step_down(fleet, epoch, "another process owns the cell");
+    } else {
+        step_down_if_unconfirmed(fleet, epoch);
+    }
+}
+
+/// Steps down when the store has not confirmed the ownership for [`MAX_UNCONFIRMED_MS`];
+/// returns whether it hasn't.
+pub fn step_down_if_unconfirmed(fleet: &Fleet, epoch: u32) -> bool {
+    let is_unconfirmed = fleet.now_ms() > fleet.shared().confirmed_ms + MAX_UNCONFIRMED_MS;
+    if is_unconfirmed {
+        step_down(fleet, epoch, "the store has not confirmed the ownership");
     }
+    is_unconfirmed
 }
 
 /// Stops dispatching in an epoch. Writes nothing: the next owner loads all state from the
