Completed rounds of instance calls count for their own epoch only

Seen: nothing by callers yet; found by reading. An owner that loses the cell and takes it over again could report a round of calls about instances as completed that isn't. The next owner (`round_completed_ms`) then counts these calls as over, and may call an instance within the lease of a call that is still in flight.

Cause: `Fleet::completed_call_round` held a round without its epoch. It was reset at the start of an ownership, but the calls of the earlier ownership may end later, and their task then stored its own round, which the heartbeats of the new epoch reported.

Evidence: the test keeps the first calls of epoch 1 waiting for a connection while the process steps down for want of the store and owns epoch 2. Before the change it failed: the heartbeat of epoch 2 had `calls_done` 1, and no call of that epoch had been made ("left: (2, 1), right: (2, 0)").

Change: the round is kept with its epoch, only a later pair replaces it, and heartbeats ask for the round of their own epoch, 0 if there is none. No reset is needed.

--- a/crates/masticfall-entry/src/fleet/context.rs
+++ b/crates/masticfall-entry/src/fleet/context.rs
@@ -130,8 +130,9 @@
     store_response_ms: AtomicU64,
     /// Orders the writes of the open set; held while one is in flight.
     pub(super) open_sequence: tokio::sync::Mutex<WriteSequence>,
-    /// Last completed round of this owner's instance calls.
-    pub(super) completed_call_round: AtomicU64,
+    /// Last completed round of instance calls, with the epoch of its owner: the calls of an
+    /// earlier ownership of this process may end during a later one.
+    completed_call_round: Mutex<(u32, u64)>,
     store_failing: AtomicBool,
     /// Duration of the last transaction that stored progress, in milliseconds.
     batch_latency_ms: AtomicU64,
@@ -190,7 +191,7 @@
             operators_read_ms: AtomicU64::new(clock()),
             store_response_ms: AtomicU64::new(clock()),
             open_sequence: tokio::sync::Mutex::new(WriteSequence::new(open_row_key(0))),
-            completed_call_round: AtomicU64::new(0),
+            completed_call_round: Mutex::default(),
             store_failing: AtomicBool::new(false),
             batch_latency_ms: AtomicU64::new(0),
             clock,
@@ -230,6 +231,18 @@
         self.store_response_ms.store(self.now_ms(), Ordering::Relaxed);
     }
 
+    /// Records that a round of instance calls of an owner is completed.
+    pub(super) fn record_completed_calls(&self, epoch: u32, round: u64) {
+        let mut completed = self.completed_call_round.lock();
+        *completed = (*completed).max((epoch, round));
+    }
+
+    /// Returns the last completed round of instance calls of an owner.
+    pub(super) fn completed_calls(&self, epoch: u32) -> u64 {
+        let (of_epoch, round) = *self.completed_call_round.lock();
+        if of_epoch == epoch { round } else { 0 }
+    }
+
     /// Records how long a transaction that stored progress took.
     pub(super) fn record_batch_latency(&self, latency_ms: u64) {
         self.batch_latency_ms.store(latency_ms, Ordering::Relaxed);
--- a/crates/masticfall-entry/src/fleet/leadership.rs
+++ b/crates/masticfall-entry/src/fleet/leadership.rs
@@ -18,7 +18,6 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -407,7 +406,7 @@
         }
         let (waiting, loads, silent_ms, workers) = report.unwrap_or_else(|| initial.clone());
         number += 1;
-        let calls_done = fleet.completed_call_round.load(Ordering::Acquire);
+        let calls_done = fleet.completed_calls(epoch);
         let row = HeartbeatRow {
             epoch,
             number,
--- a/crates/masticfall-entry/src/fleet/leadership/load.rs
+++ b/crates/masticfall-entry/src/fleet/leadership/load.rs
@@ -2,7 +2,6 @@
 
 use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures_util::FutureExt;
@@ -31,7 +30,6 @@
 pub(super) async fn start_ownership(fleet: &Arc<Fleet>, ownership: Ownership, overlap_ms: u64) {
     let begun = Instant::now();
     let epoch = ownership.epoch;
-    fleet.completed_call_round.store(0, Ordering::Release);
     fleet.shared().ownership = Some(ownership);
     let Some(last) = retry_read(fleet, epoch, || read_heartbeat(fleet)).await else { return };
     // Loading a large cell takes longer than the failover timeout.
--- a/crates/masticfall-entry/src/fleet/machines.rs
+++ b/crates/masticfall-entry/src/fleet/machines.rs
@@ -244,7 +244,7 @@
     let outcomes = futures_util::future::join_all(requests).await;
     let unresolved =
         calls.iter().zip(&outcomes).filter(|(_, outcome)| **outcome == MoveOutcome::Unknown);
-    instance_calls.finish_round(fleet, unresolved.map(|(call, _)| &call.instance));
+    instance_calls.finish_round(fleet, ownership.epoch, unresolved.map(|(call, _)| &call.instance));
     for (call, outcome) in calls.iter().zip(outcomes) {
         let MoveCall { instance, from, to, .. } = call;
         tracing::info!(name: "pool.move", epoch, %instance, %from, %to, ?outcome, "requested the move of an instance");
@@ -377,7 +377,7 @@
     let outcomes = futures_util::future::join_all(requests).await;
     let unresolved =
         calls.iter().zip(&outcomes).filter(|(_, outcome)| **outcome == TakeDownOutcome::Unknown);
-    instance_calls.finish_round(fleet, unresolved.map(|(call, _)| &call.instance));
+    instance_calls.finish_round(fleet, ownership.epoch, unresolved.map(|(call, _)| &call.instance));
     let now_ms = fleet.now_ms();
     for (call, outcome) in calls.iter().zip(outcomes) {
         tracing::info!(name: "wave.instance", wave = %wave.name, instance = %call.instance, ?outcome, epoch = ownership.epoch, "requested maintenance of an instance");
--- a/crates/masticfall-entry/src/fleet/machines/calls.rs
+++ b/crates/masticfall-entry/src/fleet/machines/calls.rs
@@ -1,7 +1,6 @@
 //! The calls about instances that an owner makes, so that two owners don't both call one.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
@@ -140,6 +139,7 @@
     pub(super) fn finish_round<'a>(
         &mut self,
         fleet: &Fleet,
+        epoch: u32,
         unresolved: impl Iterator<Item = &'a InstanceName>,
     ) {
         let mut all_resolved = true;
@@ -150,7 +150,7 @@
             }
         }
         if all_resolved {
-            fleet.completed_call_round.store(self.round, Ordering::Release);
+            fleet.record_completed_calls(epoch, self.round);
         }
     }
 }
--- a/crates/masticfall-entry/tests/suite/fleet_owners.rs
+++ b/crates/masticfall-entry/tests/suite/fleet_owners.rs
@@ -213,6 +213,53 @@
     assert_eq!(calls_within_lease(&calls, 3_000), Vec::<String>::new());
 }
 
+/// A heartbeat that reports a round of an earlier ownership of the process as completed.
+#[tokio::test(start_paused = true)]
+async fn owner_reports_no_round_of_calls_of_its_earlier_ownership() {
+    let world = World::new(12, "p");
+    let mut config = FleetConfig::clone(&config(1, &["key"]));
+    config.pools.insert("spare".into(), PoolConfig { checks_capacity: true, is_standby: true });
+    world.set_config(Arc::new(config));
+    world.set_provider_connect_ms(12_000);
+    let mut platform = world.platform("a");
+    let change = Arc::clone(&platform.change_machine);
+    let (begun, ended) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+    let counts = (Arc::clone(&begun), Arc::clone(&ended));
+    platform.change_machine = operation(move |call| {
+        counts.0.fetch_add(1, Ordering::Relaxed);
+        let (result, ended) = (change(call), Arc::clone(&counts.1));
+        async move {
+            let outcome = result.await;
+            ended.fetch_add(1, Ordering::Relaxed);
+            outcome
+        }
+    });
+    let clock = Arc::clone(&world);
+    let settings = FleetSettings::local("a", "dc");
+    let process = start(settings, platform, Arc::new(move || clock.now_ms()), unreachable_peers());
+    let epoch = || process.fleet.shared().ownership.map(|ownership| ownership.epoch);
+    sleep(Duration::from_millis(1_500)).await;
+    // An owner gives surplus instances away once it has seen demand.
+    submit(&world, &process.fleet, &job(1)).await.expect("accepted");
+    sleep(Duration::from_millis(2_500)).await;
+    let in_flight = begun.load(Ordering::Relaxed);
+    assert!(in_flight > 0, "the first ownership has called about surplus instances");
+    world.set_store(StoreMode::Unresponsive);
+    sleep(Duration::from_secs(7)).await;
+    assert_eq!(epoch(), None, "the store has not confirmed the ownership");
+    world.set_store(StoreMode::Up);
+    sleep(Duration::from_millis(2_500)).await;
+    assert_eq!(epoch(), Some(2));
+    assert_eq!(ended.load(Ordering::Relaxed), 0, "the first calls are still in flight");
+    for _ in 0..20 {
+        sleep(Duration::from_millis(200)).await;
+        let (heartbeat, _) = process.fleet.shared().load.clone().expect("a heartbeat");
+        assert_eq!((heartbeat.epoch, heartbeat.calls_done), (2, 0), "no call of it has ended");
+    }
+    let ended = ended.load(Ordering::Relaxed);
+    assert!((1..=in_flight).contains(&ended), "only the first calls have ended: {ended}");
+}
+
 /// Pages sized for a fast link time out on a thin one, so that the cell is never loaded.
 #[tokio::test(start_paused = true)]
 async fn process_on_a_thin_link_loads_a_large_cell() {
