A worker's new life may hold a lease of the platform's maximum

Seen: nothing yet; found by reading. On a platform whose longest lease is longer than the leases given (10 s and 6 s), a task could run twice: a worker restarts, a call of before reaches its new life, the worker is cut off, and its run counts as expired up to 4 s before it ends.

Cause: a worker that restarts under its identifier starts its clock anew. A lease deadline by the clock of its former life lies far ahead then, and the worker cuts it to the platform's maximum. `Board::report` took `lease_ms` from the first report of the new life as the bound.

Evidence: the rig's workers have clocks of their own, which start anew, and keep the end of their lease.

Change: `BoardTimings::max_lease_ms`, from the platform's maximum that the settings keep beside the capped lease, is the bound from the first report of another life. At the first report that a new owner gets, whether the worker has just restarted isn't known. The maximum is used there only as far as calls of before can have reached the life, in its first 5 s by its own clock: then an owner waits for as long as before for a worker whose clock is beyond 9 s.

Cost: where the maximum is 6 s, none. Where it is 10 s, the tasks of a worker that falls silent within 4 s of such a report start elsewhere up to 4.1 s later.

Not covered: a worker that a new owner never reaches (its bound is still the lease given, from the takeover), and an order of before that the new life carries out after its first report.

--- a/crates/masticfall-core/src/fleet/board.rs
+++ b/crates/masticfall-core/src/fleet/board.rs
@@ -60,6 +60,8 @@
 pub struct BoardTimings {
     /// Length of worker leases, in milliseconds.
     pub lease_ms: u64,
+    /// Maximum length to which workers cut a longer lease, in milliseconds.
+    pub max_lease_ms: u64,
     /// Time that a worker may take to end a stopped run, in milliseconds.
     pub stop_grace_ms: u64,
     /// Time for which the previous owner may have kept extending leases
--- a/crates/masticfall-core/src/fleet/board/reports.rs
+++ b/crates/masticfall-core/src/fleet/board/reports.rs
@@ -4,7 +4,8 @@
 
 use super::settle::ReportUse;
 use super::{
-    Board, EndCause, Notice, Order, OrderState, Placement, RunRef, StopOrder, StopReason, TaskState,
+    Board, BoardTimings, EndCause, Notice, Order, OrderState, Placement, RunRef, StopOrder,
+    StopReason, TaskState,
 };
 use crate::fleet::progress::JobPhase;
 use crate::fleet::report::{ActiveRun, EndedRun, RunEnd, WorkerReport};
@@ -132,7 +133,7 @@
 
     /// Applies a report that was requested at `sent_ms`.
     pub fn report(&mut self, id: &WorkerId, sent_ms: u64, report: WorkerReport, now_ms: u64) {
-        let lease_ms = self.timings.lease_ms;
+        let BoardTimings { lease_ms, max_lease_ms, .. } = self.timings;
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.open_poll = None;
         worker.may_have_restarted = false;
@@ -144,12 +145,7 @@
                 let (worker, born_wall_ms) = (id.clone(), report.born_wall_ms);
                 self.notices.push(Notice::WorkerRestarted { worker, born_wall_ms });
             }
-            worker.born_wall_ms = Some(report.born_wall_ms);
-            worker.read_cursor = 0;
-            worker.ack_cursor = 0;
-            // The previous owner may have just renewed the lease for its full length.
-            worker.max_lease_deadline_ms = report.clock_ms + lease_ms;
-            worker.leased_ms = None;
+            worker.begin_life(report.born_wall_ms, report.clock_ms, lease_ms, max_lease_ms);
             self.needs_placement = true;
         }
         worker.clock = Some(ClockReading { local_ms: now_ms, worker_ms: report.clock_ms });
--- a/crates/masticfall-core/src/fleet/worker.rs
+++ b/crates/masticfall-core/src/fleet/worker.rs
@@ -17,6 +17,11 @@
 /// covers scheduling delay and the rounding of both clocks.
 pub const LEASE_SLACK_MS: u64 = 150;
 
+/// Time after the restart of a worker in which calls with lease deadlines by the clock of its
+/// former life may reach it, in milliseconds: a poll that gets no answer, after which the
+/// worker gets no leases, and then an order in flight take 4 s.
+const FORMER_CLOCK_CALLS_MS: u64 = 5_000;
+
 /// Number of run ends remembered for each worker.
 const MAX_RECENT_ENDS: usize = 8;
 
@@ -221,6 +226,28 @@
         }
     }
 
+    /// Records the first report of an incarnation, made at `clock_ms` by its clock.
+    ///
+    /// A call with a lease deadline by the clock of its former life may have reached it: the
+    /// lease then lasts for the maximum, `max_lease_ms`.
+    pub fn begin_life(
+        &mut self,
+        born_wall_ms: u64,
+        clock_ms: u64,
+        lease_ms: u64,
+        max_lease_ms: u64,
+    ) {
+        let has_restarted = self.born_wall_ms.is_some();
+        self.born_wall_ms = Some(born_wall_ms);
+        self.read_cursor = 0;
+        self.ack_cursor = 0;
+        self.leased_ms = None;
+        let by_former_clock_ms =
+            if has_restarted { clock_ms } else { clock_ms.min(FORMER_CLOCK_CALLS_MS) };
+        // The previous owner may have just renewed the lease for its full length.
+        self.max_lease_deadline_ms = (clock_ms + lease_ms).max(by_former_clock_ms + max_lease_ms);
+    }
+
     /// Returns an estimate of the worker's clock.
     pub fn estimated_clock_ms(&self, now_ms: u64) -> Option<u64> {
         self.clock.map(|clock| clock.worker_ms + now_ms.saturating_sub(clock.local_ms))
--- a/crates/masticfall-core/tests/suite/fleet_leases.rs
+++ b/crates/masticfall-core/tests/suite/fleet_leases.rs
@@ -6,7 +6,7 @@
 use masticfall_core::fleet::worker::WorkerFacts;
 use masticfall_core::prelude::*;
 
-use crate::fleet_rig::{LEASE_MS, Rig, facts, step};
+use crate::fleet_rig::{LEASE_MS, MAX_LEASE_MS, Rig, facts, step};
 
 const WORKERS: &[(&str, u64)] = &[("w1", 8), ("w2", 8)];
 const JOB: &str = "00000000000000cc";
@@ -143,6 +143,72 @@
     rig.board.report(&id.into(), now_ms, report, now_ms);
 }
 
+/// Submits a task whose start order, with a lease deadline by the clock of the worker's former
+/// life, reaches the worker 0.4 s after its restart; returns the worker.
+fn start_by_the_former_clock(rig: &mut Rig) -> WorkerId {
+    rig.submit(JOB, vec![step(1, 1)]);
+    rig.board.place(rig.now_ms);
+    let placed = rig.board.workers.iter().find(|(_, worker)| !worker.placements.is_empty());
+    let worker = placed.expect("a placement").0.clone();
+    rig.restart(&worker);
+    rig.advance(400);
+    rig.settle();
+    assert_eq!(rig.started.len(), 1);
+    assert_eq!(rig.workers[&worker].lease_until_ms, rig.now_ms + MAX_LEASE_MS);
+    worker
+}
+
+/// Cuts a worker off until its task is started elsewhere; returns how long that took.
+fn cut_off_until_restart(rig: &mut Rig, worker: &WorkerId) -> u64 {
+    let cut_ms = rig.now_ms;
+    while rig.started.len() == 1 && rig.now_ms < cut_ms + 60_000 {
+        fail_polls(rig, worker.as_str(), 200);
+    }
+    assert_eq!(rig.started.len(), 2);
+    rig.now_ms - cut_ms
+}
+
+/// Guards against a lease that a restarted worker holds by an order of before its restart.
+#[test]
+fn lease_by_the_clock_of_a_former_life_is_waited_for() {
+    let mut rig = Rig::new(WORKERS);
+    let worker = start_by_the_former_clock(&mut rig);
+    rig.advance(1_100);
+    rig.poll(&worker);
+    assert_eq!(rig.active_attempts(&format!("{JOB}.0.0.0")).len(), 1);
+    cut_off_until_restart(&mut rig, &worker);
+    let (until_ms, now_ms) = (rig.workers[&worker].lease_until_ms, rig.now_ms);
+    assert!(now_ms > until_ms, "started at {now_ms} while the lease lasts until {until_ms}");
+}
+
+/// Guards against the same lease if the former owner gave it and a new one reads the report.
+#[test]
+fn next_owner_waits_for_a_lease_by_the_clock_of_a_former_life() {
+    let mut rig = Rig::new(WORKERS);
+    let worker = start_by_the_former_clock(&mut rig);
+    rig.take_over(2);
+    rig.list(WORKERS);
+    rig.advance(1_100);
+    rig.poll_all();
+    cut_off_until_restart(&mut rig, &worker);
+    let (until_ms, now_ms) = (rig.workers[&worker].lease_until_ms, rig.now_ms);
+    assert!(now_ms > until_ms, "started at {now_ms} while the lease lasts until {until_ms}");
+}
+
+/// Guards against a longer wait for workers that have not restarted.
+#[test]
+fn next_owner_waits_no_longer_than_a_usual_lease_for_a_worker_in_its_old_life() {
+    let mut rig = Rig::new(WORKERS);
+    rig.submit(JOB, vec![step(1, 1)]);
+    rig.settle();
+    let worker = rig.started[0].worker.clone();
+    rig.take_over(2);
+    rig.list(WORKERS);
+    rig.poll_all();
+    let took_ms = cut_off_until_restart(&mut rig, &worker);
+    assert!(took_ms < LEASE_MS + 1_000, "took {took_ms} ms");
+}
+
 /// Guards against tasks that are started by the labels of a worker's former life: its report
 /// comes before its new entry.
 #[test]
--- a/crates/masticfall-core/tests/suite/fleet_rig.rs
+++ b/crates/masticfall-core/tests/suite/fleet_rig.rs
@@ -18,8 +18,16 @@
 
 pub const LEASE_MS: u64 = 6_000;
 
+/// Longest lease that a simulated worker holds.
+pub const MAX_LEASE_MS: u64 = 10_000;
+
 pub fn timings() -> BoardTimings {
-    BoardTimings { lease_ms: LEASE_MS, stop_grace_ms: 900, takeover_overlap_ms: 4_000 }
+    BoardTimings {
+        lease_ms: LEASE_MS,
+        max_lease_ms: MAX_LEASE_MS,
+        stop_grace_ms: 900,
+        takeover_overlap_ms: 4_000,
+    }
 }
 
 pub fn now(steady_ms: u64) -> Now {
@@ -90,12 +98,35 @@
     }
 }
 
-/// Runs of a simulated worker, whose clock equals the local one.
+/// Age of the simulated workers at time zero.
+const FIRST_AGE_MS: u64 = 60_000;
+
+/// A simulated worker, whose clock starts anew with each incarnation.
 #[derive(Debug, Default, Clone)]
 pub struct FakeWorker {
     pub running: Vec<ActiveRun>,
     pub ended: Vec<EndedRun>,
     pub end_count: u64,
+    /// Time of its last restart, and how often it has restarted.
+    pub restarted: Option<(u64, u64)>,
+    /// End of its lease, by the local clock.
+    pub lease_until_ms: u64,
+}
+
+impl FakeWorker {
+    fn clock_ms(&self, now_ms: u64) -> u64 {
+        self.restarted.map_or(FIRST_AGE_MS + now_ms, |(at_ms, _)| now_ms - at_ms)
+    }
+
+    fn born_wall_ms(&self) -> u64 {
+        5 + self.restarted.map_or(0, |(_, restarts)| restarts)
+    }
+
+    /// Extends its lease to a deadline by its clock, cut to the longest lease that it holds.
+    fn extend_lease(&mut self, deadline_ms: u64, now_ms: u64) {
+        let left_ms = deadline_ms.saturating_sub(self.clock_ms(now_ms)).min(MAX_LEASE_MS);
+        self.lease_until_ms = self.lease_until_ms.max(now_ms + left_ms);
+    }
 }
 
 /// A board with the contents of its store and the state of its workers.
@@ -179,6 +210,7 @@
                 continue;
             };
             self.run(&start.worker, &start.task, start.attempt);
+            self.workers[&start.worker].extend_lease(start.lease_deadline_ms, self.now_ms);
             self.board.start_result(
                 &start.worker,
                 &start.task,
@@ -195,6 +227,13 @@
         self.workers[worker].running.push(run);
     }
 
+    /// Lets a worker restart under its identifier: it runs nothing and knows nothing.
+    pub fn restart(&mut self, id: &WorkerId) {
+        let restarts = self.workers[id].restarted.map_or(0, |(_, restarts)| restarts);
+        let restarted = Some((self.now_ms, restarts + 1));
+        self.workers[id] = FakeWorker { restarted, ..FakeWorker::default() };
+    }
+
     /// Ends the runs of a task on the workers.
     pub fn end(&mut self, task: &str, end: RunEnd) {
         let key = TaskKey::parse(task).expect("valid task key");
@@ -212,9 +251,12 @@
         let Some(poll) = self.board.poll(id, self.now_ms) else { return };
         let worker = &mut self.workers[id];
         worker.ended.retain(|ended| ended.number > poll.ack_cursor);
+        if let Some(deadline_ms) = poll.lease_deadline_ms {
+            worker.extend_lease(deadline_ms, self.now_ms);
+        }
         let report = WorkerReport {
-            clock_ms: self.now_ms,
-            born_wall_ms: 5,
+            clock_ms: worker.clock_ms(self.now_ms),
+            born_wall_ms: worker.born_wall_ms(),
             running: worker.running.clone(),
             ended: worker.ended.iter().take(MAX_REPORTED_ENDS).cloned().collect(),
         };
--- a/crates/masticfall-entry/src/fleet/leadership/load.rs
+++ b/crates/masticfall-entry/src/fleet/leadership/load.rs
@@ -186,6 +186,7 @@
 ) -> (Board, Vec<JobId>) {
     let timings = BoardTimings {
         lease_ms: fleet.settings.worker_lease_ms,
+        max_lease_ms: fleet.settings.max_worker_lease_ms,
         stop_grace_ms: fleet.settings.stop_grace_ms,
         takeover_overlap_ms: overlap_ms,
     };
--- a/crates/masticfall-entry/src/fleet/settings.rs
+++ b/crates/masticfall-entry/src/fleet/settings.rs
@@ -85,6 +85,8 @@
     pub advice: Option<SocketAddr>,
     /// Length of the leases given to workers, in milliseconds.
     pub worker_lease_ms: u64,
+    /// Maximum length to which workers cut a longer lease, in milliseconds.
+    pub max_worker_lease_ms: u64,
     /// Time within which a worker ends a stopped run, in milliseconds.
     pub stop_grace_ms: u64,
     /// Time within which two holders of the lease on instances must not both call
@@ -141,6 +143,7 @@
             machines: any_port,
             advice: None,
             worker_lease_ms: 6_000,
+            max_worker_lease_ms: 6_000,
             stop_grace_ms: 1_000,
             machine_lease_ms: 3_000,
             machine_calls_per_s: DEFAULT_MACHINE_CALLS_PER_S,
@@ -194,6 +197,7 @@
     /// Returns all errors in the file.
     pub fn read(text: &str) -> Result<Self> {
         let mut doc = Document::parse(text).map_err(|error| vec![error])?;
+        let max_worker_lease_ms = millis(&mut doc, "worker_lease_ms", 6_000);
         let settings = Self {
             name: Name::from(doc.required(SECTION, "name")),
             data_centre: DataCentre::from(doc.required(SECTION, "data_centre")),
@@ -204,7 +208,8 @@
             store: address(&mut doc, SECTION, "store"),
             machines: address(&mut doc, SECTION, "machines"),
             advice: doc.text(SECTION, "advice").and_then(|text| text.parse().ok()),
-            worker_lease_ms: millis(&mut doc, "worker_lease_ms", 6_000).min(MAX_WORKER_LEASE_MS),
+            worker_lease_ms: max_worker_lease_ms.min(MAX_WORKER_LEASE_MS),
+            max_worker_lease_ms,
             stop_grace_ms: millis(&mut doc, "stop_grace_ms", 1_000),
             machine_lease_ms: millis(&mut doc, "machine_lease_ms", 3_000),
             machine_calls_per_s: number(
--- a/crates/masticfall-entry/tests/suite/fleet_hostile.rs
+++ b/crates/masticfall-entry/tests/suite/fleet_hostile.rs
@@ -49,7 +49,12 @@
 /// Returns a board with jobs whose tasks are all ready, and room for them on many workers.
 fn board_of(jobs: u64, spec: &JobSpec) -> Board {
     let world = World::new(40, "p");
-    let timings = BoardTimings { lease_ms: 6_000, stop_grace_ms: 900, takeover_overlap_ms: 0 };
+    let timings = BoardTimings {
+        lease_ms: 6_000,
+        max_lease_ms: 6_000,
+        stop_grace_ms: 900,
+        takeover_overlap_ms: 0,
+    };
     let mut board = Board::new(1, timings, 1);
     board.set_config(config(1, &["key"]));
     for facts in world.worker_facts() {
