The soak cuts single processes off, holds bytes, and aims at the owner

Cause: the soak could not play an owner that is replaced while it still works. One link a worker was shared by all processes, the proxy dropped the bytes of a cut, and no fault was tied to the ownership of the cell.

Change: - A proxy has a link for each process. It finds the calling process by the inode of its socket in /proc, so a relay's calls go over the relay's own link; the workers' rows stay as they are. - LinkMode::Hold, HoldToServer and HoldToClient: the bytes wait and are delivered in order when the mode changes, also after the caller gave up. The connection to the server then stays open for a second, in which it handles the order. A report of overlapping runs gives the workers and times; the list of faults gives the time of the record and UTC.

--- a/crates/masticfall-entry/src/fleet.rs
+++ b/crates/masticfall-entry/src/fleet.rs
@@ -18,7 +18,7 @@
 mod notices;
 pub mod peers;
 pub mod relay;
-mod rows;
+pub mod rows;
 mod run;
 pub mod settings;
 pub mod submissions;
--- a/crates/masticfall-soak/src/load.rs
+++ b/crates/masticfall-soak/src/load.rs
@@ -10,6 +10,21 @@
     CrashPlan { keeps_id: true, is_dark, ..CrashPlan::default() }
 }
 
+/// Probability that a job has long tasks.
+const LONG_PROBABILITY: f64 = 0.15;
+
+/// Duration of long tasks, in milliseconds: some outlast a change of owners, some a lease.
+const LONG_TASK_MS: std::ops::Range<u64> = 2_000..7_500;
+
+/// Makes some jobs one step of long tasks.
+pub fn lengthen(spec: &mut JobSpec, random: &mut StdRng) {
+    if random.random_bool(LONG_PROBABILITY) {
+        spec.steps.truncate(1);
+        spec.steps[0].tasks = spec.steps[0].tasks.min(3);
+        spec.steps[0].estimate_ms = random.random_range(LONG_TASK_MS);
+    }
+}
+
 /// Returns the specification of a job of one or two short steps.
 pub fn random_spec(random: &mut StdRng) -> JobSpec {
     let step = StepSpec {
--- a/crates/masticfall-soak/src/main.rs
+++ b/crates/masticfall-soak/src/main.rs
@@ -122,6 +122,8 @@
     if violations.is_empty() {
         return;
     }
+    let mut faults: Vec<_> = faults.iter().collect();
+    faults.sort_by_key(|(at_ms, _)| *at_ms);
     for (at_ms, fault) in faults {
         println!("  {at_ms:>6} ms  {fault}");
     }
--- a/crates/masticfall-soak/src/play.rs
+++ b/crates/masticfall-soak/src/play.rs
@@ -1,9 +1,12 @@
 //! Runs one seed: a fault schedule, a load of jobs, and the checks.
 
+mod inject;
+mod owner;
+
 use std::io;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use indexmap::{IndexMap, IndexSet};
 use masticfall_adapter::link::HttpClient;
@@ -13,20 +16,19 @@
 use masticfall_core::fleet::spec::{JobSpec, Resources, TaskKey};
 use masticfall_core::id::JobId;
 use masticfall_platform::serve::{ServePhase, bind, serve};
+use masticfall_standin::fleet::World;
 use masticfall_standin::fleet::check;
 use masticfall_standin::fleet::crash::CrashingTask;
-use masticfall_standin::fleet::{StoreMode, World};
 use parking_lot::Mutex;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use rustix::process::Signal;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
 use crate::evacuate;
-use crate::load::{random_spec, restart_plan};
-use crate::process::Process;
-use crate::proxy::{LinkMode, Proxy, silence_one};
+use crate::load::{lengthen, random_spec, restart_plan};
+use crate::process::{Process, socket_inode};
+use crate::proxy::Proxy;
 use crate::register::keep_entries;
 
 /// Number of simulated workers.
@@ -113,13 +115,23 @@
 
 struct Testbed {
     world: Arc<World>,
-    processes: Vec<Mutex<Process>>,
+    processes: Arc<[Mutex<Process>]>,
     store_links: Vec<Proxy>,
+    /// For each worker, with a link for each process.
     worker_links: Vec<Proxy>,
     observed: Mutex<Observations>,
     http_client: HttpClient,
     /// Time at which the toggled key was withdrawn; `None` while it is valid or once checked.
     withdrawn_ms: Mutex<Option<u64>>,
+    /// Held while faults of the owner are played, and while a withdrawn key is checked.
+    owner_faults: tokio::sync::Mutex<()>,
+}
+
+impl Plan {
+    /// Returns whether only faults of the owner are played, which others would often hide.
+    fn has_owner_faults_only(&self) -> bool {
+        self.seed % 5 == 4
+    }
 }
 
 /// Runs a seed and checks the invariants.
@@ -129,7 +141,7 @@
 pub async fn run_plan(plan: &Plan) -> io::Result<Report> {
     let (phase, phase_receiver) = watch::channel(ServePhase::Open);
     let testbed = Arc::new(Testbed::start(plan, &phase_receiver).await?);
-    for process in &testbed.processes {
+    for process in &*testbed.processes {
         process.lock().start()?;
     }
     let mut report = Report::default();
@@ -143,7 +155,7 @@
     let registrations = tokio::spawn(entries);
     let world = Arc::clone(&testbed.world);
     let evacuations = tokio::spawn(evacuate::play(world, plan.seed, plan.length_ms));
-    report.faults = testbed.inject(plan).await?;
+    report.faults = testbed.play_faults(plan).await?;
     testbed.recover().await?;
     // A panic here is a fault of the soak itself.
     clients.await.map_err(io::Error::other)?;
@@ -163,16 +175,6 @@
         let listener = bind(([127, 0, 0, 1], 0).into()).await?;
         let store = listener.local_addr()?;
         drop(serve(listener, ModelServer::store(&world), phase.clone()));
-        let mut worker_links = Vec::new();
-        for facts in world.worker_facts() {
-            let listener = bind(([127, 0, 0, 1], 0).into()).await?;
-            let address = listener.local_addr()?;
-            let server = ModelServer::worker(&world, facts.id.clone());
-            drop(serve(listener, server, phase.clone()));
-            let link = Proxy::open(address).await?;
-            write_worker_row(&world, &facts, Some(link.address)).await.map_err(io::Error::other)?;
-            worker_links.push(link);
-        }
         write_config(&world, 1, "127.0.0.1", &[KEY, TOGGLED_KEY])
             .await
             .map_err(io::Error::other)?;
@@ -193,6 +195,22 @@
             processes.push(Mutex::new(process));
             store_links.push(link);
         }
+        let processes: Arc<[Mutex<Process>]> = processes.into();
+        let mut worker_links = Vec::new();
+        for facts in world.worker_facts() {
+            let listener = bind(([127, 0, 0, 1], 0).into()).await?;
+            let address = listener.local_addr()?;
+            let server = ModelServer::worker(&world, facts.id.clone());
+            drop(serve(listener, server, phase.clone()));
+            let callers = Arc::clone(&processes);
+            let choose_link = move |client, proxy| {
+                let inode = socket_inode(client, proxy)?;
+                callers.iter().position(|process| process.lock().has_socket(inode))
+            };
+            let link = Proxy::open_links(address, plan.processes, Box::new(choose_link)).await?;
+            write_worker_row(&world, &facts, Some(link.address)).await.map_err(io::Error::other)?;
+            worker_links.push(link);
+        }
         Ok(Self {
             world,
             processes,
@@ -201,9 +219,22 @@
             observed: Mutex::default(),
             http_client: HttpClient::default(),
             withdrawn_ms: Mutex::new(None),
+            owner_faults: tokio::sync::Mutex::default(),
         })
     }
 
+    /// Plays all faults; returns what it did, with the time since the start in milliseconds.
+    async fn play_faults(&self, plan: &Plan) -> io::Result<Vec<(u64, String)>> {
+        let wall_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |at| at.as_millis());
+        let started = format!("start: {} ms of the record, {wall_ms} ms UTC", self.world.now_ms());
+        let any_faults = async {
+            if plan.has_owner_faults_only() { Ok(Vec::new()) } else { self.inject(plan).await }
+        };
+        let (faults, owner_faults) = tokio::join!(any_faults, self.play_owner_faults(plan));
+        self.check_withdrawn_key().await;
+        Ok([vec![(0, started)], faults?, owner_faults?].concat())
+    }
+
     fn client<'a>(&'a self, key: &'a str) -> Client<'a> {
         Client { http_client: &self.http_client, key, timeout_ms: CALL_TIMEOUT_MS }
     }
@@ -224,13 +255,16 @@
     /// processes until one accepts it.
     async fn submit_jobs(self: Arc<Self>, seed: u64, length_ms: u64) {
         let mut random = StdRng::seed_from_u64(seed ^ 0x5eed);
+        // Of its own, so that the other jobs of kept seeds stay as they were.
+        let mut long_random = StdRng::seed_from_u64(seed ^ 0x1046);
         let until = Instant::now() + Duration::from_millis(length_ms);
         let mut number = 0;
         let mut calls = Vec::new();
         while Instant::now() < until {
             number += 1;
             let id = JobId::from(format!("{:016x}", (seed << 16) + number));
-            let spec = random_spec(&mut random);
+            let mut spec = random_spec(&mut random);
+            lengthen(&mut spec, &mut long_random);
             self.world.register_job(&id, &spec);
             if number % JOBS_PER_CRASHING_JOB == 7 {
                 let task = TaskKey { job: id.clone(), occurrence: 0, step: 0, index: 0 };
@@ -271,168 +305,6 @@
         }
     }
 
-    /// Injects faults, which may overlap, until the duration has passed.
-    async fn inject(&self, plan: &Plan) -> io::Result<Vec<(u64, String)>> {
-        let mut random = StdRng::seed_from_u64(plan.seed);
-        // Of their own, so that the other faults of kept seeds stay as they were.
-        let mut crash_random = StdRng::seed_from_u64(plan.seed ^ 0xc4a5);
-        let mut silence_random = StdRng::seed_from_u64(plan.seed ^ 0x51e7);
-        let started = Instant::now();
-        let mut version = 1;
-        let mut faults = Vec::new();
-        while started.elapsed() < Duration::from_millis(plan.length_ms) {
-            sleep(Duration::from_millis(random.random_range(150..900))).await;
-            let fault = self.inject_one(&mut random, &mut version).await?;
-            faults.push((started.elapsed().as_millis() as u64, fault));
-            if crash_random.random_bool(CRASH_PROBABILITY) {
-                let worker = crash_random.random_range(0..WORKERS);
-                let is_dark = crash_random.random_bool(0.3);
-                self.world.crash_worker(worker, restart_plan(is_dark));
-                let fault = format!("worker {worker} crashed");
-                faults.push((started.elapsed().as_millis() as u64, fault));
-            }
-            if silence_random.random_bool(SILENCE_PROBABILITY) {
-                let fault = silence_one(&self.store_links, &self.worker_links, &mut silence_random);
-                faults.push((started.elapsed().as_millis() as u64, fault));
-            }
-            self.check_withdrawn_key().await;
-        }
-        Ok(faults)
-    }
-
-    async fn inject_one(&self, random: &mut StdRng, version: &mut u64) -> io::Result<String> {
-        let index = random.random_range(0..self.processes.len());
-        let worker = random.random_range(0..WORKERS);
-        let link_mode = match random.random_range(0..6) {
-            0 => LinkMode::Delayed(random.random_range(20..300)),
-            1 => LinkMode::DropToServer,
-            2 => LinkMode::DropToClient,
-            3 => LinkMode::Blackhole,
-            4 => LinkMode::Reset,
-            _ => LinkMode::Open,
-        };
-        let signal = |signal| self.processes[index].lock().signal(signal);
-        Ok(match random.random_range(0..12) {
-            0 => {
-                signal(Signal::KILL);
-                format!("p{index} killed")
-            }
-            1 => {
-                signal(Signal::TERM);
-                format!("p{index} sent SIGTERM")
-            }
-            2 => {
-                signal(Signal::STOP);
-                format!("p{index} suspended")
-            }
-            3 => {
-                for process in &self.processes {
-                    process.lock().signal(Signal::CONT);
-                }
-                "all suspended processes resumed".to_string()
-            }
-            4 | 5 => {
-                for process in &self.processes {
-                    process.lock().start()?;
-                }
-                "all exited processes restarted".to_string()
-            }
-            6 | 7 => {
-                self.store_links[index].set(link_mode);
-                format!("link from p{index} to the store: {link_mode:?}")
-            }
-            8 => {
-                self.worker_links[worker].set(link_mode);
-                format!("links to worker {worker}: {link_mode:?}")
-            }
-            9 => {
-                let modes = [StoreMode::Up, StoreMode::Unavailable, StoreMode::DelaysWrites];
-                let mode = modes[random.random_range(0..modes.len())];
-                self.world.set_store(mode);
-                format!("store: {mode:?}")
-            }
-            10 => {
-                self.world.set_delayed_starts(random.random_range(0..3) * 9);
-                "some task starts delayed".to_string()
-            }
-            _ => {
-                *version += 1;
-                self.write_config(*version, *version % 2 == 1).await?;
-                format!("configuration {version} written")
-            }
-        })
-    }
-
-    /// Writes a configuration with or without the toggled key. The operator's write
-    /// succeeds even while the store fails the processes' calls.
-    async fn write_config(&self, version: u64, has_toggled_key: bool) -> io::Result<()> {
-        let keys: &[&str] = if has_toggled_key { &[KEY, TOGGLED_KEY] } else { &[KEY] };
-        let mode = self.world.store_mode();
-        self.world.set_store(StoreMode::Up);
-        let written = write_config(&self.world, version, "127.0.0.1", keys).await;
-        self.world.set_store(mode);
-        *self.withdrawn_ms.lock() = (!has_toggled_key).then(|| self.world.now_ms());
-        written.map_err(io::Error::other)
-    }
-
-    /// Checks that every process rejects a withdrawn key, including processes that
-    /// cannot reach the store while another one can.
-    async fn check_withdrawn_key(&self) {
-        let Some(withdrawn_ms) = *self.withdrawn_ms.lock() else { return };
-        let is_open = |link: &Proxy| link.mode() == LinkMode::Open;
-        let is_due = self.world.now_ms() >= withdrawn_ms + CONFIG_DEADLINE_MS;
-        if !is_due
-            || self.world.store_mode() != StoreMode::Up
-            || !self.store_links.iter().any(is_open)
-        {
-            return;
-        }
-        *self.withdrawn_ms.lock() = None;
-        // No other fault is injected in the meantime.
-        sleep(Duration::from_millis(CONFIG_DEADLINE_MS)).await;
-        for has_open_link in [true, false] {
-            for (process, link) in self.processes.iter().zip(&self.store_links) {
-                if is_open(link) == has_open_link {
-                    self.check_key(process).await;
-                }
-            }
-            sleep(Duration::from_millis(CONFIG_DEADLINE_MS)).await;
-        }
-    }
-
-    async fn check_key(&self, process: &Mutex<Process>) {
-        let (address, name) = {
-            let process = process.lock();
-            (process.callers, process.name.clone())
-        };
-        let probe = JobId::from("ffffffffffffffff");
-        let phase = self.client(TOGGLED_KEY).phase(address, &probe).await;
-        if phase == Some(None) {
-            self.observed.lock().violations.push(format!("{name} accepts a withdrawn key"));
-        }
-    }
-
-    async fn recover(&self) -> io::Result<()> {
-        self.world.set_store(StoreMode::Up);
-        self.world.set_delayed_starts(0);
-        for link in self.store_links.iter().chain(&self.worker_links) {
-            // Close stalled connections.
-            link.set(LinkMode::Reset);
-        }
-        sleep(Duration::from_millis(100)).await;
-        for link in self.store_links.iter().chain(&self.worker_links) {
-            link.set(LinkMode::Open);
-        }
-        for process in &self.processes {
-            process.lock().signal(Signal::CONT);
-        }
-        sleep(Duration::from_millis(EXIT_TIMEOUT_MS)).await;
-        for process in &self.processes {
-            process.lock().start()?;
-        }
-        Ok(())
-    }
-
     /// Waits until every process reports every accepted job as completed, or as failed if
     /// a task of it crashes workers.
     async fn wait_completed(&self) {
@@ -485,7 +357,7 @@
         add("lost", check::unfinished_tasks(&record, &specs, &accepted));
         let ran = record.iter().filter(|run| observed.refused.contains(&run.task.job));
         add("run of a refused job", ran.map(|run| run.task.to_string()).collect());
-        for process in &self.processes {
+        for process in &*self.processes {
             let process = process.lock();
             if process.has_panicked() {
                 violations.push(format!("{} panicked", process.name));
--- a/crates/masticfall-soak/src/proxy.rs
+++ b/crates/masticfall-soak/src/proxy.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::Rng;
@@ -12,7 +13,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
-/// How a proxy treats forwarded data.
+/// How a link treats forwarded data.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LinkMode {
     /// Forwards data in both directions.
@@ -25,6 +26,13 @@
     DropToClient,
     /// Drops data in both directions and keeps connections open.
     Blackhole,
+    /// Holds data sent to the server until the mode changes, as a network does that sends lost
+    /// data again; data to the client still passes.
+    HoldToServer,
+    /// Holds data sent to the client until the mode changes; data to the server still passes.
+    HoldToClient,
+    /// Holds data in both directions until the mode changes.
+    Hold,
     /// Closes open and new connections.
     Reset,
 }
@@ -32,50 +40,102 @@
 /// Largest chunk forwarded at once, in bytes.
 const CHUNK_BYTES: usize = 16_384;
 
+/// Time for which a connection to the server stays open after held data was delivered to it for
+/// a client that has gone, in milliseconds. The server would otherwise see the end of the
+/// connection while it handles the request, and may abandon it.
+const LATE_DELIVERY_MS: u64 = 1_000;
+
+/// Returns which of a proxy's links carries a connection, by the client's address and the
+/// proxy's; `None` closes the connection.
+type ChooseLink = Box<dyn Fn(SocketAddr, SocketAddr) -> Option<usize> + Send + Sync>;
+
+/// The path of one client's connections through a proxy.
+#[derive(Debug)]
+pub struct Link {
+    mode: watch::Sender<LinkMode>,
+    /// Number of times that the open connections went silent.
+    silences: watch::Sender<u64>,
+}
+
+impl Link {
+    fn new() -> Self {
+        Self { mode: watch::channel(LinkMode::Open).0, silences: watch::channel(0).0 }
+    }
+
+    /// Returns the current mode.
+    pub fn mode(&self) -> LinkMode {
+        *self.mode.borrow()
+    }
+
+    /// Sets the mode of open and new connections.
+    pub fn set(&self, mode: LinkMode) {
+        self.mode.send_replace(mode);
+    }
+}
+
 /// A proxy that stops accepting connections when dropped.
 #[derive(Debug)]
 pub struct Proxy {
     /// Address on which the proxy listens.
     pub address: SocketAddr,
-    mode: watch::Sender<LinkMode>,
-    /// Number of times that the open connections went silent.
-    silences: watch::Sender<u64>,
+    /// Links, of which each connection takes one.
+    pub links: Arc<[Link]>,
     accept_task: JoinHandle<()>,
 }
 
 impl Proxy {
-    /// Starts a proxy to `server`.
+    /// Starts a proxy to `server` with one link.
     ///
     /// # Errors
     /// The system's error.
     pub async fn open(server: SocketAddr) -> io::Result<Self> {
+        Self::open_links(server, 1, Box::new(|_, _| Some(0))).await
+    }
+
+    /// Starts a proxy to `server` with `count` links.
+    ///
+    /// # Errors
+    /// The system's error.
+    pub async fn open_links(
+        server: SocketAddr,
+        count: usize,
+        choose_link: ChooseLink,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
-        let (mode, mode_receiver) = watch::channel(LinkMode::Open);
-        let (silences, silence_receiver) = watch::channel(0);
+        let links: Arc<[Link]> = (0..count).map(|_| Link::new()).collect();
+        let accepting_links = Arc::clone(&links);
         let accept_task = tokio::spawn(async move {
-            while let Ok((client, _)) = listener.accept().await {
-                let silences = silence_receiver.clone();
-                tokio::spawn(forward_connection(client, server, mode_receiver.clone(), silences));
+            while let Ok((client, from)) = listener.accept().await {
+                let chosen = choose_link(from, address);
+                let Some(link) = chosen.and_then(|index| accepting_links.get(index)) else {
+                    continue;
+                };
+                let (mode, silences) = (link.mode.subscribe(), link.silences.subscribe());
+                tokio::spawn(forward_connection(client, server, mode, silences));
             }
         });
-        Ok(Self { address, mode, silences, accept_task })
+        Ok(Self { address, links, accept_task })
     }
 
-    /// Returns the current mode.
+    /// Returns the mode of the first link.
     pub fn mode(&self) -> LinkMode {
-        *self.mode.borrow()
+        self.links[0].mode()
     }
 
-    /// Sets the mode of open and new connections.
+    /// Sets the mode of all links.
     pub fn set(&self, mode: LinkMode) {
-        self.mode.send_replace(mode);
+        for link in &*self.links {
+            link.set(mode);
+        }
     }
 
     /// Lets the open connections go silent for good: they stay open and deliver nothing, while
     /// new ones work.
     pub fn silence_open(&self) {
-        self.silences.send_modify(|count| *count += 1);
+        for link in &*self.links {
+            link.silences.send_modify(|count| *count += 1);
+        }
     }
 }
 
@@ -114,33 +174,58 @@
     let (client_in, client_out) = client.into_split();
     let (server_in, server_out) = server.into_split();
     let (mode_to_server, mode_to_client) = (mode.clone(), mode.clone());
-    let drops_to_server =
-        |mode| is_silent() || matches!(mode, LinkMode::DropToServer | LinkMode::Blackhole);
-    let drops_to_client =
-        |mode| is_silent() || matches!(mode, LinkMode::DropToClient | LinkMode::Blackhole);
+    let fate = |mode, dropping, holding| {
+        let is_cut = [dropping, LinkMode::Blackhole, LinkMode::Reset].contains(&mode);
+        if is_cut || is_silent() {
+            Fate::Dropped
+        } else if mode == holding || mode == LinkMode::Hold {
+            Fate::Held
+        } else {
+            Fate::Forwarded
+        }
+    };
+    let fate_to_server = |mode| fate(mode, LinkMode::DropToServer, LinkMode::HoldToServer);
+    let fate_to_client = |mode| fate(mode, LinkMode::DropToClient, LinkMode::HoldToClient);
     tokio::select! {
-        () = forward(client_in, server_out, mode_to_server, drops_to_server) => {}
-        () = forward(server_in, client_out, mode_to_client, drops_to_client) => {}
+        () = forward(client_in, server_out, mode_to_server, fate_to_server) => {}
+        () = forward(server_in, client_out, mode_to_client, fate_to_client) => {}
         // An error means that the proxy was dropped.
         _ = mode.wait_for(|mode| *mode == LinkMode::Reset) => {}
     }
 }
 
+/// What becomes of a chunk.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fate {
+    Forwarded,
+    Held,
+    Dropped,
+}
+
 async fn forward(
     mut from: tokio::net::tcp::OwnedReadHalf,
     mut to: tokio::net::tcp::OwnedWriteHalf,
-    mode: watch::Receiver<LinkMode>,
-    is_dropped: impl Fn(LinkMode) -> bool,
+    mut mode: watch::Receiver<LinkMode>,
+    fate: impl Fn(LinkMode) -> Fate,
 ) {
     let mut chunk = vec![0; CHUNK_BYTES];
-    loop {
-        let Ok(length @ 1..) = from.read(&mut chunk).await else { return };
-        let current_mode = *mode.borrow();
+    let mut was_held = false;
+    while let Ok(length @ 1..) = from.read(&mut chunk).await {
+        was_held = fate(*mode.borrow()) == Fate::Held;
+        // What the client sends after this chunk waits in the socket, with its end.
+        let Ok(current_mode) = mode.wait_for(|mode| fate(*mode) != Fate::Held).await.map(|m| *m)
+        else {
+            return;
+        };
         if let LinkMode::Delayed(ms) = current_mode {
             sleep(Duration::from_millis(ms)).await;
         }
-        if !is_dropped(current_mode) && to.write_all(&chunk[..length]).await.is_err() {
+        let is_forwarded = fate(current_mode) == Fate::Forwarded;
+        if is_forwarded && to.write_all(&chunk[..length]).await.is_err() {
             return;
         }
     }
+    if was_held {
+        sleep(Duration::from_millis(LATE_DELIVERY_MS)).await;
+    }
 }
--- a/crates/masticfall-soak/tests/suite/proxy.rs
+++ b/crates/masticfall-soak/tests/suite/proxy.rs
@@ -1,14 +1,16 @@
 //! The proxy injects its faults into connections that are already open.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use masticfall_soak::process::{has_socket, socket_inode};
 use masticfall_soak::proxy::{LinkMode, Proxy};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{Instant, timeout};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::time::{Instant, sleep, timeout};
 
-/// Starts an echo server behind a proxy.
-async fn start_echo_proxy() -> Proxy {
+/// Starts an echo server.
+async fn start_echo_server() -> SocketAddr {
     let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a free port");
     let address = listener.local_addr().expect("an address");
     tokio::spawn(async move {
@@ -19,7 +21,12 @@
             });
         }
     });
-    Proxy::open(address).await.expect("a proxy")
+    address
+}
+
+/// Starts an echo server behind a proxy.
+async fn start_echo_proxy() -> Proxy {
+    Proxy::open(start_echo_server().await).await.expect("a proxy")
 }
 
 /// Sends a byte and returns whether it is echoed within 300 ms.
@@ -69,3 +76,134 @@
     proxy.silence_open();
     assert!(!is_echoed(&mut new).await);
 }
+
+/// Reads all bytes that arrive within 300 ms.
+async fn read_all(stream: &mut TcpStream) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let mut chunk = [0; 64];
+    while let Ok(Ok(length @ 1..)) =
+        timeout(Duration::from_millis(300), stream.read(&mut chunk)).await
+    {
+        bytes.extend_from_slice(&chunk[..length]);
+    }
+    bytes
+}
+
+/// Accepts the connection that a proxy opens to its server.
+async fn accept(listener: &TcpListener) -> TcpStream {
+    let accepted = timeout(Duration::from_secs(2), listener.accept()).await;
+    accepted.expect("a connection").expect("accepted").0
+}
+
+/// A network sends lost data again: a cut delays it, in its order.
+#[tokio::test]
+async fn held_data_arrives_in_order_after_the_cut() {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a free port");
+    let proxy = Proxy::open(listener.local_addr().expect("an address")).await.expect("a proxy");
+    let mut client = TcpStream::connect(proxy.address).await.expect("connected");
+    let mut server = accept(&listener).await;
+    let cuts = [
+        (LinkMode::HoldToServer, true, false),
+        (LinkMode::HoldToClient, false, true),
+        (LinkMode::Hold, true, true),
+    ];
+    for (mode, holds_to_server, holds_to_client) in cuts {
+        proxy.set(mode);
+        for part in ["one ", "two ", "three"] {
+            client.write_all(part.as_bytes()).await.expect("sent");
+            server.write_all(part.as_bytes()).await.expect("sent");
+            sleep(Duration::from_millis(20)).await;
+        }
+        let sent = b"one two three".to_vec();
+        let during = |is_held: bool| if is_held { Vec::new() } else { sent.clone() };
+        let after = |is_held: bool| if is_held { sent.clone() } else { Vec::new() };
+        assert_eq!(read_all(&mut server).await, during(holds_to_server), "{mode:?}");
+        assert_eq!(read_all(&mut client).await, during(holds_to_client), "{mode:?}");
+        proxy.set(LinkMode::Open);
+        assert_eq!(read_all(&mut server).await, after(holds_to_server), "{mode:?}");
+        assert_eq!(read_all(&mut client).await, after(holds_to_client), "{mode:?}");
+    }
+}
+
+/// A caller that gives up takes nothing back: its order still arrives, and the server has time
+/// to handle it before the connection ends.
+#[tokio::test]
+async fn held_data_arrives_after_the_client_has_gone() {
+    for mode in [LinkMode::HoldToServer, LinkMode::Hold] {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a free port");
+        let proxy = Proxy::open(listener.local_addr().expect("an address")).await.expect("a proxy");
+        let mut client = TcpStream::connect(proxy.address).await.expect("connected");
+        let mut server = accept(&listener).await;
+        proxy.set(mode);
+        client.write_all(b"order").await.expect("sent");
+        drop(client);
+        assert_eq!(read_all(&mut server).await, b"", "{mode:?}");
+        proxy.set(LinkMode::Open);
+        let mut bytes = [0; 5];
+        server.read_exact(&mut bytes).await.expect("the order");
+        assert_eq!(&bytes, b"order", "{mode:?}");
+        let early = timeout(Duration::from_millis(300), server.read(&mut bytes)).await;
+        assert!(early.is_err(), "{mode:?}: the connection is still open");
+        let end = timeout(Duration::from_secs(2), server.read(&mut bytes)).await;
+        assert!(matches!(end, Ok(Ok(0))), "{mode:?}: {end:?}");
+    }
+}
+
+#[tokio::test]
+async fn reset_drops_held_data() {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a free port");
+    let proxy = Proxy::open(listener.local_addr().expect("an address")).await.expect("a proxy");
+    let mut client = TcpStream::connect(proxy.address).await.expect("connected");
+    let mut server = accept(&listener).await;
+    proxy.set(LinkMode::Hold);
+    client.write_all(b"order").await.expect("sent");
+    sleep(Duration::from_millis(50)).await;
+    proxy.set(LinkMode::Reset);
+    assert_eq!(read_all(&mut server).await, b"");
+    proxy.set(LinkMode::Open);
+    assert_eq!(read_all(&mut server).await, b"");
+}
+
+/// Connects from one of the loopback addresses.
+async fn connect_from(from: [u8; 4], to: SocketAddr) -> TcpStream {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind((from, 0).into()).expect("bound");
+    socket.connect(to).await.expect("connected")
+}
+
+#[tokio::test]
+async fn each_caller_has_a_link_of_its_own() {
+    let choose_link = |client: SocketAddr, _| match client {
+        SocketAddr::V4(client) => (client.ip().octets()[3] as usize).checked_sub(1),
+        SocketAddr::V6(_) => None,
+    };
+    let proxy = Proxy::open_links(start_echo_server().await, 2, Box::new(choose_link)).await;
+    let proxy = proxy.expect("a proxy");
+    let mut first = connect_from([127, 0, 0, 1], proxy.address).await;
+    let mut second = connect_from([127, 0, 0, 2], proxy.address).await;
+    let mut unknown = connect_from([127, 0, 0, 3], proxy.address).await;
+    assert!(!is_echoed(&mut unknown).await);
+    proxy.links[0].set(LinkMode::Blackhole);
+    assert!(!is_echoed(&mut first).await);
+    assert!(is_echoed(&mut second).await);
+    let mut new = connect_from([127, 0, 0, 1], proxy.address).await;
+    assert!(!is_echoed(&mut new).await);
+    proxy.set(LinkMode::Reset);
+    assert!(!is_echoed(&mut second).await, "the mode of all links");
+}
+
+#[tokio::test]
+async fn process_is_known_by_its_sockets() {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a free port");
+    let server = listener.local_addr().expect("an address");
+    let client = TcpStream::connect(server).await.expect("connected");
+    let local = client.local_addr().expect("an address");
+    let inode = socket_inode(local, server).expect("the client's socket");
+    assert!(has_socket(std::process::id(), inode));
+    assert!(!has_socket(std::os::unix::process::parent_id(), inode));
+    let _accepted = accept(&listener).await;
+    let accepted_inode = socket_inode(server, local).expect("the server's socket");
+    assert_ne!(inode, accepted_inode);
+    drop(client);
+    assert_eq!(socket_inode(local, server), None);
+}
--- a/crates/masticfall-standin/src/fleet/check.rs
+++ b/crates/masticfall-standin/src/fleet/check.rs
@@ -25,10 +25,11 @@
     for (number, run) in record.iter().enumerate() {
         for other in record[..number].iter().filter(|other| other.task == run.task) {
             if run.started_ms < end_ms(other) && other.started_ms < end_ms(run) {
-                violations.push(format!(
-                    "{}: runs {} and {} overlap",
-                    run.task, other.attempt, run.attempt
-                ));
+                let [first, second] = [other, run].map(|run| {
+                    let RunRecord { attempt, worker, started_ms, ended, .. } = run;
+                    format!("{attempt} on {worker} from {started_ms} ms until {ended:?}")
+                });
+                violations.push(format!("{}: run {first} and run {second} overlap", run.task));
             }
         }
     }
