A repeated poll acknowledges no run ends

Seen: nothing yet; found by reading. An end that nobody has read could be forgotten by its worker, and a task that has ended `done` start again.

Cause: a poll after an unanswered one acknowledges nothing, since a worker that has restarted under its identifier numbers its ends anew. But `poll_hedged` repeats an unanswered poll with the first one's cursor, up to 1.65 s later. A worker that has restarted meanwhile forgets its own ends up to that number.

That a task runs twice by it is not shown by a test.

Change: the repetition has the cursor 0. A worker that has not restarted lists the ends again until the next poll, and the board passes over those it has read.

--- a/crates/masticfall-entry/src/fleet/dispatch.rs
+++ b/crates/masticfall-entry/src/fleet/dispatch.rs
@@ -262,7 +262,8 @@
 ) -> Result<PollOutcome, PollError> {
     let Some(delay) = hedge_delay(fleet) else { return relay::poll(fleet, target, call).await };
     let delay = delay + Duration::from_millis(call.wait_ms);
-    let again = PollCall { wait_ms: 0, ..call.clone() };
+    // A new incarnation would discard run ends that nobody has read.
+    let again = PollCall { wait_ms: 0, ack_cursor: 0, ..call.clone() };
     let second = || {
         let guard = track_hedge(fleet)?;
         Some(async {
--- a/crates/masticfall-entry/tests/suite/fleet_hedge.rs
+++ b/crates/masticfall-entry/tests/suite/fleet_hedge.rs
@@ -5,14 +5,19 @@
 
 use masticfall_core::fleet::progress::JobPhase;
 use masticfall_core::fleet::report::StartOutcome;
-use masticfall_core::id::JobId;
+use masticfall_core::id::{JobId, WorkerId};
 use masticfall_entry::fleet::hedge::{hedged, start_outcomes};
-use masticfall_entry::fleet::{FleetSettings, RunningFleet};
+use masticfall_entry::fleet::{FleetSettings, RunningFleet, start};
+use masticfall_platform::fleet::PollCall;
+use masticfall_platform::operation;
 use masticfall_standin::fleet::World;
+use parking_lot::Mutex;
 use rstest::rstest;
 use tokio::time::{Instant, sleep};
 
-use crate::fleet_world::{WORKERS, assert_invariants, config, job, launch_with, phase, submit};
+use crate::fleet_world::{
+    WORKERS, assert_invariants, config, job, launch_with, phase, submit, unreachable_peers,
+};
 
 /// Time after which a call without an answer fails, in milliseconds.
 const CALL_TIMEOUT_MS: u64 = 700;
@@ -92,3 +97,46 @@
     assert!(with <= 1_880, "{with} ms with repeated calls, {without} ms without");
     assert!(without > 1_880, "the case shows nothing: {without} ms without repeated calls");
 }
+
+/// A worker that restarts between a poll and its repetition would forget ends that nobody read.
+#[tokio::test(start_paused = true)]
+async fn repeated_poll_acknowledges_no_ends() {
+    let world = World::new(WORKERS, "p");
+    world.set_config(config(1, &["key"]));
+    let mut platform = world.platform("a");
+    let poll = Arc::clone(&platform.poll);
+    let unanswered: Arc<Mutex<Vec<WorkerId>>> = Arc::default();
+    let repeated: Arc<Mutex<Vec<u64>>> = Arc::default();
+    let cursors = Arc::clone(&repeated);
+    platform.poll = operation(move |call: PollCall| {
+        let mut unanswered = unanswered.lock();
+        let position = unanswered.iter().position(|worker| *worker == call.worker);
+        let is_unanswered = position.is_none() && call.ack_cursor > 0 && call.wait_ms > 0;
+        if let Some(position) = position {
+            unanswered.swap_remove(position);
+            cursors.lock().push(call.ack_cursor);
+        } else if is_unanswered {
+            unanswered.push(call.worker.clone());
+        }
+        let answer = poll(call);
+        async move {
+            if is_unanswered {
+                sleep(Duration::from_mins(1)).await;
+            }
+            answer.await
+        }
+    });
+    let clock = Arc::clone(&world);
+    let settings = FleetSettings { hedge_after_ms: HEDGE_MS, ..FleetSettings::local("a", "dc") };
+    let process = start(settings, platform, Arc::new(move || clock.now_ms()), unreachable_peers());
+    sleep(Duration::from_secs(3)).await;
+    let ids: Vec<JobId> = (1..=4).map(job).collect();
+    for id in &ids {
+        submit(&world, &process.fleet, id).await.expect("accepted");
+    }
+    sleep(Duration::from_secs(15)).await;
+    assert_invariants(&world, &ids, &ids);
+    let repeated = repeated.lock();
+    assert!(!repeated.is_empty(), "polls that acknowledge ends were repeated");
+    assert!(repeated.iter().all(|cursor| *cursor == 0), "{repeated:?}");
+}
