Each process gets the addresses of its own links from the store

Change: the model's store has a listener for each process and lists the workers to it at links of that process. Relays are told the address by the owner, so they use the owner's links. Nothing reads /proc.

--- a/crates/masticfall-soak/src/process.rs
+++ b/crates/masticfall-soak/src/process.rs
@@ -17,9 +17,6 @@
 /// system's ephemeral port range, which starts at 32,768.
 const PORT_COUNT: u16 = 20_000;
 
-/// Number of times that the system's list of sockets is read for a socket.
-const SOCKET_READS: usize = 3;
-
 /// An entry process under test, killed when dropped.
 #[derive(Debug)]
 pub struct Process {
@@ -105,42 +102,12 @@
         }
     }
 
-    /// Returns whether the process has a socket, by its inode.
-    pub fn has_socket(&self, inode: u64) -> bool {
-        self.child.as_ref().and_then(Child::id).is_some_and(|id| has_socket(id, inode))
-    }
-
     /// Returns whether the log contains a panic message.
     pub fn has_panicked(&self) -> bool {
         fs::read_to_string(&self.log).is_ok_and(|log| log.contains("panicked at"))
     }
 }
 
-/// Returns whether a process of this system has a socket, by its inode.
-pub fn has_socket(process_id: u32, inode: u64) -> bool {
-    let Ok(files) = fs::read_dir(format!("/proc/{process_id}/fd")) else { return false };
-    let name = format!("socket:[{inode}]");
-    let mut links = files.flatten().filter_map(|file| fs::read_link(file.path()).ok());
-    links.any(|link| link.as_os_str() == name.as_str())
-}
-
-/// Returns the inode of the open socket at `local` that is connected to `remote`, both loopback
-/// addresses of this system.
-pub fn socket_inode(local: SocketAddr, remote: SocketAddr) -> Option<u64> {
-    let ends = [local, remote].map(|end| format!(":{:04X}", end.port()));
-    // A line may be missing while other sockets are opened and closed.
-    (0..SOCKET_READS).find_map(|_| {
-        let sockets = fs::read_to_string("/proc/net/tcp").ok()?;
-        let mut lines = sockets.lines().filter(|line| ends.iter().all(|end| line.contains(end)));
-        lines.find_map(|line| {
-            let fields: Vec<&str> = line.split_whitespace().collect();
-            let [_, local, remote, _, _, _, _, _, _, inode, ..] = fields[..] else { return None };
-            let is_wanted = local.ends_with(&ends[0]) && remote.ends_with(&ends[1]);
-            inode.parse().ok().filter(|inode| is_wanted && *inode > 0)
-        })
-    })
-}
-
 /// Creates an empty folder for a seed and returns its path.
 ///
 /// # Errors
--- a/crates/masticfall-soak/src/proxy.rs
+++ b/crates/masticfall-soak/src/proxy.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use rand::Rng;
@@ -45,109 +44,67 @@
 /// connection while it handles the request, and may abandon it.
 const LATE_DELIVERY_MS: u64 = 1_000;
 
-/// Returns which of a proxy's links carries a connection, by the client's address and the
-/// proxy's; `None` closes the connection.
-type ChooseLink = Box<dyn Fn(SocketAddr, SocketAddr) -> Option<usize> + Send + Sync>;
-
-/// The path of one client's connections through a proxy.
-#[derive(Debug)]
-pub struct Link {
-    mode: watch::Sender<LinkMode>,
-    /// Number of times that the open connections went silent.
-    silences: watch::Sender<u64>,
-}
-
-impl Link {
-    fn new() -> Self {
-        Self { mode: watch::channel(LinkMode::Open).0, silences: watch::channel(0).0 }
-    }
-
-    /// Returns the current mode.
-    pub fn mode(&self) -> LinkMode {
-        *self.mode.borrow()
-    }
-
-    /// Sets the mode of open and new connections.
-    pub fn set(&self, mode: LinkMode) {
-        self.mode.send_replace(mode);
-    }
-}
-
 /// A proxy that stops accepting connections when dropped.
 #[derive(Debug)]
 pub struct Proxy {
     /// Address on which the proxy listens.
     pub address: SocketAddr,
-    /// Links, of which each connection takes one.
-    pub links: Arc<[Link]>,
+    mode: watch::Sender<LinkMode>,
+    /// Number of times that the open connections went silent.
+    silences: watch::Sender<u64>,
     accept_task: JoinHandle<()>,
 }
 
 impl Proxy {
-    /// Starts a proxy to `server` with one link.
+    /// Starts a proxy to `server`.
     ///
     /// # Errors
     /// The system's error.
     pub async fn open(server: SocketAddr) -> io::Result<Self> {
-        Self::open_links(server, 1, Box::new(|_, _| Some(0))).await
-    }
-
-    /// Starts a proxy to `server` with `count` links.
-    ///
-    /// # Errors
-    /// The system's error.
-    pub async fn open_links(
-        server: SocketAddr,
-        count: usize,
-        choose_link: ChooseLink,
-    ) -> io::Result<Self> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
-        let links: Arc<[Link]> = (0..count).map(|_| Link::new()).collect();
-        let accepting_links = Arc::clone(&links);
+        let (mode, mode_receiver) = watch::channel(LinkMode::Open);
+        let (silences, silence_receiver) = watch::channel(0);
         let accept_task = tokio::spawn(async move {
-            while let Ok((client, from)) = listener.accept().await {
-                let chosen = choose_link(from, address);
-                let Some(link) = chosen.and_then(|index| accepting_links.get(index)) else {
-                    continue;
-                };
-                let (mode, silences) = (link.mode.subscribe(), link.silences.subscribe());
-                tokio::spawn(forward_connection(client, server, mode, silences));
+            while let Ok((client, _)) = listener.accept().await {
+                let silences = silence_receiver.clone();
+                tokio::spawn(forward_connection(client, server, mode_receiver.clone(), silences));
             }
         });
-        Ok(Self { address, links, accept_task })
+        Ok(Self { address, mode, silences, accept_task })
     }
 
-    /// Returns the mode of the first link.
+    /// Returns the current mode.
     pub fn mode(&self) -> LinkMode {
-        self.links[0].mode()
+        *self.mode.borrow()
     }
 
-    /// Sets the mode of all links.
+    /// Sets the mode of open and new connections.
     pub fn set(&self, mode: LinkMode) {
-        for link in &*self.links {
-            link.set(mode);
-        }
+        self.mode.send_replace(mode);
     }
 
     /// Lets the open connections go silent for good: they stay open and deliver nothing, while
     /// new ones work.
     pub fn silence_open(&self) {
-        for link in &*self.links {
-            link.silences.send_modify(|count| *count += 1);
-        }
+        self.silences.send_modify(|count| *count += 1);
     }
 }
 
-/// Lets the open connections of one link go silent; returns which one.
-pub fn silence_one(store_links: &[Proxy], worker_links: &[Proxy], random: &mut StdRng) -> String {
-    let goes_to_store = random.random_bool(0.5);
-    let links = if goes_to_store { store_links } else { worker_links };
-    let index = random.random_range(0..links.len());
-    links[index].silence_open();
-    if goes_to_store {
+/// Lets the open connections of a process to the store, or those of all processes to a worker,
+/// go silent; returns which ones.
+pub fn silence_one(
+    store_links: &[Proxy],
+    worker_links: &[Vec<Proxy>],
+    random: &mut StdRng,
+) -> String {
+    if random.random_bool(0.5) {
+        let index = random.random_range(0..store_links.len());
+        store_links[index].silence_open();
         format!("open connections from p{index} to the store went silent")
     } else {
+        let index = random.random_range(0..worker_links.len());
+        worker_links[index].iter().for_each(Proxy::silence_open);
         format!("open connections to worker {index} went silent")
     }
 }
