A search over owners that change in series, with links of single processes

Cause: the seeded searches cut workers off from all processes at once, and end an owner without regard to how long it has owned the cell.

Change: no_task_runs_twice_over_owners_that_change_in_series has three processes, tasks of up to 9 s, cut and held links between a process and some workers, workers that only one process reaches, a store that is lost to one process, and owners that are shut down or crash up to 0.5 s after a takeover, with and without early starts; FLEET_SEEDS for more seeds. Another test sends orders over held links, of which one meets the token of a later owner.

--- a/crates/masticfall-entry/tests/suite/fleet_succession.rs
+++ b/crates/masticfall-entry/tests/suite/fleet_succession.rs
@@ -5,20 +5,27 @@
 use std::time::Duration;
 
 use masticfall_core::fleet::board::Board;
-use masticfall_core::fleet::spec::JobSpec;
+use masticfall_core::fleet::report::StartOutcome;
+use masticfall_core::fleet::spec::{JobSpec, TaskKey};
 use masticfall_core::id::JobId;
 use masticfall_entry::fleet::{FleetSettings, RunningFleet, start};
+use masticfall_platform::fleet::{PollCall, PollOutcome, StartCall};
 use masticfall_standin::fleet::links::LinkMode;
 use masticfall_standin::fleet::{StoreMode, World};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use rstest::rstest;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
+use crate::fleet_early::{early_settings, start_early};
 use crate::fleet_world::{
-    WORKERS, assert_invariants, config, is_owner, job, launch, start_settled, submit_spec,
-    two_step_spec, unreachable_peers,
+    Submissions, WORKERS, assert_invariants, config, is_owner, job, launch, launch_with,
+    start_settled, submit_spec, two_step_spec, unreachable_peers,
 };
 
+const NAMES: [&str; 3] = ["a", "b", "c"];
+
 /// A task that runs for `run_ms` milliseconds.
 fn lasting_spec(run_ms: u64) -> JobSpec {
     let mut spec = two_step_spec();
@@ -160,3 +167,198 @@
     assert_eq!(prepare(), None, "a lease after 6.5 s without confirmation");
     assert!(owner.fleet.with_board(epoch, Board::take_orders).is_none());
 }
+
+/// An order that arrives when its sender has long given up must meet the next owner's token.
+#[tokio::test(start_paused = true)]
+async fn order_held_on_its_way_is_rejected_by_a_worker_that_knows_a_later_owner() {
+    let world = World::new(2, "p");
+    world.register_job(&job(1), &lasting_spec(5_000));
+    let (first, second) = (world.platform("a"), world.platform("b"));
+    let start_on = |worker: usize| {
+        let facts = world.worker_facts()[worker].clone();
+        let task = TaskKey { job: job(1), occurrence: 0, step: 0, index: 0 };
+        let order = StartCall {
+            address: facts.address,
+            worker: facts.id,
+            task,
+            attempt: 1,
+            payload: "payload".into(),
+            checkpoint: None,
+            lease_deadline_ms: world.now_ms() + 6_000,
+            fencing_token: 1,
+            permit: None,
+        };
+        (first.start)(order)
+    };
+    let runs_on = |worker: usize| {
+        let id = world.worker_facts()[worker].id.clone();
+        world.record().iter().filter(|run| run.worker == id).count()
+    };
+    (0..2).for_each(|worker| world.set_link("a", worker, LinkMode::Held));
+    assert_eq!(start_on(0).await.expect("an outcome"), StartOutcome::Unknown);
+    assert_eq!(start_on(1).await.expect("an outcome"), StartOutcome::Unknown);
+    let facts = world.worker_facts()[1].clone();
+    let poll = PollCall {
+        address: facts.address,
+        worker: facts.id,
+        fencing_token: 2,
+        ack_cursor: 0,
+        lease_deadline_ms: None,
+        wait_ms: 0,
+    };
+    assert!(matches!((second.poll)(poll).await, Ok(PollOutcome::Report(_))));
+    assert_eq!((runs_on(0), runs_on(1)), (0, 0), "held");
+    (0..2).for_each(|worker| world.set_link("a", worker, LinkMode::Open));
+    assert_eq!((runs_on(0), runs_on(1)), (1, 0), "carried out, and rejected");
+}
+
+/// A process, or the shutdown of its last incarnation.
+struct Slot {
+    name: &'static str,
+    process: Option<RunningFleet>,
+    leaving: Option<JoinHandle<()>>,
+}
+
+impl Slot {
+    fn relaunch(&mut self, world: &Arc<World>, early_start_after_ms: u64) {
+        self.process = Some(launch_with(world, early_settings(self.name, early_start_after_ms)));
+    }
+}
+
+fn owner_of(slots: &[Slot]) -> Option<usize> {
+    slots.iter().position(|slot| slot.process.as_ref().is_some_and(is_owner))
+}
+
+/// Launches the processes again that have been shut down.
+fn relaunch_stopped(slots: &mut [Slot], world: &Arc<World>, early_start_after_ms: u64) {
+    for slot in slots {
+        if slot.leaving.take_if(|leaving| leaving.is_finished()).is_some() {
+            slot.relaunch(world, early_start_after_ms);
+        }
+    }
+}
+
+/// Ends several owners, each soon after its takeover.
+async fn change_owners(
+    slots: &mut [Slot],
+    world: &Arc<World>,
+    early_start_after_ms: u64,
+    random: &mut StdRng,
+) {
+    for _ in 0..random.random_range(1..=3) {
+        for _ in 0..300 {
+            relaunch_stopped(slots, world, early_start_after_ms);
+            if owner_of(slots).is_some() {
+                break;
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+        sleep(Duration::from_millis(random.random_range(0..500))).await;
+        let Some(slot) = owner_of(slots).map(|number| &mut slots[number]) else { return };
+        let Some(owner) = slot.process.take() else { return };
+        if random.random_range(0..3) == 0 {
+            owner.crash();
+            slot.relaunch(world, early_start_after_ms);
+        } else {
+            slot.leaving = Some(shut_down(owner));
+        }
+    }
+}
+
+/// Changes the links of a process to some workers, opens all links, or leaves each worker to
+/// one process.
+fn change_links(world: &Arc<World>, random: &mut StdRng) {
+    let process = NAMES[random.random_range(0..NAMES.len())];
+    let mode = match random.random_range(0..5) {
+        0 => {
+            open_links(world);
+            return;
+        }
+        1 => {
+            for (worker, name) in (0..WORKERS).flat_map(|worker| NAMES.map(|name| (worker, name))) {
+                let is_own = NAMES[worker % NAMES.len()] == name;
+                let mode = if is_own { LinkMode::Open } else { LinkMode::Cut };
+                world.set_link(name, worker, mode);
+            }
+            return;
+        }
+        2 => LinkMode::Open,
+        3 => LinkMode::Held,
+        _ => LinkMode::Cut,
+    };
+    for worker in 0..WORKERS {
+        if random.random_range(0..2) == 0 {
+            world.set_link(process, worker, mode);
+        }
+    }
+}
+
+fn open_links(world: &Arc<World>) {
+    for process in NAMES {
+        (0..WORKERS).for_each(|worker| world.set_link(process, worker, LinkMode::Open));
+    }
+}
+
+async fn run_with_changes_of_owner(seed: u64, early_start_after_ms: u64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let world = World::new(WORKERS, "p");
+    let processes = start_early(&world, &NAMES, early_start_after_ms).await;
+    let slot = |(name, process)| Slot { name, process: Some(process), leaving: None };
+    let mut slots: Vec<Slot> = NAMES.into_iter().zip(processes).map(slot).collect();
+    let mut jobs = Submissions::default();
+    for number in 0..60 {
+        relaunch_stopped(&mut slots, &world, early_start_after_ms);
+        let slot = &slots[random.random_range(0..slots.len())];
+        if let Some(process) = &slot.process {
+            let is_lasting = random.random_range(0..2) == 0;
+            let run_ms = random.random_range(1_000..9_000);
+            let spec = if is_lasting { lasting_spec(run_ms) } else { two_step_spec() };
+            jobs.submit_spec(&world, &process.fleet, &job(number + 1), spec).await;
+        }
+        sleep(Duration::from_millis(random.random_range(50..500))).await;
+        match random.random_range(0..10) {
+            0 | 1 => change_owners(&mut slots, &world, early_start_after_ms, &mut random).await,
+            2..=4 => change_links(&world, &mut random),
+            5 => {
+                let mode = match random.random_range(0..2) {
+                    0 => StoreMode::Unresponsive,
+                    _ => StoreMode::Unavailable,
+                };
+                world.set_store_for(NAMES[random.random_range(0..NAMES.len())], mode);
+            }
+            6 => NAMES.iter().for_each(|name| world.set_store_for(name, StoreMode::Up)),
+            _ => {}
+        }
+    }
+    for name in NAMES {
+        world.set_store_for(name, StoreMode::Up);
+    }
+    open_links(&world);
+    sleep(Duration::from_secs(10)).await;
+    relaunch_stopped(&mut slots, &world, early_start_after_ms);
+    sleep(Duration::from_mins(1)).await;
+    slots.into_iter().filter_map(|slot| slot.process).for_each(RunningFleet::crash);
+    assert_invariants(&world, &jobs.submitted, &jobs.accepted);
+}
+
+#[rstest]
+#[case::seed_1(1)]
+#[case::seed_2(2)]
+#[case::seed_3(3)]
+#[case::seed_4(4)]
+#[tokio::test(start_paused = true)]
+async fn no_task_runs_twice_over_owners_that_change_in_series(#[case] seed: u64) {
+    run_with_changes_of_owner(seed, 0).await;
+    run_with_changes_of_owner(seed, 50).await;
+}
+
+/// A longer search: `FLEET_SEEDS=200 cargo test -p masticfall-entry more_succession_seeds`.
+#[tokio::test(start_paused = true)]
+async fn no_task_runs_twice_over_more_succession_seeds() {
+    let seeds = std::env::var("FLEET_SEEDS").ok().and_then(|text| text.parse().ok());
+    for seed in 100..100 + seeds.unwrap_or(2_u64) {
+        eprintln!("seed {seed}");
+        run_with_changes_of_owner(seed, 0).await;
+        run_with_changes_of_owner(seed, 50).await;
+    }
+}
--- a/crates/masticfall-entry/tests/suite/fleet_world.rs
+++ b/crates/masticfall-entry/tests/suite/fleet_world.rs
@@ -146,7 +146,17 @@
 
 impl Submissions {
     pub async fn submit(&mut self, world: &World, fleet: &Arc<Fleet>, id: &JobId) {
-        match submit(world, fleet, id).await {
+        self.submit_spec(world, fleet, id, two_step_spec()).await;
+    }
+
+    pub async fn submit_spec(
+        &mut self,
+        world: &World,
+        fleet: &Arc<Fleet>,
+        id: &JobId,
+        spec: JobSpec,
+    ) {
+        match submit_spec(world, fleet, id, spec).await {
             Ok(()) => {
                 self.accepted.push(id.clone());
                 self.submitted.push(id.clone());
