--- a/crates/masticfall-soak/src/main.rs
+++ b/crates/masticfall-soak/src/main.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
-use clap::{Arg, Command, value_parser};
+use clap::{Arg, ArgAction, Command, value_parser};
 use indexmap::IndexSet;
 use masticfall_soak::play::{Plan, Report, run_plan};
 use masticfall_soak::process::seed_folder;
@@ -25,6 +25,12 @@
         .arg(number("length-s", "15", "Duration of fault injection, in seconds"))
         .arg(number("processes", "4", "Number of entry processes per seed"))
         .arg(number("at-once", "6", "Number of seeds to run concurrently"))
+        .arg(
+            Arg::new("owner-faults")
+                .long("owner-faults")
+                .action(ArgAction::SetTrue)
+                .help("Play only faults of the cell's owner, as in every fifth seed"),
+        )
         .arg(
             Arg::new("program")
                 .long("program")
@@ -63,6 +69,7 @@
             processes: number("processes").max(1) as usize,
             program: path("program"),
             folder: path("folder"),
+            has_owner_faults_only: matches.get_flag("owner-faults") || seed % 5 == 4,
         };
         runs.push(tokio::spawn(run_seed(plan, Arc::clone(&permits))));
     }
--- a/crates/masticfall-soak/src/play.rs
+++ b/crates/masticfall-soak/src/play.rs
@@ -83,6 +83,8 @@
     pub program: PathBuf,
     /// Folder for settings and logs.
     pub folder: PathBuf,
+    /// Whether only faults of the owner are played, which others would often hide.
+    pub has_owner_faults_only: bool,
 }
 
 /// Result of one run.
@@ -128,13 +130,6 @@
     owner_faults: tokio::sync::Mutex<()>,
 }
 
-impl Plan {
-    /// Returns whether only faults of the owner are played, which others would often hide.
-    fn has_owner_faults_only(&self) -> bool {
-        self.seed % 5 == 4
-    }
-}
-
 /// Runs a seed and checks the invariants.
 ///
 /// # Errors
@@ -155,7 +150,7 @@
     let entries = keep_entries(Arc::clone(&testbed.world), addresses);
     let registrations = tokio::spawn(entries);
     let world = Arc::clone(&testbed.world);
-    let evacuations_ms = if plan.has_owner_faults_only() { 0 } else { plan.length_ms };
+    let evacuations_ms = if plan.has_owner_faults_only { 0 } else { plan.length_ms };
     let evacuations = tokio::spawn(evacuate::play(world, plan.seed, evacuations_ms));
     report.faults = testbed.play_faults(plan).await?;
     testbed.recover().await?;
@@ -237,7 +232,7 @@
         let wall_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |at| at.as_millis());
         let started = format!("start: {} ms of the record, {wall_ms} ms UTC", self.world.now_ms());
         let any_faults = async {
-            if plan.has_owner_faults_only() { Ok(Vec::new()) } else { self.inject(plan).await }
+            if plan.has_owner_faults_only { Ok(Vec::new()) } else { self.inject(plan).await }
         };
         let (faults, owner_faults) = tokio::join!(any_faults, self.play_owner_faults(plan));
         self.check_withdrawn_key().await;
@@ -276,7 +271,7 @@
             let mut spec = random_spec(&mut random);
             lengthen(&mut spec, &mut long_random);
             self.world.register_job(&id, &spec);
-            if number % JOBS_PER_CRASHING_JOB == 7 && !plan.has_owner_faults_only() {
+            if number % JOBS_PER_CRASHING_JOB == 7 && !plan.has_owner_faults_only {
                 let task = TaskKey { job: id.clone(), occurrence: 0, step: 0, index: 0 };
                 let plan = restart_plan(false);
                 let crashing =
