--- a/crates/masticfall-soak/src/main.rs
+++ b/crates/masticfall-soak/src/main.rs
@@ -11,9 +11,14 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Semaphore;
 
-/// Seeds that failed in the past, run every time; one per line, followed by the cause.
+/// Seeds that failed in the past, run every time; one per line, followed by the cause. After
+/// `owner:` only faults of the owner are played.
 const REGRESSIONS: &str = include_str!("../seeds.txt");
 
+/// Shortest duration of the faults of a kept seed with faults of the owner only, in seconds:
+/// changes of owners follow each other slowly.
+const OWNER_LENGTH_S: u64 = 20;
+
 fn command() -> Command {
     let number = |name: &'static str, default: &'static str, help: &'static str| {
         Arg::new(name).long(name).value_parser(value_parser!(u64)).default_value(default).help(help)
@@ -63,13 +68,18 @@
     let permits = Arc::new(Semaphore::new(number("at-once").max(1) as usize));
     let mut runs = Vec::new();
     for seed in seeds {
+        let mark = format!("{seed} owner: ");
+        let is_kept_owner = REGRESSIONS.lines().any(|line| line.starts_with(&mark));
         let plan = Plan {
             seed,
-            length_ms: number("length-s") * 1_000,
+            length_ms: number("length-s").max(if is_kept_owner { OWNER_LENGTH_S } else { 0 })
+                * 1_000,
             processes: number("processes").max(1) as usize,
             program: path("program"),
             folder: path("folder"),
-            has_owner_faults_only: matches.get_flag("owner-faults") || seed % 5 == 4,
+            has_owner_faults_only: matches.get_flag("owner-faults")
+                || seed % 5 == 4
+                || is_kept_owner,
         };
         runs.push(tokio::spawn(run_seed(plan, Arc::clone(&permits))));
     }
