--- a/crates/masticfall-entry/src/fleet/leadership.rs
+++ b/crates/masticfall-entry/src/fleet/leadership.rs
@@ -11,6 +11,7 @@
 //! slow owner would serve a large cell badly for as long as it holds it.
 
 mod bid;
+mod claim;
 mod evidence;
 mod load;
 mod open_rows;
@@ -23,8 +24,8 @@
 use indexmap::IndexMap;
 use masticfall_core::fleet::board::Board;
 use masticfall_core::id::Incarnation;
-use masticfall_platform::fleet::{FleetRow, RowCommit, RowKey, RowTransaction};
-use masticfall_platform::{PlatformError, Result};
+use masticfall_platform::Result;
+use masticfall_platform::fleet::{FleetRow, RowKey};
 use parking_lot::Mutex;
 use rand::Rng;
 use tokio::sync::MutexGuard;
@@ -35,7 +36,6 @@
 pub use writes::{WriteSequence, write_as_owner, write_ordered};
 
 use super::context::{Fleet, FleetPhase, Ownership};
-use super::follow;
 use super::rows::{
     BID_KEY, BidRow, HEARTBEAT_KEY, HeartbeatRow, LEAD_TABLE, OWNER_KEY, OwnerRow, cell_row_key,
     decode_row, encode_row,
@@ -221,7 +221,7 @@
             tracing::debug!(name: "cell.not_asked_for", %error, "failed to bid for the cell; retrying");
         }
         if should_take_over(&fleet, delay_ms)
-            && let Err(error) = take_over(&fleet).await
+            && let Err(error) = claim::take_over(&fleet).await
         {
             tracing::info!(name: "cell.not_taken", process = %fleet.incarnation, %error, "failed to take over the cell; retrying");
         }
@@ -311,79 +311,6 @@
     incarnation.as_str().rsplit_once('.').map(|(name, _)| name)
 }
 
-async fn take_over(fleet: &Arc<Fleet>) -> Result<()> {
-    // The feed may lag behind a heartbeat that is already stored.
-    let (rows, _) =
-        follow::read_table(fleet, LEAD_TABLE).await.inspect_err(|_| record_read_failure(fleet))?;
-    observe_rows(fleet, &rows);
-    if !should_take_over(fleet, 0) {
-        return Ok(());
-    }
-    let (epoch, version, heartbeat_version, overlap_ms, predecessor) = {
-        let tracked = fleet.ownership_tracker.0.lock();
-        let (epoch, version, overlap_ms) =
-            tracked.owner.as_ref().map_or((1, 0, 0), |(owner, version)| {
-                (owner.epoch + 1, *version, overlap_after(fleet, owner))
-            });
-        let predecessor = evidence::Predecessor::observe(&tracked, fleet.now_ms());
-        (epoch, version, tracked.heartbeat_version, overlap_ms, predecessor)
-    };
-    let owner = OwnerRow {
-        process: Some(fleet.incarnation.clone()),
-        epoch,
-        fitness_percent: bid::fitness_percent(fleet),
-        heir: None,
-        overlap_ms: Some(overlap_ms),
-    };
-    let claim = RowTransaction {
-        // A heartbeat that was stored since the read would have confirmed the ownership of
-        // the previous owner for longer than the board's `takeover_overlap_ms` allows for.
-        checks: vec![
-            (cell_row_key(LEAD_TABLE, OWNER_KEY), version),
-            (cell_row_key(LEAD_TABLE, HEARTBEAT_KEY), heartbeat_version),
-        ],
-        writes: vec![(cell_row_key(LEAD_TABLE, OWNER_KEY), Some(encode_row(&owner)?))],
-    };
-    let sent_ms = fleet.now_ms();
-    let version = match (fleet.platform.transact)(claim).await {
-        Ok(RowCommit::Done(version)) => version,
-        Ok(RowCommit::Conflict(rows)) => {
-            observe_rows(fleet, &rows);
-            return Ok(());
-        }
-        Err(error @ PlatformError::Unknown { .. }) => match read_back_claim(fleet, &owner).await? {
-            Some(version) => version,
-            None => return Err(error),
-        },
-        Err(error) => return Err(error),
-    };
-    fleet.ownership_tracker.0.lock().owner = Some((owner, version));
-    fleet.shared().confirmed_ms = sent_ms;
-    evidence::record_claim(fleet, epoch, sent_ms, &predecessor);
-    let overlap_until_ms = fleet.now_ms() + overlap_ms;
-    let ownership = Ownership { epoch, version, overlap_until_ms };
-    load::start_ownership(fleet, ownership, overlap_ms).await;
-    Ok(())
-}
-
-/// Returns the time for which earlier owners may still dispatch once the cell is claimed
-/// from this one, in milliseconds. An owner that released the cell has stopped; one that
-/// timed out may go on, and so may one that an owner in between replaced.
-fn overlap_after(fleet: &Fleet, owner: &OwnerRow) -> u64 {
-    let has_timed_out = owner.process.is_some() && !is_previous_incarnation(fleet, owner);
-    if has_timed_out { MAX_OVERLAP_MS } else { owner.overlap_ms.unwrap_or(MAX_OVERLAP_MS) }
-}
-
-/// Returns the owner row's version if a claim of unknown outcome took effect.
-async fn read_back_claim(fleet: &Fleet, claim: &OwnerRow) -> Result<Option<u64>> {
-    let (rows, _) = follow::read_table(fleet, LEAD_TABLE).await?;
-    let row = rows.iter().find(|row| &*row.key == OWNER_KEY);
-    let Some((row, bytes)) = row.and_then(|row| Some((row, row.value.as_ref()?))) else {
-        return Ok(None);
-    };
-    Ok((decode_row::<OwnerRow>(bytes)? == *claim).then_some(row.version))
-}
-
 /// Writes heartbeats until the ownership is lost. Until the cell is loaded, they
 /// repeat the load that the previous owner last reported. They announce no workers:
 /// an announcement holds only for the owner that gives these workers no leases.
