--- a/crates/masticfall-core/src/fleet/worker.rs
+++ b/crates/masticfall-core/src/fleet/worker.rs
@@ -18,8 +18,7 @@
 pub const LEASE_SLACK_MS: u64 = 150;
 
 /// Time after the restart of a worker in which calls with lease deadlines by the clock of its
-/// former life may reach it, in milliseconds: a poll that gets no answer, after which the
-/// worker gets no leases, and then an order in flight take 4 s.
+/// former life may reach it, in milliseconds.
 const FORMER_CLOCK_CALLS_MS: u64 = 5_000;
 
 /// Number of run ends remembered for each worker.
