--- a/crates/masticfall-soak/src/play/owner.rs
+++ b/crates/masticfall-soak/src/play/owner.rs
@@ -155,12 +155,14 @@
         // Of their own, so that the other faults of kept seeds stay as they were.
         let mut random = StdRng::seed_from_u64(plan.seed ^ 0x0e4e);
         let log = Log { begun: Instant::now(), faults: Mutex::default() };
+        let is_over = || log.begun.elapsed() >= Duration::from_millis(plan.length_ms);
         loop {
             sleep_ms(random.random_range(PAUSE_MS)).await;
-            while self.is_key_check_due() {
+            // A check that is due at the end of the other faults is made after all of them.
+            while self.is_key_check_due() && !is_over() {
                 sleep_ms(LOOK_UP_MS).await;
             }
-            if log.begun.elapsed() >= Duration::from_millis(plan.length_ms) {
+            if is_over() {
                 return Ok(log.faults.into_inner());
             }
             let _no_key_check = self.owner_faults.lock().await;
