--- a/crates/masticfall-core/src/fleet.rs
+++ b/crates/masticfall-core/src/fleet.rs
@@ -14,6 +14,7 @@
 pub mod machines;
 pub mod open_set;
 pub mod pacing;
+pub mod passes;
 pub mod placing;
 pub mod pools;
 pub mod progress;
--- a/crates/masticfall-core/src/fleet/board/notice.rs
+++ b/crates/masticfall-core/src/fleet/board/notice.rs
@@ -297,3 +297,10 @@
         took_ms: u64,
     },
 }
+
+impl Notice {
+    /// Returns the number of tasks that it says were placed.
+    pub fn placed_tasks(&self) -> usize {
+        if let Self::Placed { runs, .. } = self { runs.len() } else { 0 }
+    }
+}
--- a/crates/masticfall-core/src/fleet/board/store.rs
+++ b/crates/masticfall-core/src/fleet/board/store.rs
@@ -88,6 +88,11 @@
         batch
     }
 
+    /// Returns the number of jobs with changes to be stored.
+    pub fn unstored_jobs(&self) -> usize {
+        self.dirty.len()
+    }
+
     /// Records that a batch was stored: workers may discard the run ends that it
     /// covers, and its placements are ordered.
     pub fn batch_stored(&mut self, batch: Batch, now_ms: u64) {
--- a/crates/masticfall-core/tests/suite/main.rs
+++ b/crates/masticfall-core/tests/suite/main.rs
@@ -20,6 +20,7 @@
 mod fleet_locality;
 mod fleet_maintenance;
 mod fleet_order;
+mod fleet_passes;
 mod fleet_pools;
 mod fleet_relays;
 mod fleet_reports;
--- a/crates/masticfall-entry/src/fleet/context.rs
+++ b/crates/masticfall-entry/src/fleet/context.rs
@@ -365,7 +365,12 @@
 
     /// Returns whether the limit is reached.
     pub(super) fn is_full(&self) -> bool {
-        self.count.load(Ordering::Relaxed) >= self.limit
+        self.count() >= self.limit
+    }
+
+    /// Returns the number of calls.
+    pub(super) fn count(&self) -> usize {
+        self.count.load(Ordering::Relaxed)
     }
 
     /// Counts a call until the guard is dropped.
--- a/crates/masticfall-entry/src/fleet/dispatch.rs
+++ b/crates/masticfall-entry/src/fleet/dispatch.rs
@@ -1,14 +1,17 @@
 //! Carries out the board's decisions: stores progress, sends orders to workers,
 //! and polls workers for reports.
 
+mod load;
+
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use masticfall_core::fleet::board::{
-    AdviceRequest, Batch, BatchWrite, Board, Order, PaceOrder, StartOrder, StopOrder,
+    AdviceRequest, Batch, BatchWrite, Board, Notice, Order, PaceOrder, StartOrder, StopOrder,
 };
+use masticfall_core::fleet::passes::{PassTiming, pause_after};
 use masticfall_core::fleet::progress::ProgressRow;
 use masticfall_core::fleet::report::{StartOutcome, StopOutcome};
 use masticfall_core::id::{Name, WorkerId};
@@ -23,18 +26,11 @@
 use super::notices;
 use super::relay::{self, CallTarget, PollError, RelayCall};
 use super::rows::{BATCH_KEY, encode_row, progress_call_row_key, progress_row_key};
+use load::{BoardSize, LoadMeter};
 
 /// Interval at which the board's clock is advanced, in milliseconds.
 const TICK_MS: u64 = 100;
 
-/// Minimum pause between two scheduling passes, in milliseconds, so that changes
-/// are decided on, stored and sent in batches.
-const MIN_PASS_PAUSE_MS: u64 = 5;
-
-/// Pause between two scheduling passes as a multiple of the last one's duration,
-/// so that a large board leaves most of the CPU to other tasks.
-const PASS_PAUSE_FACTOR: u32 = 3;
-
 /// Pause after a poll of a worker, in milliseconds, so that runs that end together
 /// are read together.
 const POLL_PAUSE_MS: u64 = 15;
@@ -91,6 +87,7 @@
     let wait = Duration::from_millis(early_ms.map_or(TICK_MS, |delay_ms| delay_ms.min(TICK_MS)));
     let mut advice_requests: VecDeque<AdviceRequest> = VecDeque::new();
     let mut advice_task: Option<JoinHandle<()>> = None;
+    let mut meter = LoadMeter::default();
     loop {
         let changed = fleet.board_changed.notified();
         // On a timeout only a tick is due.
@@ -112,9 +109,14 @@
             }
             advice_requests.extend(board.take_advice_requests());
             fleet.metrics.unstored_runs.set(board.unstored_runs() as i64);
-            (board.take_orders(), board.take_notices())
+            let size = BoardSize {
+                jobs: board.jobs.len(),
+                unstored_jobs: board.unstored_jobs(),
+                starts_in_flight: fleet.starts_in_flight.count(),
+            };
+            (board.take_orders(), board.take_notices(), size)
         });
-        let Some((orders, notices)) = decided else { return };
+        let Some((orders, notices, size)) = decided else { return };
         fleet.metrics.early_starts.inc_by(u64::from(early_starts));
         fleet.store_requested.notify_one();
         for order in orders {
@@ -128,8 +130,16 @@
         for notice in &notices {
             notices::log(&fleet, epoch, notice);
         }
-        let pause = begun.elapsed() * PASS_PAUSE_FACTOR;
-        sleep(pause.max(Duration::from_millis(MIN_PASS_PAUSE_MS))).await;
+        let tasks = notices.iter().map(Notice::placed_tasks).sum();
+        let duration = begun.elapsed();
+        let pause = pause_after(duration);
+        sleep(pause).await;
+        let late = begun.elapsed().saturating_sub(duration + pause);
+        let micros = |duration: Duration| duration.as_micros() as u64;
+        let (duration_us, pause_us, late_us) = (micros(duration), micros(pause), micros(late));
+        let timing = PassTiming { tasks, duration_us, pause_us, late_us };
+        meter.record(&fleet.metrics, &timing);
+        meter.log_if_due(epoch, size, fleet.now_ms());
     }
 }
 
--- a/crates/masticfall-entry/src/fleet/metrics.rs
+++ b/crates/masticfall-entry/src/fleet/metrics.rs
@@ -95,6 +95,11 @@
     latency: Histogram,
     /// Latency of transactions that store progress, in seconds.
     pub store_latency: Histogram,
+    /// Duration of scheduling passes, in seconds.
+    pub pass_duration: Histogram,
+    /// Time after the pause between two passes until the process came back to scheduling, in
+    /// seconds.
+    pub pass_delay: Histogram,
     /// Transactions that stored progress.
     pub batches: Counter,
     /// Writes of progress that were rejected by the fence of a later owner.
@@ -136,6 +141,8 @@
             requests: Family::default(),
             latency: histogram(),
             store_latency: histogram(),
+            pass_duration: histogram(),
+            pass_delay: histogram(),
             batches: Counter::default(),
             fenced_writes: Counter::default(),
             jobs: Gauge::default(),
@@ -161,6 +168,10 @@
         registry.register("request_seconds", "Time to answer a request", m.latency.clone());
         let stored = m.store_latency.clone();
         registry.register("store_seconds", "Time to store a batch of progress", stored);
+        let help = "Duration of scheduling passes";
+        registry.register("scheduling_pass_seconds", help, m.pass_duration.clone());
+        let help = "Time by which a scheduling pass began late since the process was busy";
+        registry.register("scheduling_delay_seconds", help, m.pass_delay.clone());
         registry.register("batches", "Batches of progress stored", m.batches.clone());
         let fenced = m.fenced_writes.clone();
         registry.register("fenced_writes", "Writes of progress rejected by the fence", fenced);
