--- a/crates/masticfall-entry/tests/suite/fleet_relays.rs
+++ b/crates/masticfall-entry/tests/suite/fleet_relays.rs
@@ -14,6 +14,7 @@
 use masticfall_entry::fleet::{Fleet, FleetSettings, RunningFleet, start};
 use masticfall_platform::error::{Result, UnavailableSnafu};
 use masticfall_platform::operation;
+use masticfall_standin::fleet::links::LinkMode;
 use masticfall_standin::fleet::{StoreMode, World};
 use parking_lot::Mutex;
 use rand::rngs::StdRng;
@@ -35,17 +36,29 @@
     delays_ms: Mutex<IndexMap<Name, u64>>,
     /// Processes whose frames arrive with their first byte changed.
     garbles: Mutex<IndexSet<Name>>,
+    /// Tokens of processes that are cut off: connections hang, and frames are lost.
+    cut_off: Mutex<IndexSet<Name>>,
 }
 
 impl RelayNet {
     fn launch(self: &Arc<Self>, world: &Arc<World>, name: &str) -> RunningFleet {
-        let settings = FleetSettings { max_direct_workers: 0, ..FleetSettings::local(name, "dc") };
+        self.launch_in(world, name, "dc")
+    }
+
+    fn launch_in(self: &Arc<Self>, world: &Arc<World>, name: &str, dc: &str) -> RunningFleet {
+        let settings = FleetSettings { max_direct_workers: 0, ..FleetSettings::local(name, dc) };
         let clock = Arc::clone(world);
         let platform = world.platform(name);
         let net = Arc::clone(self);
         let connect_relay = move |peer: PeerRow| {
+            let is_cut_off = net.cut_off.lock().contains(&peer.token);
             let connected = net.connect(&peer.token);
-            Box::pin(async move { connected }) as BoxFuture<'static, _>
+            Box::pin(async move {
+                if is_cut_off {
+                    std::future::pending::<()>().await;
+                }
+                connected
+            }) as BoxFuture<'static, _>
         };
         let peer_calls =
             PeerCalls { connect_relay: Arc::new(connect_relay), ..unreachable_peers() };
@@ -78,6 +91,9 @@
                 }
                 let delay_ms = net.delays_ms.lock().get(&token).copied().unwrap_or_default();
                 sleep(Duration::from_millis(delay_ms)).await;
+                if net.cut_off.lock().contains(&token) {
+                    continue;
+                }
                 let is_gone = !net.fleets.lock().contains_key(&token);
                 if is_gone || deliver.send(frame).await.is_err() {
                     return;
@@ -205,6 +221,80 @@
     assert_eq!(polls.load(Ordering::Relaxed), 0, "polls were made after the ownership ended");
 }
 
+/// How work went on after a data centre was cut off with the owner in it.
+struct CutOff {
+    /// Time from the cut to the first start, in milliseconds.
+    gap_ms: u64,
+    /// Time from the takeover by another process to the first start, in milliseconds.
+    waited_ms: u64,
+}
+
+/// Cuts a data centre off with the owner in it, half of the workers and one of three relays,
+/// while jobs are submitted elsewhere.
+async fn cut_owner_off() -> CutOff {
+    let world = World::new(WORKERS, "p");
+    let reachable: Vec<usize> = (WORKERS / 2..WORKERS).collect();
+    for worker in 0..WORKERS {
+        let data_centre = if reachable.contains(&worker) { "dc-b" } else { "dc-a" };
+        world.set_data_centre(worker, data_centre);
+    }
+    world.set_config(config(1, &["key"]));
+    let net = Arc::new(RelayNet::default());
+    let former = net.launch_in(&world, "a", "dc-a");
+    while !is_owner(&former) {
+        sleep(Duration::from_millis(10)).await;
+    }
+    let others = [("a2", "dc-a"), ("b1", "dc-b"), ("b2", "dc-b")]
+        .map(|(name, data_centre)| net.launch_in(&world, name, data_centre));
+    let [in_a, in_b, _] = &others;
+    sleep(Duration::from_secs(14)).await;
+    let cut_ms = world.now_ms();
+    for process in [&former, in_a] {
+        let name = &process.fleet.settings.name;
+        net.cut_off.lock().insert(Name::clone(&process.fleet.token));
+        world.set_store_for(name, StoreMode::Unresponsive);
+        for worker in &reachable {
+            world.set_link(name, *worker, LinkMode::Cut);
+        }
+    }
+    for process in &others[1..] {
+        let name = &process.fleet.settings.name;
+        (0..WORKERS / 2).for_each(|worker| world.set_link(name, worker, LinkMode::Cut));
+    }
+    let mut taken_ms = None;
+    let mut ids = Vec::new();
+    for number in 1..100 {
+        let id = job(number);
+        if submit(&world, &in_b.fleet, &id).await.is_ok() {
+            ids.push(id);
+        }
+        sleep(Duration::from_millis(50)).await;
+        if others.iter().any(is_owner) {
+            taken_ms.get_or_insert_with(|| world.now_ms());
+        }
+    }
+    let started_ms = world.record().iter().map(|run| run.started_ms).min().expect("a run");
+    let taken_ms = taken_ms.expect("another process takes the cell over");
+    sleep(Duration::from_secs(30)).await;
+    assert_invariants(&world, &ids, &ids);
+    CutOff { gap_ms: started_ms - cut_ms, waited_ms: started_ms.saturating_sub(taken_ms) }
+}
+
+/// The next owner can't reach the relays and the workers in the data centre that is cut off,
+/// and must use those elsewhere meanwhile.
+#[tokio::test(start_paused = true)]
+async fn workers_elsewhere_get_tasks_while_relays_of_a_data_centre_cannot_be_reached() {
+    let CutOff { waited_ms, .. } = cut_owner_off().await;
+    assert!(waited_ms <= 500, "the first task starts {waited_ms} ms after the takeover");
+}
+
+/// At a peak each second without placements costs hundreds of jobs.
+#[tokio::test(start_paused = true)]
+async fn placements_resume_within_the_target_after_the_owner_is_cut_off() {
+    let CutOff { gap_ms, .. } = cut_owner_off().await;
+    assert!(gap_ms <= 1_500, "nothing is started for {gap_ms} ms after the cut");
+}
+
 /// A relay closes the connection on which it received bytes that are no frame, and serves
 /// the others on; an owner that receives such bytes gets another relay.
 #[tokio::test(start_paused = true)]
