--- a/crates/masticfall-core/src/fleet/passes.rs
+++ b/crates/masticfall-core/src/fleet/passes.rs
@@ -8,13 +8,20 @@
 /// Minimum pause between two passes, so that changes are decided on, stored and sent in batches.
 const MIN_PAUSE: Duration = Duration::from_millis(5);
 
-/// Pause between two passes as a multiple of the last one's duration, so that a large board
-/// leaves most of the CPU to other tasks.
+/// Maximum pause between two passes: a quarter of the slack for store writes and start orders
+/// with which jobs are ranked.
+const MAX_PAUSE: Duration = Duration::from_millis(25);
+
+/// Pause between two passes as a multiple of the last one's duration, so that a pass over a
+/// large board doesn't follow each single change.
 const PAUSE_FACTOR: u32 = 3;
 
 /// Returns the pause after a pass of this duration.
+///
+/// It is bounded, since a pass grows with the tasks that become ready during the pause: without a
+/// bound the owner would place tasks at no more than a fraction of the rate that it has time for.
 pub fn pause_after(pass: Duration) -> Duration {
-    (pass * PAUSE_FACTOR).max(MIN_PAUSE)
+    (pass * PAUSE_FACTOR).clamp(MIN_PAUSE, MAX_PAUSE)
 }
 
 /// Timing of a pass.
