--- a/crates/masticfall-entry/src/fleet/relay/routing.rs
+++ b/crates/masticfall-entry/src/fleet/relay/routing.rs
@@ -33,7 +33,8 @@
 /// Minimum interval of reads of the list of peers while relays are missing, in milliseconds.
 const PEER_READ_INTERVAL_MS: u64 = 2_000;
 
-/// Time after the cell is loaded for which calls wait for the first relays, in milliseconds.
+/// Time after the cell is loaded for which calls wait for the first relay in the data centre of
+/// their worker, in milliseconds.
 const FIRST_RELAYS_TIMEOUT_MS: u64 = 1_500;
 
 type ByDataCentre<T> = IndexMap<DataCentre, IndexMap<Name, T>>;
@@ -43,11 +44,26 @@
 struct Routes {
     /// Epoch of the ownership.
     epoch: u32,
-    /// Whether the first relays are connected, or none is needed.
+    /// Whether the cell is loaded, so that all data centres with workers are known.
+    is_loaded: bool,
+    /// Whether no call waits for a first relay any more, or none is needed.
     is_settled: bool,
     by_data_centre: ByDataCentre<Arc<Link>>,
 }
 
+impl Routes {
+    /// Returns whether calls of an epoch to workers in a data centre can be made, or are no
+    /// longer to be.
+    fn is_usable(&self, epoch: u32, data_centre: &DataCentre) -> bool {
+        // A data centre that can't be reached must not hold up calls to the others.
+        let has_relay = || {
+            let links = self.by_data_centre.get(data_centre);
+            self.is_loaded && links.is_some_and(|links| !links.is_empty())
+        };
+        self.epoch > epoch || (self.epoch == epoch && (self.is_settled || has_relay()))
+    }
+}
+
 /// Relays of the cell's owner; without ownership there are none.
 #[derive(Debug)]
 pub struct Relays {
@@ -82,9 +98,7 @@
         if target.avoids_relay {
             return None;
         }
-        let is_usable = |routes: &Arc<Routes>| {
-            routes.epoch > epoch || (routes.epoch == epoch && routes.is_settled)
-        };
+        let is_usable = |routes: &Arc<Routes>| routes.is_usable(epoch, &target.data_centre);
         if !is_usable(&self.routes.borrow()) {
             let mut routes = self.routes.subscribe();
             // Fails only when the process ends.
@@ -153,8 +167,10 @@
         let by_data_centre = open_links(&fleet, chosen);
         let is_connected = by_data_centre.values().all(|links| !links.is_empty());
         let is_overdue = loaded_ms.is_some_and(|at_ms| now_ms > at_ms + FIRST_RELAYS_TIMEOUT_MS);
-        let is_settled = loaded_ms.is_some() && (is_direct || is_connected || is_overdue);
-        relays.routes.send_replace(Arc::new(Routes { epoch, is_settled, by_data_centre }));
+        let is_loaded = loaded_ms.is_some();
+        let is_settled = is_loaded && (is_direct || is_connected || is_overdue);
+        let routes = Routes { epoch, is_loaded, is_settled, by_data_centre };
+        relays.routes.send_replace(Arc::new(routes));
         let review_ms = if is_settled { REVIEW_INTERVAL_MS } else { UNSETTLED_REVIEW_INTERVAL_MS };
         let review = Duration::from_millis(review_ms);
         // A timeout only means that the next review is due.
