--- a/crates/masticfall-core/benches/decisions/main.rs
+++ b/crates/masticfall-core/benches/decisions/main.rs
@@ -6,6 +6,7 @@
 mod blame;
 mod bursts;
 mod limits;
+mod owner;
 mod retries;
 
 use rand::Rng;
@@ -34,7 +35,8 @@
 }
 
 fn main() {
-    let bounds = [limits::run(), bursts::run(), retries::run(), blame::run()].concat_all();
+    let bounds =
+        [limits::run(), bursts::run(), retries::run(), blame::run(), owner::run()].concat_all();
     let mut failed = false;
     for bound in &bounds {
         let comparison = if bound.at_most { "at most" } else { "at least" };
--- a/crates/masticfall-core/src/fleet/board/place.rs
+++ b/crates/masticfall-core/src/fleet/board/place.rs
@@ -3,11 +3,11 @@
 use indexmap::IndexMap;
 
 use super::near::{GroupPlan, NearStep};
-use super::{Board, Job, Notice, Placement, TaskState};
+use super::{Board, Job, Notice, Placement, Task, TaskState};
 use crate::fleet::admission::{Rank, RankInput, SchedulingClass, rank};
 use crate::fleet::config::FleetConfig;
 use crate::fleet::crashes::Verdict;
-use crate::fleet::placing::{Candidate, PlacementContext, choose, is_allowed};
+use crate::fleet::placing::{Candidate, PlacementContext, choose, is_allowed, stays_best};
 use crate::fleet::progress::JobPhase;
 use crate::fleet::spec::{Resources, StepSpec, TaskKey};
 use crate::fleet::worker::Worker;
@@ -213,11 +213,15 @@
         let mut chosen = Vec::new();
         let is_gang = keys.first().is_some_and(|key| self.is_gang(key));
         let attempt = self.gang_attempt(keys, is_gang);
+        let mut best: Option<WorkerId> = None;
         for key in keys {
             if near.is_some_and(|near| self.waits_for_near(key, near, workers, now_ms)) {
                 continue;
             }
-            let Some(worker) = self.find_worker(key, workers, config, unplaceable, now_ms) else {
+            best = best.filter(|worker| self.is_best_again(key, worker, config));
+            let found =
+                best.take().or_else(|| self.find_worker(key, workers, config, unplaceable, now_ms));
+            let Some(worker) = found else {
                 if is_gang {
                     self.unassign(&keys[..chosen.len()]);
                     chosen.clear();
@@ -227,6 +231,9 @@
                 // The tasks of a step have equal needs, so the others don't fit either.
                 break;
             };
+            if self.chooses_alike(key, config) {
+                best = Some(worker.clone());
+            }
             self.assign(key, &worker, attempt, now_ms);
             self.book_near(key, &worker);
             chosen.push(worker);
@@ -266,6 +273,28 @@
         attempts.map(|task| task.attempt + 1).max().filter(|_| is_gang)
     }
 
+    /// Returns whether the choice of a worker for a task holds for the other tasks of its step:
+    /// it depends on nothing that differs between them.
+    fn chooses_alike(&self, key: &TaskKey, config: &FleetConfig) -> bool {
+        let job = &self.jobs[&key.job];
+        let needs_permit =
+            config.queues.get(&job.record.queue).is_some_and(|queue| queue.advice.is_some());
+        let is_plain = |task: &Task| task.failed_on.is_empty() && task.crashes.is_empty();
+        !needs_permit
+            && stays_best(&job.record.spec.steps[key.step as usize])
+            && job.task(key).is_some_and(is_plain)
+    }
+
+    /// Returns whether the worker of the task before is also the one to be chosen for this task
+    /// of the same step. Most workers of a large pool then needn't be searched for each task.
+    fn is_best_again(&self, key: &TaskKey, worker: &WorkerId, config: &FleetConfig) -> bool {
+        let job = &self.jobs[&key.job];
+        let spec = &job.record.spec.steps[key.step as usize];
+        self.chooses_alike(key, config)
+            && self.workers.get(worker).is_some_and(|worker| spec.reserved().fits(&worker.free()))
+            && self.is_within_limit(job.record.account.as_ref(), &spec.needs, config)
+    }
+
     fn find_worker(
         &self,
         key: &TaskKey,
@@ -307,13 +336,14 @@
         key: &'a TaskKey,
     ) -> impl Iterator<Item = Candidate<'a>> {
         let needs = job.record.spec.steps[key.step as usize].reserved();
+        let task = job.task(key);
         let workers = workers.iter().filter_map(|index| self.workers.get_index(*index));
         let workers = workers.map(|(_, worker)| worker);
         let open = workers.filter(|worker| worker.on_trial.iter().all(|t| t.job == key.job));
         let fitting = open.filter(move |worker| needs.fits(&worker.free()));
-        fitting.map(|worker| {
+        fitting.map(move |worker| {
             self.evaluated_candidates.set(self.evaluated_candidates.get() + 1);
-            Candidate { worker, context: self.placement_context(worker, job, key) }
+            Candidate { worker, context: self.placement_context(worker, job, key, task) }
         })
     }
 
@@ -341,9 +371,16 @@
             && is_within(used.accelerators, limit.accelerators)
     }
 
-    fn placement_context(&self, worker: &Worker, job: &Job, key: &TaskKey) -> PlacementContext {
-        let has_failed_here = job.task(key).is_some_and(|t| t.failed_on.contains(&worker.facts.id));
-        let exposed = if self.is_suspect(key) { self.exposed(worker, key) } else { (0, 0) };
+    fn placement_context(
+        &self,
+        worker: &Worker,
+        job: &Job,
+        key: &TaskKey,
+        task: Option<&Task>,
+    ) -> PlacementContext {
+        let has_failed_here = task.is_some_and(|task| task.failed_on.contains(&worker.facts.id));
+        let is_suspect = task.is_some_and(|task| task.verdict().is_suspect());
+        let exposed = if is_suspect { self.exposed(worker, key) } else { (0, 0) };
         let mut context =
             PlacementContext { has_failed_here, exposed, ..PlacementContext::default() };
         if !depends_on_colocated(&job.record.spec.steps[key.step as usize]) {
--- a/crates/masticfall-core/tests/suite/main.rs
+++ b/crates/masticfall-core/tests/suite/main.rs
@@ -26,6 +26,7 @@
 mod fleet_relays;
 mod fleet_reports;
 mod fleet_rig;
+mod fleet_search;
 mod fleet_shares;
 mod fleet_sharing;
 mod fleet_takeover;
