--- a/crates/masticfall-entry/src/fleet/dispatch.rs
+++ b/crates/masticfall-entry/src/fleet/dispatch.rs
@@ -87,7 +87,7 @@
     let wait = Duration::from_millis(early_ms.map_or(TICK_MS, |delay_ms| delay_ms.min(TICK_MS)));
     let mut advice_requests: VecDeque<AdviceRequest> = VecDeque::new();
     let mut advice_task: Option<JoinHandle<()>> = None;
-    let mut meter = LoadMeter::default();
+    let mut meter = LoadMeter::new(fleet.now_ms());
     loop {
         let changed = fleet.board_changed.notified();
         // On a timeout only a tick is due.
