--- a/crates/masticfall-core/benches/decisions/owner.rs
+++ b/crates/masticfall-core/benches/decisions/owner.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use masticfall_core::fleet::board::{Board, BoardTimings, Now, Order};
+use masticfall_core::fleet::board::{Board, BoardTimings, Notice, Now, Order};
 use masticfall_core::fleet::config::{
     AccountConfig, FleetConfig, PoolConfig, QueueConfig, RequestBounds,
 };
@@ -128,7 +128,7 @@
     let begun = Instant::now();
     board.place(1_200);
     costs.pass = begun.elapsed();
-    costs.placed = board.take_notices().iter().map(|notice| notice.placed_tasks()).sum();
+    costs.placed = board.take_notices().iter().map(Notice::placed_tasks).sum();
     costs.evaluated = board.evaluated_candidates();
     let begun = Instant::now();
     loop {
--- a/crates/masticfall-core/tests/suite/fleet_search.rs
+++ b/crates/masticfall-core/tests/suite/fleet_search.rs
@@ -58,7 +58,9 @@
         let is_limited = kind.max_per_worker > 0;
         if is_limited {
             let mut counts: IndexMap<&WorkerId, u32> = IndexMap::new();
-            together.iter().for_each(|worker| *counts.entry(worker).or_default() += 1);
+            for worker in &together {
+                *counts.entry(worker).or_default() += 1;
+            }
             assert!(counts.values().all(|count| *count <= kind.max_per_worker), "seed {seed}");
             continue;
         }
