--- a/crates/masticfall-core/src/fleet/board.rs
+++ b/crates/masticfall-core/src/fleet/board.rs
@@ -20,6 +20,7 @@
 mod placement;
 mod reports;
 mod results;
+mod search;
 mod settle;
 mod store;
 mod stored;
