--- a/crates/masticfall-core/benches/decisions/owner.rs
+++ b/crates/masticfall-core/benches/decisions/owner.rs
@@ -19,8 +19,13 @@
 /// Tasks of a job.
 const TASKS: u32 = 8;
 
-/// Needs of a task: seven of them fit on a worker.
-const NEEDS: Resources = Resources { cpu_millis: 8_900, memory_mib: 8_000, accelerators: 0 };
+/// Returns the needs of a job's tasks: on average seven of them fit on a worker. Jobs differ in
+/// both resources, so that one that doesn't fit says little about the others.
+fn needs(number: usize) -> Resources {
+    let cpu_millis = 4_900 + (number as u64 * 37 % 81) * 100;
+    let memory_mib = 8_000 + (number as u64 * 53 % 61) * 500;
+    Resources { cpu_millis, memory_mib, accelerators: 0 }
+}
 
 const WORKER: Resources = Resources { cpu_millis: 64_000, memory_mib: 262_144, accelerators: 0 };
 
@@ -59,8 +64,9 @@
     }
 }
 
-fn job() -> JobRecord {
-    let step = StepSpec { tasks: TASKS, needs: NEEDS, estimate_ms: 640, ..StepSpec::default() };
+fn job(number: usize) -> JobRecord {
+    let step =
+        StepSpec { tasks: TASKS, needs: needs(number), estimate_ms: 640, ..StepSpec::default() };
     let spec = JobSpec {
         payload: "payload".into(),
         steps: vec![step],
@@ -122,7 +128,7 @@
     let mut board = board_with(workers);
     let begun = Instant::now();
     for number in 0..jobs {
-        board.accept(&JobId::from(format!("{number:016x}")), job(), now(1_100));
+        board.accept(&JobId::from(format!("{number:016x}")), job(number), now(1_100));
     }
     costs.accept = begun.elapsed();
     let begun = Instant::now();
--- a/crates/masticfall-core/src/fleet/board/place.rs
+++ b/crates/masticfall-core/src/fleet/board/place.rs
@@ -64,11 +64,6 @@
     step.max_per_worker > 0
 }
 
-/// Returns whether placing a step depends on the tasks that are already on a worker.
-pub(super) fn depends_on_colocated(step: &StepSpec) -> bool {
-    step.max_per_worker > 0 || step.target_tail_ms > 0 || step.is_filler || step.is_long_running
-}
-
 impl Board {
     /// Places waiting tasks, in the order of their jobs' ranks. Does nothing if
     /// nothing changed since the last pass.
--- a/crates/masticfall-core/src/fleet/board/search.rs
+++ b/crates/masticfall-core/src/fleet/board/search.rs
@@ -3,10 +3,12 @@
 //! Answers for peaks of thousands of tasks a second on pools of hundreds of workers: the tasks of
 //! a step share a search where its result is the same for all of them.
 
-use super::place::{Unplaceable, depends_on_colocated};
+use super::place::Unplaceable;
 use super::{Board, Job, Task, TaskState};
 use crate::fleet::config::FleetConfig;
-use crate::fleet::placing::{Candidate, PlacementContext, choose, stays_best};
+use crate::fleet::placing::{
+    Candidate, PlacementContext, choose, depends_on_colocated, stays_best,
+};
 use crate::fleet::spec::{Resources, TaskKey};
 use crate::fleet::worker::Worker;
 use crate::id::{AccountName, Name, WorkerId};
--- a/crates/masticfall-core/src/fleet/placing.rs
+++ b/crates/masticfall-core/src/fleet/placing.rs
@@ -44,14 +44,15 @@
         && (step.max_per_worker == 0 || candidate.context.same_step < step.max_per_worker)
 }
 
+/// Returns whether placing a step depends on the tasks that are already on a worker.
+pub fn depends_on_colocated(step: &StepSpec) -> bool {
+    step.max_per_worker > 0 || step.target_tail_ms > 0 || step.is_filler || step.is_long_running
+}
+
 /// Returns whether the worker chosen for one task of a step is also the best for the next one as
 /// long as that fits: each task makes it fuller, and nothing else changes.
 pub fn stays_best(step: &StepSpec) -> bool {
-    let depends_on_colocated = step.max_per_worker > 0
-        || step.target_tail_ms > 0
-        || step.is_filler
-        || step.is_long_running;
-    !depends_on_colocated && !step.wants_same_rack
+    !depends_on_colocated(step) && !step.wants_same_rack
 }
 
 /// Sort key of candidates; the smallest is the best.
