--- a/crates/masticfall-core/tests/suite/fleet_passes.rs
+++ b/crates/masticfall-core/tests/suite/fleet_passes.rs
@@ -32,8 +32,7 @@
     longest_us / 1_000
 }
 
-/// A pause that grows with the pass lets more tasks come, which make the next pass longer: the
-/// owner then places tasks at a fraction of the rate that it has time for.
+/// A pause that grows with the pass lets more tasks come, which make the next pass longer.
 #[rstest]
 #[case::a_third_of_the_time(4_200, 80)]
 #[case::half_of_the_time(4_200, 120)]
--- a/crates/masticfall-core/tests/suite/fleet_search.rs
+++ b/crates/masticfall-core/tests/suite/fleet_search.rs
@@ -69,8 +69,7 @@
     }
 }
 
-/// A pool of hundreds of workers is searched once for each worker that is filled, not once for
-/// each of the thousands of tasks that a peak brings in a second.
+/// A peak brings thousands of tasks a second to a pool of hundreds of workers.
 #[test]
 fn search_looks_at_each_worker_once_for_each_worker_that_it_fills() {
     const WORKERS: u64 = 300;
--- a/crates/masticfall-entry/tests/suite/fleet_relays.rs
+++ b/crates/masticfall-entry/tests/suite/fleet_relays.rs
@@ -295,8 +295,7 @@
     CutOff { gap_ms: started_ms - cut_ms, waited_ms: started_ms.saturating_sub(taken_ms) }
 }
 
-/// The next owner can't reach the relays and the workers in the data centre that is cut off,
-/// and must use those elsewhere meanwhile.
+/// The next owner must use the relays and workers that it can reach meanwhile.
 #[tokio::test(start_paused = true)]
 async fn workers_elsewhere_get_tasks_while_relays_of_a_data_centre_cannot_be_reached() {
     let CutOff { waited_ms, .. } = cut_owner_off(0).await;
