--- a/crates/masticfall-core/src/fleet/passes.rs
+++ b/crates/masticfall-core/src/fleet/passes.rs
@@ -8,8 +8,8 @@
 /// Minimum pause between two passes, so that changes are decided on, stored and sent in batches.
 const MIN_PAUSE: Duration = Duration::from_millis(5);
 
-/// Maximum pause between two passes: a quarter of the slack for store writes and start orders
-/// with which jobs are ranked.
+/// Maximum pause between two passes, short against the slack with which jobs are ranked, so that
+/// the wait for a pass makes no job late.
 const MAX_PAUSE: Duration = Duration::from_millis(25);
 
 /// Pause between two passes as a multiple of the last one's duration, so that a pass over a
