--- a/review/standin-2/fleet_platform.py
+++ b/review/standin-2/fleet_platform.py
@@ -331,6 +331,9 @@
         self.number += 1
         self.finished.append([self.number, run.task, run.attempt, how, ""])
         self.ended[run.task] = max(self.ended.get(run.task, 0), run.attempt)
+        if how == "done":
+            name, _, step, index = run.task.split(".")
+            self.world.done.add((name, int(step), int(index)))
         self.world.record.add("run-end", worker=self.id, task=run.task, attempt=run.attempt, how=how)
         self.event.set()
         self.event = asyncio.Event()
@@ -428,6 +431,7 @@
         self.settings = {}
         self.lives = 0
         self.on_upkeep = None
+        self.done = set()
 
     def broken(self, rule, **fields):
         self.breaks.append((rule, fields))
