review: a row of progress above the store's limit halts the cell

Cause: the row of a job's progress holds the checkpoint of each task, and its size is not bounded by their length. The store refuses the row, the batch is repeated unchanged, and no placement of any job is stored.

Case: review/10, a job of 196 tasks with checkpoints of 400 characters.

--- a/review/standin-2/fleet_platform.py
+++ b/review/standin-2/fleet_platform.py
@@ -14,11 +14,13 @@
 import socket
 import sys
 import time
+import zlib
 from urllib.parse import parse_qs, unquote, urlsplit
 
 MAX_HOLD_MS = 6_000
 STOP_MS = 100
 HEARTBEAT_S = 1.5
+CHECKPOINT_INTERVAL_S = 0.5
 
 
 def free_port():
@@ -159,6 +161,7 @@
         self.rows = {}
         self.version = 0
         self.history = []
+        self.too_large = 0
         self.changed = asyncio.Event()
         self.begun = time.monotonic()
         self.server = HttpServer(self.handle)
@@ -248,6 +251,7 @@
         if any(key[0] in ("op", "servers") for key in [k for k, _ in puts] + removes):
             return 403, None
         if any(len(base64.b64decode(value)) > 65_536 for _, value in puts):
+            self.too_large += 1
             return 400, {"reason": "row_bytes"}
         return 200, {"ver": self.commit(puts, removes), "now_ms": self.now_ms()}
 
@@ -257,8 +261,16 @@
         self.task, self.attempt, self.cpu, self.lasts = task, attempt, cpu, lasts
         self.begun = time.monotonic()
         self.work_s = work_s
+        self.checkpoint_digits = 0
         self.handle = None
 
+    def saved(self):
+        """Returns the checkpoint: hexadecimal digits, new after each interval of work."""
+        intervals = int((time.monotonic() - self.begun) / CHECKPOINT_INTERVAL_S)
+        if intervals == 0 or not self.checkpoint_digits:
+            return ""
+        return f"{zlib.crc32(self.task.encode()):08x}{intervals:08x}".rjust(self.checkpoint_digits, "0")
+
     def percent(self):
         if self.lasts:
             return 100 if time.monotonic() - self.begun > self.work_s else 0
@@ -266,7 +278,7 @@
 
 
 class Worker:
-    """An executor: one life of a machine. A spec is JSON with `ms` or `times`, `cpu`, `lasts`."""
+    """An executor: one life of a machine. A spec is JSON: `ms` or `times`, `cpu`, `lasts`, ..."""
 
     def __init__(self, world, machine, worker_id, pool):
         self.world, self.machine, self.id, self.pool = world, machine, worker_id, pool
@@ -334,7 +346,7 @@
         if run.handle:
             run.handle.cancel()
         self.number += 1
-        self.finished.append([self.number, run.task, run.attempt, how, ""])
+        self.finished.append([self.number, run.task, run.attempt, how, run.saved()])
         self.ended[run.task] = max(self.ended.get(run.task, 0), run.attempt)
         if how == "done":
             name, _, step, index = run.task.split(".")
@@ -388,6 +400,7 @@
             return 409, reply | {"reason": "room"}
         ms = spec["ms"] if "ms" in spec else self.time_of(spec, task)
         run = Run(task, attempt, ms / 1000, spec["cpu"], spec.get("lasts", False))
+        run.checkpoint_digits = spec.get("checkpoint_digits", 0)
         self.runs[(task, attempt)] = run
         if not run.lasts:
             how = spec.get("how", "done")
@@ -413,7 +426,7 @@
                 pass
         if not self.is_up:
             raise Abort
-        running = [[r.task, r.attempt, "", r.percent(), r.cpu] for r in self.runs.values()]
+        running = [[r.task, r.attempt, r.saved(), r.percent(), r.cpu] for r in self.runs.values()]
         return 200, {"clock_ms": self.clock_ms(), "born": self.born, "running": running, "finished": self.finished[:500]}
 
 
