--- a/review/6/case.py
+++ b/review/6/case.py
@@ -122,4 +122,4 @@
         return 1 if stuck else 0
 
 
-sys.exit(asyncio.run(main()))
+fp.run_case(main)
--- a/review/standin-2/fleet_platform.py
+++ b/review/standin-2/fleet_platform.py
@@ -14,8 +14,9 @@
 import socket
 import sys
 import time
+import traceback
 import zlib
-from urllib.parse import parse_qs, unquote, urlsplit
+from urllib.parse import parse_qs, urlsplit
 
 MAX_HOLD_MS = 6_000
 STOP_MS = 100
@@ -627,3 +628,13 @@
 
 def job_id():
     return f"{random.getrandbits(64):016x}"
+
+
+def run_case(main):
+    """Runs a case; exits with 2 if it can't come to a result."""
+    try:
+        code = asyncio.run(main())
+    except (Exception, KeyboardInterrupt):
+        traceback.print_exc()
+        code = 2
+    sys.exit(code)
