Release the workers of instances that are back from maintenance

Cause: a call to take an instance down that gets no answer is repeated once the instance is back, and its new worker is cordoned before that. The provider answers "done" although an earlier call had begun the maintenance, and the wave never released that worker. The next owner got there too if the progress wasn't stored.

Change: a wave uncordons the worker of each instance that has returned. An instance whose maintenance is confirmed has returned if it is listed as up after the answer and its worker has answered since. The list is read again after a round of calls, and a completed wave is kept until its instances are back. The model's provider maintains instances and can lose answers.

--- a/crates/masticfall-core/src/fleet/machines.rs
+++ b/crates/masticfall-core/src/fleet/machines.rs
@@ -97,6 +97,8 @@
     draining: IndexSet<InstanceName>,
     /// Earliest time of the next call for an instance.
     retry_at_ms: IndexMap<InstanceName, u64>,
+    /// When the outcome of the last call was recorded.
+    last_outcome_ms: u64,
 }
 
 /// An instance that this owner has taken down.
@@ -109,11 +111,21 @@
     /// Whether it was listed as not up since the call. A standby instance has no
     /// worker whose change shows its return.
     was_seen_down: bool,
+    /// Whether the provider has answered that the maintenance has begun.
+    is_confirmed: bool,
 }
 
 impl DownInstance {
     fn new(worker: Option<WorkerId>, since_ms: u64) -> Self {
-        Self { since_ms, worker, was_seen_down: false }
+        Self { since_ms, worker, was_seen_down: false, is_confirmed: false }
+    }
+
+    /// Returns whether its worker has answered since the provider confirmed the maintenance:
+    /// an earlier call had begun it, and the instance was back before this one.
+    fn has_outlived_call(&self, board: &Board) -> bool {
+        let worker = self.worker.as_ref().and_then(|id| board.workers.get(id));
+        self.is_confirmed
+            && worker.is_some_and(|w| w.clock.is_some_and(|clock| clock.local_ms > self.since_ms))
     }
 }
 
@@ -158,9 +170,16 @@
             down: IndexMap::new(),
             draining: IndexSet::new(),
             retry_at_ms: IndexMap::new(),
+            last_outcome_ms: 0,
         }
     }
 
+    /// Returns when the outcome of the last call was recorded. A plan needs a list of the
+    /// instances that was read later.
+    pub fn last_outcome_ms(&self) -> u64 {
+        self.last_outcome_ms
+    }
+
     /// Returns the numbers of instances begun, being drained, and down.
     pub fn progress_counts(&self) -> (usize, usize, usize) {
         (self.progress.begun.len(), self.draining.len(), self.down.len())
@@ -171,6 +190,11 @@
         self.draining.contains(instance) || self.down.contains_key(instance)
     }
 
+    /// Returns whether it has instances down, whose workers it has yet to release.
+    pub fn has_instances_down(&self) -> bool {
+        !self.down.is_empty()
+    }
+
     /// Returns whether the maintenance of every listed instance has begun.
     ///
     /// Instances that are no longer listed are ignored.
@@ -180,7 +204,8 @@
     }
 
     /// Cordons and drains instances, and returns those to take down now;
-    /// `blocked` names instances that must not be called yet.
+    /// `blocked` names instances that must not be called yet. `machines` was read after
+    /// [`Wave::last_outcome_ms`].
     pub fn plan(
         &mut self,
         machines: &IndexMap<InstanceName, MachineView>,
@@ -188,7 +213,7 @@
         board: &mut Board,
         now_ms: u64,
     ) -> Vec<TakeDownCall> {
-        self.forget_returned(machines, now_ms);
+        self.release_returned(machines, board, now_ms);
         self.mark_due(machines, board);
         self.start_draining(machines, board, now_ms);
         let mut calls = Vec::new();
@@ -221,10 +246,12 @@
         now_ms: u64,
     ) {
         let name = &call.instance;
+        self.last_outcome_ms = now_ms;
         match outcome {
             TakeDownOutcome::Begun => {
                 self.progress.begun.insert(name.clone());
-                self.down.insert(name.clone(), DownInstance::new(call.worker.clone(), now_ms));
+                let down = DownInstance::new(call.worker.clone(), now_ms);
+                self.down.insert(name.clone(), DownInstance { is_confirmed: true, ..down });
             }
             TakeDownOutcome::NotDue => {
                 self.progress.begun.insert(name.clone());
@@ -246,15 +273,31 @@
         }
     }
 
-    /// Drops instances that have returned or are no longer listed.
-    fn forget_returned(&mut self, machines: &IndexMap<InstanceName, MachineView>, now_ms: u64) {
-        let down_ms = self.down_ms;
+    /// Drops instances that have returned or are no longer listed, and uncordons the workers
+    /// of the former: the worker may be the one that was cordoned if the call that was answered
+    /// repeated an earlier one.
+    fn release_returned(
+        &mut self,
+        machines: &IndexMap<InstanceName, MachineView>,
+        board: &mut Board,
+        now_ms: u64,
+    ) {
+        let (down_ms, draining) = (self.down_ms, &self.draining);
         self.down.retain(|name, down| {
             let Some(machine) = machines.get(name) else { return false };
             let has_new_worker = machine.worker.is_some() && machine.worker != down.worker;
             let is_overdue = now_ms > down.since_ms + down_ms + RETURN_GRACE_MS;
             down.was_seen_down |= !machine.is_up();
-            !(machine.is_up() && (down.was_seen_down || has_new_worker || is_overdue))
+            let is_back =
+                down.was_seen_down || has_new_worker || is_overdue || down.has_outlived_call(board);
+            let has_returned = machine.is_up() && is_back;
+            if has_returned
+                && !draining.contains(name)
+                && let Some(worker) = &machine.worker
+            {
+                board.cordon(worker, false);
+            }
+            !has_returned
         });
     }
 
--- a/crates/masticfall-core/tests/suite/fleet_maintenance.rs
+++ b/crates/masticfall-core/tests/suite/fleet_maintenance.rs
@@ -7,6 +7,7 @@
 use masticfall_core::fleet::report::RunEnd;
 use masticfall_core::fleet::spec::{StepSpec, TaskKey};
 use masticfall_core::prelude::*;
+use rstest::rstest;
 
 use crate::fleet_rig::{FakeWorker, Rig, step};
 
@@ -316,3 +317,78 @@
     let calls = wave.plan(&fleet.machines, &blocked, &mut fleet.rig.board, now_ms);
     assert!(calls.is_empty(), "four are in maintenance, which is the limit");
 }
+
+/// What follows a call whose answer is lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Sequel {
+    /// The owner repeats the call.
+    Repeated,
+    /// The next owner repeats it, since the progress doesn't list the instance.
+    RepeatedByNextOwner,
+}
+
+/// Guards against workers that stay cordoned: the answer to a call was lost, and the call is
+/// repeated when the instance is back.
+#[rstest]
+#[case::repeated(Sequel::Repeated)]
+#[case::repeated_by_the_next_owner(Sequel::RepeatedByNextOwner)]
+fn worker_gets_tasks_after_the_answer_to_a_call_was_lost(#[case] sequel: Sequel) {
+    let mut fleet = Fleet::new(2);
+    let instances: Vec<InstanceName> = fleet.machines.keys().cloned().collect();
+    let due_ms = fleet.rig.now_ms + 10_000;
+    let new_wave = || Wave::new("1".into(), instances.clone(), due_ms, 2, DOWN_MS);
+    let mut wave = new_wave();
+    let mut maintained: IndexSet<InstanceName> = IndexSet::new();
+    for round in 0..80 {
+        fleet.return_instances();
+        let now_ms = fleet.rig.now_ms;
+        let calls = wave.plan(&fleet.machines, &IndexSet::new(), &mut fleet.rig.board, now_ms);
+        for call in calls {
+            let outcome = if maintained.insert(call.instance.clone()) {
+                fleet.take_down(&call.instance);
+                TakeDownOutcome::Unknown
+            } else {
+                // Done already: the instance stays up, with the worker that came with its return.
+                TakeDownOutcome::Begun
+            };
+            wave.record_call(&call, outcome, &mut fleet.rig.board, now_ms);
+        }
+        if round == 2 && sequel == Sequel::RepeatedByNextOwner {
+            fleet.rig.take_over(2);
+            wave = new_wave();
+        }
+        fleet.run_round();
+    }
+    assert_eq!(maintained.len(), 2);
+    assert!(wave.is_done(&fleet.machines));
+    assert!(!wave.has_instances_down());
+    fleet.rig.submit("00000000000000bb", vec![step(2, 16)]);
+    fleet.rig.settle();
+    assert_eq!(fleet.rig.started.len(), 2, "both workers are up, answer and run nothing");
+}
+
+/// Guards against an instance that counts as back while it goes down, by a report that its
+/// worker sent before.
+#[test]
+fn instance_is_down_from_the_confirmation_until_it_is_listed_with_its_new_worker() {
+    let mut fleet = Fleet::new(1);
+    let instances: Vec<InstanceName> = fleet.machines.keys().cloned().collect();
+    let due_ms = fleet.rig.now_ms + 10_000;
+    let mut wave = Wave::new("1".into(), instances, due_ms, 1, DOWN_MS);
+    let none = IndexSet::new();
+    let now_ms = fleet.rig.now_ms;
+    let call = wave.plan(&fleet.machines, &none, &mut fleet.rig.board, now_ms).remove(0);
+    wave.record_call(&call, TakeDownOutcome::Begun, &mut fleet.rig.board, now_ms);
+    fleet.rig.poll_all();
+    fleet.take_down(&call.instance);
+    while !fleet.return_at_ms.is_empty() {
+        let now_ms = fleet.rig.now_ms;
+        wave.plan(&fleet.machines, &none, &mut fleet.rig.board, now_ms);
+        assert!(wave.has_instances_down());
+        fleet.rig.advance(ROUND_MS);
+        fleet.return_instances();
+    }
+    let now_ms = fleet.rig.now_ms;
+    wave.plan(&fleet.machines, &none, &mut fleet.rig.board, now_ms);
+    assert!(!wave.has_instances_down());
+}
--- a/crates/masticfall-entry/src/fleet/machines.rs
+++ b/crates/masticfall-entry/src/fleet/machines.rs
@@ -67,16 +67,23 @@
 #[derive(Debug, Default)]
 struct ListedMachines {
     machines: IndexMap<InstanceName, MachineView>,
+    read_ms: u64,
     next_read_ms: u64,
 }
 
 impl ListedMachines {
-    /// Returns the list, which is read again unless it was read recently: it is read whole
-    /// each time, which takes too much of the link and of the processor on a large fleet.
-    async fn refresh(&mut self, fleet: &Fleet) -> Result<&IndexMap<InstanceName, MachineView>> {
+    /// Returns the list, which is read again unless it was read recently, after `changed_ms`: it
+    /// is read whole each time, which takes too much of the link and of the processor on a large
+    /// fleet.
+    async fn refresh(
+        &mut self,
+        fleet: &Fleet,
+        changed_ms: u64,
+    ) -> Result<&IndexMap<InstanceName, MachineView>> {
         let now_ms = fleet.now_ms();
-        if now_ms >= self.next_read_ms {
+        if now_ms >= self.next_read_ms || self.read_ms <= changed_ms {
             self.machines = machine_views((fleet.platform.machines)(()).await?);
+            self.read_ms = now_ms;
             let link_bytes_per_ms = fleet.settings.link_mbps * BYTES_PER_MS_PER_MBPS;
             let list_bytes = self.machines.len() as f64 * LISTED_MACHINE_BYTES;
             let interval_ms = list_bytes / (link_bytes_per_ms * MAX_LIST_LINK_SHARE);
@@ -100,7 +107,8 @@
     let mut listed = ListedMachines::default();
     let mut traffic = IndexMap::new();
     while fleet.is_owner(ownership.epoch) {
-        let result = match listed.refresh(&fleet).await {
+        let changed_ms = waves.active.values().map(Wave::last_outcome_ms).max().unwrap_or_default();
+        let result = match listed.refresh(&fleet, changed_ms).await {
             Ok(machines) => {
                 run_round(&fleet, ownership, &mut waves, &mut planner, &mut calls, machines).await
             }
@@ -196,13 +204,14 @@
     load_new_waves(fleet, active, finished).await?;
     for wave in active.values_mut() {
         advance_wave(fleet, ownership, wave, machines, calls).await?;
-        if wave.is_done(machines) {
+        if wave.is_done(machines) && !finished.contains(&wave.name) {
             (fleet.platform.report_wave)((wave.name.clone(), true)).await?;
             tracing::info!(name: "wave.completed", wave = %wave.name, instances = wave.instances.len(), "maintenance wave completed");
             finished.push(wave.name.clone());
         }
     }
-    active.retain(|name, _| !finished.contains(name));
+    // The workers of instances that are still down are released once these are back.
+    active.retain(|name, wave| !finished.contains(name) || wave.has_instances_down());
     Ok(())
 }
 
--- a/crates/masticfall-entry/tests/suite/main.rs
+++ b/crates/masticfall-entry/tests/suite/main.rs
@@ -25,6 +25,7 @@
 mod fleet_slow_store;
 mod fleet_submissions;
 mod fleet_succession;
+mod fleet_waves;
 mod fleet_world;
 mod jobs;
 mod keys;
--- a/crates/masticfall-standin/src/fleet.rs
+++ b/crates/masticfall-standin/src/fleet.rs
@@ -24,7 +24,7 @@
 use masticfall_core::fleet::report::{EndedRun, RunEnd};
 use masticfall_core::fleet::spec::{JobSpec, Resources, TaskKey};
 use masticfall_core::fleet::worker::WorkerFacts;
-use masticfall_core::id::{InstanceName, JobId, Name, PoolName, WorkerId};
+use masticfall_core::id::{InstanceName, JobId, Name, PoolName, WaveName, WorkerId};
 use masticfall_platform::error::UnavailableSnafu;
 use masticfall_platform::fleet::{
     FleetPlatform, FleetRow, Machine, MachineCall, MachineOutcome, MachineState,
@@ -50,6 +50,18 @@
     DelaysWrites,
 }
 
+/// How the instance provider handles calls that change instances.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum ProviderMode {
+    /// Reports each instance as busy.
+    #[default]
+    Busy,
+    /// Takes instances down for maintenance, once in a wave.
+    Maintains,
+    /// The same, without a response.
+    LosesResponses,
+}
+
 /// One run as it actually happened on a worker.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RunRecord {
@@ -132,6 +144,9 @@
     /// Number of standby instances in addition to the workers' instances.
     standby: usize,
     is_provider_down: bool,
+    provider_mode: ProviderMode,
+    /// Instances whose maintenance has begun, by wave.
+    maintained: IndexSet<(WaveName, InstanceName)>,
     /// Time that opening a connection to the provider takes, in milliseconds.
     provider_connect_ms: u64,
     /// Bandwidth of the links of processes in bytes per millisecond, and the time at which
@@ -163,6 +178,9 @@
 /// Delay of a write under [`StoreMode::DelaysWrites`], in milliseconds.
 const WRITE_DELAY_MS: u64 = 3_000;
 
+/// Time for which an instance is down for maintenance, in milliseconds.
+const MAINTENANCE_MS: u64 = 2_000;
+
 /// Time after which a call without a response fails, in milliseconds.
 const CALL_TIMEOUT_MS: u64 = 700;
 
@@ -237,6 +255,16 @@
         self.state.lock().is_provider_down = is_down;
     }
 
+    /// Sets how the instance provider handles calls that change instances.
+    pub fn set_provider(&self, mode: ProviderMode) {
+        self.state.lock().provider_mode = mode;
+    }
+
+    /// Returns the number of instances whose maintenance has begun.
+    pub fn maintained_instances(&self) -> usize {
+        self.state.lock().maintained.len()
+    }
+
     /// Limits the link over which a process reads rows to `bytes_per_ms`.
     pub fn set_link_bytes_per_ms(&self, process: &str, bytes_per_ms: u64) {
         self.state.lock().links.insert(process.into(), (bytes_per_ms, 0));
@@ -345,25 +373,52 @@
         self.state.lock().machine_calls.clone()
     }
 
-    /// Records each call and reports the instance as busy.
+    /// Records each call and handles it according to the [`ProviderMode`].
     fn change_machine(
         self: &Arc<Self>,
     ) -> masticfall_platform::Operation<MachineCall, MachineOutcome> {
         operation_on(self, move |world, call: MachineCall| async move {
             let connect_ms = world.state.lock().provider_connect_ms;
             sleep_ms(connect_ms).await;
-            let MachineCall { instance, holder, may_send, .. } = call;
+            let MachineCall { instance, wave, holder, may_send, .. } = call;
             if !may_send() {
                 return Ok(MachineOutcome::NotSent);
             }
             sleep_ms(CALL_LATENCY_MS).await;
             let at_ms = world.now_ms();
-            let record = MachineCallRecord { instance, holder, at_ms };
-            world.state.lock().machine_calls.push(record);
-            Ok(MachineOutcome::Busy)
+            let record = MachineCallRecord { instance: instance.clone(), holder, at_ms };
+            let mode = {
+                let mut state = world.state.lock();
+                state.machine_calls.push(record);
+                state.provider_mode
+            };
+            let Some(wave) = wave.filter(|_| mode != ProviderMode::Busy) else {
+                return Ok(MachineOutcome::Busy);
+            };
+            world.maintain(wave, &instance);
+            if mode == ProviderMode::LosesResponses {
+                sleep_ms(CALL_TIMEOUT_MS).await;
+                return Ok(MachineOutcome::Unknown);
+            }
+            Ok(MachineOutcome::Done)
         })
     }
 
+    /// Takes an instance down, unless the wave has done so before.
+    fn maintain(self: &Arc<Self>, wave: WaveName, instance: &InstanceName) {
+        let worker = {
+            let mut state = self.state.lock();
+            let is_first = state.maintained.insert((wave, instance.clone()));
+            let mut workers = state.workers.iter().filter(|_| is_first);
+            let worker = workers.find(|(_, worker)| worker.instance == *instance);
+            worker.map(|(id, _)| id.clone())
+        };
+        if let Some(worker) = worker {
+            let plan = CrashPlan { down_ms: MAINTENANCE_MS, ..CrashPlan::default() };
+            self.crash(worker, None, plan);
+        }
+    }
+
     fn machines(self: &Arc<Self>) -> masticfall_platform::Operation<(), Vec<Machine>> {
         operation_on(self, move |world, ()| async move {
             sleep_ms(CALL_LATENCY_MS).await;
@@ -382,7 +437,10 @@
             let machines = state.workers.values().map(|worker| Machine {
                 instance: worker.instance.clone(),
                 pool: worker.facts.pool.clone(),
-                state: MachineState::Up,
+                state: match worker.crashed {
+                    Some(_) => MachineState::Maintenance,
+                    None => MachineState::Up,
+                },
                 data_centre: worker.facts.data_centre.clone(),
                 capacity: worker.facts.capacity,
                 worker: Some(worker.facts.id.clone()),
