Give leases only to the life of a worker that they are meant for

Cause: a start that is decided for a worker's former life reaches the next one over a connection that is opened after the restart. Its deadline is by a clock that has begun anew, so that the worker holds the longest lease that it may (10 s there), while every owner counts 6 s: the same one, which hasn't learned of the restart, and the next one, by its takeover or an announcement.

Change: calls name the incarnation by whose clock the lease is, through relays to the adapter. No bound became longer.

--- a/crates/masticfall-core/src/fleet/board.rs
+++ b/crates/masticfall-core/src/fleet/board.rs
@@ -98,6 +98,9 @@
     pub permit: Option<Name>,
     /// Lease deadline, by the worker's clock.
     pub lease_deadline_ms: u64,
+    /// Start time of the incarnation whose clock that is, if known, in milliseconds since the
+    /// Unix epoch. To another one the deadline says nothing.
+    pub born_wall_ms: Option<u64>,
 }
 
 /// An order to stop a run.
--- a/crates/masticfall-core/src/fleet/board/reports.rs
+++ b/crates/masticfall-core/src/fleet/board/reports.rs
@@ -34,6 +34,9 @@
 pub struct PollRequest {
     /// The worker.
     pub worker: WorkerId,
+    /// Start time of the incarnation that the cursor and the lease are meant for, if known, in
+    /// milliseconds since the Unix epoch.
+    pub born_wall_ms: Option<u64>,
     /// Sequence number of the last run end that the worker may discard.
     pub ack_cursor: u64,
     /// Lease deadline, by the worker's clock; `None` before its clock is known, and
@@ -61,7 +64,9 @@
             Some(_) if self.is_shared(id) => SHARED_POLL_WAIT_MS,
             Some(_) => POLL_WAIT_MS,
         };
-        Some(PollRequest { worker: id.clone(), ack_cursor, lease_deadline_ms, wait_ms })
+        let born_wall_ms = self.workers.get(id)?.leased_incarnation();
+        let worker = id.clone();
+        Some(PollRequest { worker, born_wall_ms, ack_cursor, lease_deadline_ms, wait_ms })
     }
 
     /// Returns the unresponsive workers to be announced to the next owner, with the time in
--- a/crates/masticfall-core/src/fleet/board/store.rs
+++ b/crates/masticfall-core/src/fleet/board/store.rs
@@ -191,7 +191,9 @@
         let Some(run) = job.run_mut(key, attempt) else { return };
         let is_unsent = run.order == OrderState::Unstored;
         let worker_id = run.worker.clone();
-        let lease = self.workers.get_mut(&worker_id).and_then(|w| w.lease(now_ms, lease_ms));
+        let worker = self.workers.get_mut(&worker_id);
+        let born_wall_ms = worker.as_ref().and_then(|worker| worker.leased_incarnation());
+        let lease = worker.and_then(|worker| worker.lease(now_ms, lease_ms));
         let is_gang = self.is_gang(key);
         let is_too_large = self.is_overcommitted(&worker_id) && !(is_unsent && is_gang);
         let is_evacuated = self.is_evacuated(&worker_id);
@@ -224,6 +226,7 @@
             checkpoint,
             permit,
             lease_deadline_ms,
+            born_wall_ms,
         }));
     }
 }
--- a/crates/masticfall-core/src/fleet/worker.rs
+++ b/crates/masticfall-core/src/fleet/worker.rs
@@ -247,6 +247,12 @@
         self.max_lease_deadline_ms = (clock_ms + lease_ms).max(by_former_clock_ms + max_lease_ms);
     }
 
+    /// Returns the start time of the incarnation that leases are given to, by whose clock their
+    /// deadlines are; `None` if its reports don't tell.
+    pub fn leased_incarnation(&self) -> Option<u64> {
+        self.born_wall_ms.filter(|born_wall_ms| *born_wall_ms > 0)
+    }
+
     /// Returns an estimate of the worker's clock.
     pub fn estimated_clock_ms(&self, now_ms: u64) -> Option<u64> {
         self.clock.map(|clock| clock.worker_ms + now_ms.saturating_sub(clock.local_ms))
--- a/crates/masticfall-entry/src/fleet/dispatch.rs
+++ b/crates/masticfall-entry/src/fleet/dispatch.rs
@@ -206,6 +206,7 @@
                 payload: Name::clone(&order.payload),
                 checkpoint: order.checkpoint.clone(),
                 lease_deadline_ms: order.lease_deadline_ms,
+                born_wall_ms: order.born_wall_ms,
                 fencing_token: epoch,
                 permit: order.permit.clone(),
             };
@@ -421,6 +422,7 @@
             address,
             worker: id.clone(),
             fencing_token: epoch,
+            born_wall_ms: poll.born_wall_ms,
             ack_cursor: poll.ack_cursor,
             lease_deadline_ms: poll.lease_deadline_ms,
             wait_ms,
--- a/crates/masticfall-entry/src/fleet/relay/messages.rs
+++ b/crates/masticfall-entry/src/fleet/relay/messages.rs
@@ -134,6 +134,8 @@
         checkpoint: Option<Name>,
         #[serde(rename = "l")]
         lease_deadline_ms: u64,
+        #[serde(rename = "b", default, skip_serializing_if = "Option::is_none")]
+        born_wall_ms: Option<u64>,
         #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
         permit: Option<Name>,
     },
@@ -145,6 +147,8 @@
     Poll {
         #[serde(rename = "w")]
         target: WireTarget,
+        #[serde(rename = "b", default, skip_serializing_if = "Option::is_none")]
+        born_wall_ms: Option<u64>,
         #[serde(rename = "k")]
         ack_cursor: u64,
         #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
@@ -178,12 +182,14 @@
             attempt: call.attempt,
             checkpoint: call.checkpoint,
             lease_deadline_ms: call.lease_deadline_ms,
+            born_wall_ms: call.born_wall_ms,
             permit: call.permit,
         },
         RelayCall::Stop(call) => WireCall::Stop(encode_run(call)),
         RelayCall::Pace(call) => WireCall::Pace(encode_run(call)),
         RelayCall::Poll(call) => WireCall::Poll {
             target: WireTarget { worker: call.worker, address: call.address },
+            born_wall_ms: call.born_wall_ms,
             ack_cursor: call.ack_cursor,
             lease_deadline_ms: call.lease_deadline_ms,
             wait_ms: call.wait_ms,
@@ -221,26 +227,34 @@
 
 fn decode_call(call: WireCall, fencing_token: u32) -> RelayCall {
     match call {
-        WireCall::Start { target, task, attempt, checkpoint, lease_deadline_ms, permit } => {
-            RelayCall::Start(StartCall {
-                address: target.address,
-                worker: target.worker,
-                task,
-                attempt,
-                payload: Name::from(""),
-                checkpoint,
-                lease_deadline_ms,
-                fencing_token,
-                permit,
-            })
-        }
+        WireCall::Start {
+            target,
+            task,
+            attempt,
+            checkpoint,
+            lease_deadline_ms,
+            born_wall_ms,
+            permit,
+        } => RelayCall::Start(StartCall {
+            address: target.address,
+            worker: target.worker,
+            task,
+            attempt,
+            payload: Name::from(""),
+            checkpoint,
+            lease_deadline_ms,
+            born_wall_ms,
+            fencing_token,
+            permit,
+        }),
         WireCall::Stop(run) => RelayCall::Stop(decode_run(run, fencing_token)),
         WireCall::Pace(run) => RelayCall::Pace(decode_run(run, fencing_token)),
-        WireCall::Poll { target, ack_cursor, lease_deadline_ms, wait_ms } => {
+        WireCall::Poll { target, born_wall_ms, ack_cursor, lease_deadline_ms, wait_ms } => {
             RelayCall::Poll(PollCall {
                 address: target.address,
                 worker: target.worker,
                 fencing_token,
+                born_wall_ms,
                 ack_cursor,
                 lease_deadline_ms,
                 wait_ms,
--- a/crates/masticfall-platform/src/fleet.rs
+++ b/crates/masticfall-platform/src/fleet.rs
@@ -201,6 +201,10 @@
     pub checkpoint: Option<Name>,
     /// End of the lease, by the worker's clock, in milliseconds.
     pub lease_deadline_ms: u64,
+    /// Start time of the worker's incarnation whose clock that is, in milliseconds since the
+    /// Unix epoch. The request reaches no other one; `None` if the platform doesn't tell them
+    /// apart.
+    pub born_wall_ms: Option<u64>,
     /// Fencing token.
     pub fencing_token: u32,
     /// Permit of the placement policy service, if any.
@@ -233,6 +237,10 @@
     pub worker: WorkerId,
     /// Fencing token.
     pub fencing_token: u32,
+    /// Start time of the worker's incarnation that the cursor and the lease are meant for, in
+    /// milliseconds since the Unix epoch. Another one only reports; `None` if the platform
+    /// doesn't tell them apart.
+    pub born_wall_ms: Option<u64>,
     /// Number of the last ended run that the worker may discard.
     pub ack_cursor: u64,
     /// End of the lease to grant, by the worker's clock, in milliseconds.
--- a/crates/masticfall-soak/src/main.rs
+++ b/crates/masticfall-soak/src/main.rs
@@ -6,17 +6,17 @@
 
 use clap::{Arg, ArgAction, Command, value_parser};
 use indexmap::IndexSet;
-use masticfall_soak::play::{Plan, Report, run_plan};
+use masticfall_soak::play::{FaultKind, Plan, Report, run_plan};
 use masticfall_soak::process::seed_folder;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Semaphore;
 
 /// Seeds that failed in the past, run every time; one per line, followed by the cause. After
-/// `owner:` only faults of the owner are played.
+/// `owner:` only faults of the owner are played, after `restarts:` only restarts of workers.
 const REGRESSIONS: &str = include_str!("../seeds.txt");
 
-/// Shortest duration of the faults of a kept seed with faults of the owner only, in seconds:
-/// changes of owners follow each other slowly.
+/// Shortest duration of the faults of a kept seed of these kinds, and of restarts of workers, in
+/// seconds: changes of owners follow each other slowly.
 const OWNER_LENGTH_S: u64 = 20;
 
 fn command() -> Command {
@@ -36,6 +36,11 @@
                 .action(ArgAction::SetTrue)
                 .help("Play only faults of the cell's owner, as in every fifth seed"),
         )
+        .arg(
+            Arg::new("restarts").long("restarts").action(ArgAction::SetTrue).help(
+                "Play only restarts of workers under their identifiers, as in every tenth seed",
+            ),
+        )
         .arg(
             Arg::new("program")
                 .long("program")
@@ -68,18 +73,26 @@
     let permits = Arc::new(Semaphore::new(number("at-once").max(1) as usize));
     let mut runs = Vec::new();
     for seed in seeds {
-        let mark = format!("{seed} owner: ");
-        let is_kept_owner = REGRESSIONS.lines().any(|line| line.starts_with(&mark));
+        let is_kept = |kind: &str| {
+            let mark = format!("{seed} {kind}: ");
+            REGRESSIONS.lines().any(|line| line.starts_with(&mark))
+        };
+        let (is_kept_owner, is_kept_restart) = (is_kept("owner"), is_kept("restarts"));
+        let faults = if matches.get_flag("restarts") || seed % 10 == 1 || is_kept_restart {
+            FaultKind::Restarts
+        } else if matches.get_flag("owner-faults") || seed % 5 == 4 || is_kept_owner {
+            FaultKind::Owner
+        } else {
+            FaultKind::All
+        };
+        let is_long = is_kept_owner || faults == FaultKind::Restarts;
         let plan = Plan {
             seed,
-            length_ms: number("length-s").max(if is_kept_owner { OWNER_LENGTH_S } else { 0 })
-                * 1_000,
+            length_ms: number("length-s").max(if is_long { OWNER_LENGTH_S } else { 0 }) * 1_000,
             processes: number("processes").max(1) as usize,
             program: path("program"),
             folder: path("folder"),
-            has_owner_faults_only: matches.get_flag("owner-faults")
-                || seed % 5 == 4
-                || is_kept_owner,
+            faults,
         };
         runs.push(tokio::spawn(run_seed(plan, Arc::clone(&permits))));
     }
--- a/crates/masticfall-soak/src/play/owner.rs
+++ b/crates/masticfall-soak/src/play/owner.rs
@@ -246,7 +246,7 @@
     }
 
     /// Returns the process that owns the cell, with its epoch, unless the store is down.
-    async fn owner(&self) -> Option<(usize, u32)> {
+    pub(super) async fn owner(&self) -> Option<(usize, u32)> {
         let RowKey { table, part, key } = cell_row_key(LEAD_TABLE, OWNER_KEY);
         let range = RowRange { table, part, from: key, to: Name::from(""), limit: 1 };
         let page = (self.world.platform("soak").range)(range).await.ok()?;
--- a/crates/masticfall-soak/src/process.rs
+++ b/crates/masticfall-soak/src/process.rs
@@ -7,6 +7,7 @@
 use std::process::Stdio;
 use std::sync::atomic::{AtomicU16, Ordering};
 
+use masticfall_adapter::ServiceAddresses;
 use rustix::process::{Pid, Signal, kill_process};
 use tokio::process::{Child, Command};
 
@@ -31,9 +32,9 @@
 }
 
 impl Process {
-    /// Prepares a process that reaches its store at `store` and the instance API at
-    /// `machines`; settings and logs are written to `folder`. Beyond `max_direct_workers`
-    /// the owner's calls go through relays.
+    /// Prepares a process that reaches the platform's services at `services`; settings and
+    /// logs are written to `folder`. Beyond `max_direct_workers` the owner's calls go through
+    /// relays. Workers hold leases of `max_lease_ms` at most.
     ///
     /// # Errors
     /// The system's error.
@@ -41,17 +42,18 @@
         program: &Path,
         folder: &Path,
         name: &str,
-        store: SocketAddr,
-        machines: SocketAddr,
+        services: ServiceAddresses,
         max_direct_workers: usize,
+        max_lease_ms: u64,
     ) -> io::Result<Self> {
+        let ServiceAddresses { store, machines, .. } = services;
         let callers = free_address()?;
         let (readiness, peers, metrics) = (free_address()?, free_address()?, free_address()?);
         let settings = folder.join(format!("{name}.ini"));
         let text = format!(
             "[fleet]\nname = {name}\ndata_centre = dc\ncallers = {callers}\n\
              readiness = {readiness}\npeers = {peers}\nmetrics = {metrics}\n\
-             store = {store}\nmachines = {machines}\nworker_lease_ms = 6000\n\
+             store = {store}\nmachines = {machines}\nworker_lease_ms = {max_lease_ms}\n\
              max_direct_workers = {max_direct_workers}\n"
         );
         fs::write(&settings, text)?;
--- a/crates/masticfall-standin/src/fleet/crash.rs
+++ b/crates/masticfall-standin/src/fleet/crash.rs
@@ -78,7 +78,7 @@
     }
 
     /// Starts a crashed worker again, as a new life that knows nothing of the last one.
-    fn revive(&mut self, id: &WorkerId, keeps_id: bool) {
+    fn revive(&mut self, id: &WorkerId, keeps_id: bool, now_ms: u64) {
         let Some(worker) = self.workers.get(id) else { return };
         let mut facts = worker.facts.clone();
         facts.born_wall_ms += 1_000;
@@ -88,7 +88,8 @@
         }
         let new_id = facts.id.clone();
         let index = self.workers.get_index_of(id);
-        self.workers.insert(new_id.clone(), SimulatedWorker::new(facts, instance));
+        let worker = SimulatedWorker { begun_ms: now_ms, ..SimulatedWorker::new(facts, instance) };
+        self.workers.insert(new_id.clone(), worker);
         if !keeps_id && let Some(index) = index {
             // Keeps the number under which tests address the worker.
             self.workers.swap_remove_index(index);
@@ -122,6 +123,13 @@
         }
     }
 
+    /// Returns whether any of these workers, by their numbers, has crashed and isn't back.
+    pub fn are_down(&self, workers: &[usize]) -> bool {
+        let state = self.state.lock();
+        let mut workers = workers.iter().filter_map(|worker| state.workers.get_index(*worker));
+        workers.any(|(_, worker)| worker.crashed.is_some())
+    }
+
     /// Returns all crashes so far.
     pub fn crashes(&self) -> Vec<CrashRecord> {
         self.state.lock().crashes.clone()
@@ -141,7 +149,8 @@
                 world.changed.notify_waiters();
                 sleep_ms(plan.down_ms - UNLIST_MS).await;
             }
-            world.state.lock().revive(&id, plan.keeps_id);
+            let now_ms = world.now_ms();
+            world.state.lock().revive(&id, plan.keeps_id, now_ms);
             world.changed.notify_waiters();
         });
     }
