Call a move between pools again if it had no answer

Callers' jobs would wait for an instance that no pool could use for 13 s after the instance provider had lost a call: its worker stayed cordoned, and the pool that should get it counted it as held.

Cause: a move with an unknown outcome was given up only after the time in which it might still be carried out.

Change: the call is repeated after 0.6 s while the instance is listed as up with the worker that was cordoned for it; the answer tells whether it has begun. A refusal then releases nothing, since an earlier call may be what the instance is busy with. While the provider gives no list, nothing is repeated.

Measured: fleet_pools::move_without_an_answer_is_called_again fails on the code before (no instance after 2.1 s and a move) and passes; the other 36 tests of pools, capacity and evacuation pass.

--- a/crates/masticfall-core/src/fleet/pools.rs
+++ b/crates/masticfall-core/src/fleet/pools.rs
@@ -33,6 +33,9 @@
 /// call may be carried out up to 12 s later.
 const MOVE_TIMEOUT_MS: u64 = 13_000;
 
+/// Time after which a call without an answer is repeated, in milliseconds.
+const MOVE_RETRY_MS: u64 = 600;
+
 /// Part of the provider's call rate that moves may use; the rest is kept for
 /// maintenance, which has a deadline.
 const MOVE_RATE_RATIO: f64 = 0.75;
@@ -110,8 +113,22 @@
 #[derive(Debug, Clone)]
 struct PendingMove {
     to: PoolName,
+    /// When it was last called.
     since_ms: u64,
     worker: Option<WorkerId>,
+    /// Whether a call had no answer, and none since has told whether the move has begun.
+    is_unanswered: bool,
+}
+
+impl PendingMove {
+    /// Returns whether the call is to be repeated: there is no sign that the move has begun, and
+    /// only the worker that was cordoned for it would be ended.
+    fn is_repeatable(&self, machine: &MachineView, now_ms: u64) -> bool {
+        self.is_unanswered
+            && now_ms >= self.since_ms + MOVE_RETRY_MS
+            && machine.is_up()
+            && machine.worker == self.worker
+    }
 }
 
 /// A pool as seen by a planning round.
@@ -216,7 +233,7 @@
         board.set_attainable_millis(attainable_millis(&pools));
         self.views = pools.iter().map(|(name, pool)| (name.clone(), pool.view())).collect();
         let allowed = self.allowed_calls(now_ms);
-        let mut calls = Vec::new();
+        let mut calls = self.repeated_calls(machines, board, allowed, now_ms);
         while calls.len() < allowed {
             let Some(call) = self.next_move(&mut pools, machines) else { break };
             calls.push(call);
@@ -232,19 +249,50 @@
             if let Some(worker) = &worker {
                 board.cordon(worker, true);
             }
-            self.pending_moves
-                .insert(call.instance.clone(), PendingMove { to, since_ms: now_ms, worker });
+            let was_unanswered =
+                self.pending_moves.get(&call.instance).is_some_and(|pending| pending.is_unanswered);
+            let pending =
+                PendingMove { to, since_ms: now_ms, worker, is_unanswered: was_unanswered };
+            self.pending_moves.insert(call.instance.clone(), pending);
         }
         calls
     }
 
+    /// Returns the calls that had no answer and are made again: the answer tells at once what
+    /// waiting for a late effect tells after [`MOVE_TIMEOUT_MS`].
+    fn repeated_calls(
+        &self,
+        machines: &IndexMap<InstanceName, MachineView>,
+        board: &Board,
+        allowed: usize,
+        now_ms: u64,
+    ) -> Vec<MoveCall> {
+        let repeatable = self.pending_moves.iter().filter_map(|(instance, pending)| {
+            let machine = machines.get(instance)?;
+            let is_empty = pending.worker.as_ref().is_none_or(|worker| board.is_empty(worker));
+            let is_repeatable = is_empty && pending.is_repeatable(machine, now_ms);
+            let (instance, worker) = (instance.clone(), pending.worker.clone());
+            let (from, to) = (machine.pool.clone(), pending.to.clone());
+            is_repeatable.then_some(MoveCall { instance, worker, from, to })
+        });
+        repeatable.take(allowed).collect()
+    }
+
     /// Records the outcome of a call.
     pub fn record_call(&mut self, call: &MoveCall, outcome: MoveOutcome, board: &mut Board) {
+        let pending = self.pending_moves.get_mut(&call.instance);
         match outcome {
-            MoveOutcome::Begun | MoveOutcome::Unknown => return,
+            MoveOutcome::Begun | MoveOutcome::Unknown => {
+                if let Some(pending) = pending {
+                    pending.is_unanswered = outcome == MoveOutcome::Unknown;
+                }
+                return;
+            }
             MoveOutcome::NotAllowed => {
                 self.not_allowed.insert((call.instance.clone(), call.to.clone()));
             }
+            // An earlier call may have begun the move, for which the instance is busy.
+            MoveOutcome::Refused if pending.is_some_and(|pending| pending.is_unanswered) => return,
             MoveOutcome::Refused => {}
         }
         self.pending_moves.swap_remove(&call.instance);
--- a/crates/masticfall-core/tests/suite/fleet_pools.rs
+++ b/crates/masticfall-core/tests/suite/fleet_pools.rs
@@ -20,6 +20,8 @@
     arriving: Vec<(u64, InstanceName)>,
     call_times_ms: Vec<u64>,
     new_workers: u32,
+    /// Whether calls have neither an effect nor an answer.
+    provider_loses_calls: bool,
 }
 
 impl Fleet {
@@ -44,6 +46,7 @@
             arriving: Vec::new(),
             call_times_ms: Vec::new(),
             new_workers: 0,
+            provider_loses_calls: false,
         }
     }
 
@@ -76,6 +79,10 @@
             now_ms,
         );
         for call in &calls {
+            if self.provider_loses_calls {
+                self.planner.record_call(call, MoveOutcome::Unknown, board);
+                continue;
+            }
             self.planner.record_call(call, MoveOutcome::Begun, board);
             self.machines[&call.instance].state = MachineState::Moving;
             self.arriving.push((now_ms + MOVE_MS, call.instance.clone()));
@@ -218,3 +225,37 @@
     fleet.blockers.retain(|name, _| !free.contains(name));
     assert_eq!(fleet.plan_round().len(), 0, "the pool has enough instances");
 }
+
+/// Guards against instances that no pool can use for 13 s after a call without an answer.
+#[test]
+fn move_without_an_answer_is_called_again() {
+    let mut fleet = Fleet::new(4, 215.0);
+    fleet.provider_loses_calls = true;
+    let long = StepSpec { estimate_ms: 60_000, ..step(8, 2) };
+    fleet.rig.list(&[("w", CORES)]);
+    fleet.rig.workers.insert(WorkerId::from("w"), FakeWorker::default());
+    fleet.rig.submit("0000000000000001", vec![long.clone()]);
+    fleet.rig.submit("0000000000000002", vec![long]);
+    let lost = fleet.plan_round();
+    assert!(!lost.is_empty(), "the second job needs another worker");
+    fleet.provider_loses_calls = false;
+    let rounds = (600 + MOVE_MS).div_ceil(ROUND_MS) + 1;
+    for _ in 0..rounds {
+        fleet.plan_round();
+    }
+    assert!(fleet.held_cores() > 0, "the call was not made again");
+}
+
+/// Guards against an instance that is used again while an earlier call moves it.
+#[test]
+fn instance_that_is_busy_after_a_call_without_an_answer_stays_cordoned() {
+    let mut fleet = started_fleet(12);
+    fleet.provider_loses_calls = true;
+    let mut calls = Vec::new();
+    while calls.is_empty() {
+        calls = fleet.plan_round();
+    }
+    let worker = calls[0].worker.clone().expect("a worker");
+    fleet.planner.record_call(&calls[0], MoveOutcome::Refused, &mut fleet.rig.board);
+    assert!(fleet.rig.board.workers[&worker].is_cordoned);
+}
