Bound the row of a job's progress by its checkpoints too

Change: the size of a row counts checkpoints by their length, and those for which it has no room are left out. A task without one begins anew if the owner changes. A completed task has none.

Evidence: fleet_hostile::checkpoints_of_any_length_can_be_stored (sizes generated) and row_with_many_checkpoints_keeps_those_that_it_has_room_for fail without the limit, and pass.

--- a/crates/masticfall-core/src/fleet/board/stored.rs
+++ b/crates/masticfall-core/src/fleet/board/stored.rs
@@ -46,6 +46,7 @@
             if stage == TaskStage::Waiting && task.attempt == 0 {
                 return;
             }
+            let checkpoint = task.checkpoint.clone().filter(|_| stage != TaskStage::Done);
             tasks.push(TaskRow {
                 occurrence,
                 step,
@@ -54,10 +55,10 @@
                 attempt: task.attempt,
                 failures: task.failures,
                 worker: worker as u32,
-                checkpoint: task.checkpoint.clone(),
+                checkpoint,
             });
         });
-        ProgressRow {
+        let mut row = ProgressRow {
             phase: self.phase,
             occurrences_done: self.occurrences_done.iter().copied().collect(),
             born_wall_ms: workers.values().copied().collect(),
@@ -66,7 +67,9 @@
             done,
             crashes,
             reason: self.reason.clone(),
-        }
+        };
+        row.limit_checkpoints();
+        row
     }
 
     /// Restores stored progress at `now_ms`.
--- a/crates/masticfall-core/src/fleet/progress.rs
+++ b/crates/masticfall-core/src/fleet/progress.rs
@@ -85,6 +85,13 @@
     pub checkpoint: Option<Name>,
 }
 
+impl TaskRow {
+    fn excess_checkpoint_bytes(&self) -> usize {
+        let length = self.checkpoint.as_ref().map_or(0, |checkpoint| checkpoint.len());
+        length.saturating_sub(USUAL_CHECKPOINT_BYTES)
+    }
+}
+
 /// The stored form of a task: a tuple takes a third of the space of a map.
 type TaskTuple = (u32, u32, u32, TaskStage, u32, u32, u32, Option<Name>);
 
@@ -154,9 +161,13 @@
     }
 }
 
-/// Maximum size of a task in a row of progress, in bytes, without its worker.
+/// Maximum size of a task in a row of progress, in bytes, without its worker and with a
+/// checkpoint of [`USUAL_CHECKPOINT_BYTES`].
 const TASK_BYTES: usize = 32;
 
+/// Length of the checkpoints that [`TASK_BYTES`] covers, in bytes.
+const USUAL_CHECKPOINT_BYTES: usize = 16;
+
 /// Maximum size of a worker in a row of progress, in bytes.
 const WORKER_BYTES: usize = 64;
 
@@ -181,6 +192,8 @@
     pub suspects: usize,
     /// Ranges of completed tasks.
     pub done_ranges: usize,
+    /// Bytes of checkpoints beyond [`USUAL_CHECKPOINT_BYTES`] each.
+    pub checkpoint_bytes: usize,
 }
 
 impl RowSize {
@@ -190,6 +203,7 @@
             + self.workers * WORKER_BYTES
             + self.suspects * TASK_CRASHES_BYTES
             + self.done_ranges * DONE_RANGE_BYTES
+            + self.checkpoint_bytes
     }
 
     /// Returns the bytes left for tasks that are placed.
@@ -246,6 +260,19 @@
             workers: self.workers.len() + self.crashes.workers.len(),
             suspects: self.crashes.tasks.len(),
             done_ranges: self.done.len() + self.occurrences_done.len(),
+            checkpoint_bytes: self.tasks.iter().map(TaskRow::excess_checkpoint_bytes).sum(),
+        }
+    }
+
+    /// Leaves out the checkpoints for which the row has no room: how long they are is up to what
+    /// runs. A task without one begins anew if the owner changes.
+    pub fn limit_checkpoints(&mut self) {
+        let mut left_bytes = RowSize { checkpoint_bytes: 0, ..self.size() }.budget_bytes();
+        for task in &mut self.tasks {
+            match left_bytes.checked_sub(task.excess_checkpoint_bytes()) {
+                Some(bytes) => left_bytes = bytes,
+                None => task.checkpoint = None,
+            }
         }
     }
 
--- a/crates/masticfall-entry/tests/suite/fleet_hostile.rs
+++ b/crates/masticfall-entry/tests/suite/fleet_hostile.rs
@@ -2,13 +2,16 @@
 
 use std::time::Duration;
 
+use indexmap::IndexMap;
 use masticfall_core::error::ErrorKind;
-use masticfall_core::fleet::board::{BatchWrite, Board, BoardTimings, Now, Order};
+use masticfall_core::fleet::board::{BatchWrite, Board, BoardTimings, Now, Order, StartOrder};
 use masticfall_core::fleet::progress::JobPhase;
-use masticfall_core::fleet::report::{StartOutcome, WorkerReport};
+use masticfall_core::fleet::report::{ActiveRun, StartOutcome, WorkerReport};
 use masticfall_core::fleet::spec::{JobRecord, JobSpec, Resources, StepSpec};
+use masticfall_core::id::{Name, WorkerId};
 use masticfall_standin::fleet::World;
 use masticfall_wire::encode;
+use proptest::prelude::*;
 use rstest::rstest;
 use tokio::time::sleep;
 
@@ -127,6 +130,56 @@
     }
 }
 
+/// Starts all tasks and reports each with a checkpoint of `length` bytes; returns the largest row
+/// and transaction, in bytes, and the share of the checkpoints that are stored.
+fn store_checkpoints(jobs: u64, tasks: u32, length: usize) -> (usize, usize, f64) {
+    let mut board = board_of(jobs, &many_tasks(tasks, 1));
+    store_all(&mut board, 1);
+    let mut running: IndexMap<WorkerId, Vec<ActiveRun>> = IndexMap::new();
+    for order in board.take_orders() {
+        let Order::Start(StartOrder { worker, task, attempt, .. }) = order else { continue };
+        board.start_result(&worker, &task, attempt, StartOutcome::Started, 2);
+        let checkpoint = Some(Name::from("c".repeat(length)));
+        let run = ActiveRun { task, attempt, checkpoint, percent: 1, load: 0 };
+        running.entry(worker).or_default().push(run);
+    }
+    let runs = running.values().map(Vec::len).sum::<usize>();
+    for (worker, running) in running {
+        let report =
+            WorkerReport { clock_ms: 9, born_wall_ms: 1, running, ..WorkerReport::default() };
+        board.report(&worker, 9, report, 9);
+    }
+    let rows = board.jobs.iter().map(|(id, job)| job.progress(id, |_| None));
+    let kept = rows.flat_map(|row| row.tasks).filter(|task| task.checkpoint.is_some()).count();
+    let (row, batch) = store_all(&mut board, 9);
+    (row, batch, kept as f64 / runs.max(1) as f64)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 40, ..ProptestConfig::default() })]
+
+    /// Guards against a row that the store refuses for good, and every other row with it.
+    #[test]
+    fn checkpoints_of_any_length_can_be_stored(
+        jobs in 1_u64..4,
+        tasks in 1_u32..400,
+        length in prop_oneof![0_usize..600, 0_usize..9_000, 60_000_usize..80_000],
+    ) {
+        let (row, batch, kept) = store_checkpoints(jobs, tasks, length);
+        prop_assert!(row <= MAX_ROW_BYTES, "a row of {row} bytes");
+        prop_assert!(batch <= MAX_TRANSACTION_BYTES, "a transaction of {batch} bytes");
+        prop_assert!(length == 0 || kept == 1.0 || tasks as usize * length > 8_000, "{kept} kept");
+    }
+}
+
+/// The job of review/10: no single checkpoint is large, but all of them together are.
+#[test]
+fn row_with_many_checkpoints_keeps_those_that_it_has_room_for() {
+    let (row, _, kept) = store_checkpoints(1, 196, 400);
+    assert!(row <= MAX_ROW_BYTES, "a row of {row} bytes");
+    assert!((0.3..1.0).contains(&kept), "{kept} of the checkpoints are stored");
+}
+
 #[tokio::test(start_paused = true)]
 async fn job_of_endless_occurrences_is_refused() {
     let world = World::new(2, "p");
