Take a rejected batch of progress apart instead of repeating it

Cause: the refusal counted as an unknown outcome, and the whole batch was stored again for ever.

The batch is stored again in halves until one job is left, which fails with the store's reason, a log line and a metric. Of a job that has ended only the runs are stored that are still to be stopped. A submission whose row is rejected is refused at once.

--- a/crates/masticfall-core/src/fleet/board/notice.rs
+++ b/crates/masticfall-core/src/fleet/board/notice.rs
@@ -265,6 +265,13 @@
         /// Number of workers that its task has crashed.
         crashes: usize,
     },
+    /// A job failed, since the store rejects its row of progress for good.
+    ProgressRejected {
+        /// The job.
+        job: JobId,
+        /// Why, in words for the caller.
+        reason: Name,
+    },
     /// A worker on which different jobs failed is quarantined.
     Quarantined {
         /// The worker.
--- a/crates/masticfall-core/src/fleet/board/store.rs
+++ b/crates/masticfall-core/src/fleet/board/store.rs
@@ -1,13 +1,13 @@
 //! Batches of progress to be stored, and the actions that follow once they are.
 
-use super::{Board, Order, OrderState, StartOrder, StopReason, Task, TaskState};
-use crate::fleet::progress::{EndedRow, ProgressRow};
+use super::{Board, Notice, Order, OrderState, StartOrder, StopReason, Task, TaskState};
+use crate::fleet::progress::{EndedRow, JobPhase, ProgressRow};
 use crate::fleet::spec::TaskKey;
 use crate::id::{JobId, Name, WorkerId};
 
 /// Maximum number of jobs in one batch, with a row each: with the transaction's
 /// condition, within the store's limit of 100 entries per transaction.
-const MAX_BATCH_JOBS: usize = 96;
+pub(super) const MAX_BATCH_JOBS: usize = 96;
 
 /// Size of the rows of progress in a batch at which it gets no more of them, in bytes: with
 /// one more row, encoded as text, within the store's limit of 1 MB per transaction.
@@ -42,10 +42,10 @@
         let mut batch = Batch::default();
         let workers = &self.workers;
         let address = |id: &WorkerId| workers.get(id).map(|worker| worker.facts.address);
-        let urgent = self.urgent.len().min(MAX_BATCH_JOBS);
+        let urgent = self.urgent.len().min(self.max_batch_jobs);
         let mut ids: Vec<JobId> = self.urgent.drain(..urgent).collect();
         ids.retain(|id| self.dirty.shift_remove(id));
-        let others = self.dirty.len().min(MAX_BATCH_JOBS - ids.len());
+        let others = self.dirty.len().min(self.max_batch_jobs - ids.len());
         for id in self.dirty.drain(..others) {
             self.urgent.swap_remove(&id);
             ids.push(id);
@@ -96,6 +96,7 @@
     /// Records that a batch was stored: workers may discard the run ends that it
     /// covers, and its placements are ordered.
     pub fn batch_stored(&mut self, batch: Batch, now_ms: u64) {
+        self.max_batch_jobs = (self.max_batch_jobs * 2).min(MAX_BATCH_JOBS);
         for (id, born_wall_ms, number) in batch.acks {
             if let Some(worker) = self.workers.get_mut(&id)
                 && worker.born_wall_ms == born_wall_ms
@@ -173,6 +174,27 @@
         }
     }
 
+    /// Records that the store rejected a batch for good. It is taken apart until only the job is
+    /// left whose row can't be stored; that job fails, so that no other one waits for it.
+    pub fn batch_rejected(&mut self, batch: Batch, reason: &str, now_ms: u64) {
+        if batch.writes.len() > 1 {
+            self.max_batch_jobs = batch.writes.len() / 2;
+            self.batch_failed(batch);
+            return;
+        }
+        let write = batch.writes.into_iter().next();
+        let Some(BatchWrite::Progress(id, _) | BatchWrite::Ended(id, _)) = write else { return };
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        // The row of a job that has failed is stored once no task of it runs, and is small then.
+        if !job.phase.is_final() {
+            let reason = Name::from(format!("its progress can't be stored: {reason}"));
+            job.phase = JobPhase::Failed;
+            job.reason = Some(Name::clone(&reason));
+            self.notices.push(Notice::ProgressRejected { job: id.clone(), reason });
+            self.finish(&id, StopReason::JobFailed, now_ms);
+        }
+    }
+
     /// Returns whether the worker of a placed task has restarted since the placement, maybe as
     /// another kind.
     fn has_restarted_since(&self, key: &TaskKey) -> bool {
--- a/crates/masticfall-core/src/fleet/board/stored.rs
+++ b/crates/masticfall-core/src/fleet/board/stored.rs
@@ -43,7 +43,9 @@
                 }
                 TaskState::Done => (TaskStage::Done, 0),
             };
-            if stage == TaskStage::Waiting && task.attempt == 0 {
+            // Of a job that has ended only the runs matter that are still to be stopped.
+            let is_over = self.phase.is_final() && stage != TaskStage::Placed;
+            if is_over || (stage == TaskStage::Waiting && task.attempt == 0) {
                 return;
             }
             let checkpoint = task.checkpoint.clone().filter(|_| stage != TaskStage::Done);
--- a/crates/masticfall-entry/src/fleet/dispatch.rs
+++ b/crates/masticfall-entry/src/fleet/dispatch.rs
@@ -15,6 +15,7 @@
 use masticfall_core::fleet::progress::ProgressRow;
 use masticfall_core::fleet::report::{StartOutcome, StopOutcome};
 use masticfall_core::id::{Name, WorkerId};
+use masticfall_platform::PlatformError;
 use masticfall_platform::fleet::{AdviceCall, PollCall, PollOutcome, RowKey, RunCall, StartCall};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
@@ -361,6 +362,13 @@
                     fleet.batch_stored.notify_waiters();
                 }
                 Ok(false) => return,
+                Err(PlatformError::Rejected { reason }) => {
+                    let rows = batch.writes.len();
+                    tracing::warn!(name: "progress.rejected", epoch, reason, rows, "the store rejects a batch of progress; storing its rows apart");
+                    let now_ms = fleet.now_ms();
+                    fleet.update_board(epoch, |board| board.batch_rejected(batch, &reason, now_ms));
+                    continue;
+                }
                 Err(error) => {
                     tracing::debug!(name: "progress.not_stored", epoch, %error, "failed to store progress; retrying");
                     fleet.update_board(epoch, |board| board.batch_failed(batch));
--- a/crates/masticfall-entry/src/fleet/jobs.rs
+++ b/crates/masticfall-entry/src/fleet/jobs.rs
@@ -234,7 +234,11 @@
                 return Ok(true);
             }
             Ok(RowCommit::Conflict(_)) => return Ok(false),
-            Err(error @ (PlatformError::Unavailable { .. } | PlatformError::Malformed { .. })) => {
+            Err(
+                error @ (PlatformError::Unavailable { .. }
+                | PlatformError::Rejected { .. }
+                | PlatformError::Malformed { .. }),
+            ) => {
                 if !may_be_written {
                     return Err(error.into());
                 }
--- a/crates/masticfall-entry/src/fleet/metrics.rs
+++ b/crates/masticfall-entry/src/fleet/metrics.rs
@@ -124,6 +124,8 @@
     lost_workers: Family<LossLabels, Counter>,
     expired_runs: Family<BoundLabels, Counter>,
     predecessors: Family<PredecessorLabels, Counter>,
+    /// Jobs that failed since the store rejects their progress.
+    pub rejected_jobs: Counter,
     jobs_given_up: Counter,
     attributed_crashes: Counter,
     /// Evacuated data centres.
@@ -156,6 +158,7 @@
             lost_workers: Family::default(),
             expired_runs: Family::default(),
             predecessors: Family::default(),
+            rejected_jobs: Counter::default(),
             jobs_given_up: Counter::default(),
             attributed_crashes: Counter::default(),
             evacuation: EvacuationMetrics::default(),
@@ -194,6 +197,8 @@
         registry.register("expired_runs", help, m.expired_runs.clone());
         let help = "Claims of the cell, by how the previous owner had left";
         registry.register("predecessors", help, m.predecessors.clone());
+        let help = "Jobs that failed since the store rejects their progress";
+        registry.register("rejected_jobs", help, m.rejected_jobs.clone());
         let help = "Jobs given up since a task crashes the workers that start it";
         registry.register("jobs_given_up", help, m.jobs_given_up.clone());
         let help = "Crashes of workers attributed to the tasks of jobs given up";
--- a/crates/masticfall-entry/src/fleet/notices.rs
+++ b/crates/masticfall-entry/src/fleet/notices.rs
@@ -144,6 +144,10 @@
             fleet.metrics.record_given_up(*crashes);
             tracing::warn!(name: "job.given_up", epoch, %job, %reason, crashes, "job given up: its task crashes the workers that start it");
         }
+        Notice::ProgressRejected { job, reason } => {
+            fleet.metrics.rejected_jobs.inc();
+            tracing::error!(name: "job.rejected", epoch, %job, %reason, "job failed: the store rejects its progress");
+        }
         Notice::EarlyStartsBegun { task, waited_ms } => {
             tracing::info!(name: "early.begun", epoch, %task, waited_ms, "ordering first runs before their placements are stored");
         }
--- a/crates/masticfall-entry/tests/suite/fleet_hostile.rs
+++ b/crates/masticfall-entry/tests/suite/fleet_hostile.rs
@@ -1,5 +1,7 @@
 //! Jobs that would stop one owner after the other.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -9,6 +11,11 @@
 use masticfall_core::fleet::report::{ActiveRun, StartOutcome, WorkerReport};
 use masticfall_core::fleet::spec::{JobRecord, JobSpec, Resources, StepSpec};
 use masticfall_core::id::{Name, WorkerId};
+use masticfall_entry::fleet::rows::progress_row_key;
+use masticfall_entry::fleet::{FleetSettings, start};
+use masticfall_platform::error::RejectedSnafu;
+use masticfall_platform::fleet::{RowKey, RowTransaction};
+use masticfall_platform::operation;
 use masticfall_standin::fleet::World;
 use masticfall_wire::encode;
 use proptest::prelude::*;
@@ -16,7 +23,8 @@
 use tokio::time::sleep;
 
 use crate::fleet_world::{
-    config, job, launch, phase, start_settled, submit, submit_spec, two_step_spec,
+    config, job, launch, phase, start_settled, status, submit, submit_spec, two_step_spec,
+    unreachable_peers,
 };
 
 fn many_tasks(tasks: u32, estimate_ms: u64) -> JobSpec {
@@ -168,7 +176,7 @@
         let (row, batch, kept) = store_checkpoints(jobs, tasks, length);
         prop_assert!(row <= MAX_ROW_BYTES, "a row of {row} bytes");
         prop_assert!(batch <= MAX_TRANSACTION_BYTES, "a transaction of {batch} bytes");
-        prop_assert!(length == 0 || kept == 1.0 || tasks as usize * length > 8_000, "{kept} kept");
+        prop_assert!(length == 0 || kept >= 1.0 || tasks as usize * length > 8_000, "{kept} kept");
     }
 }
 
@@ -180,6 +188,54 @@
     assert!((0.3..1.0).contains(&kept), "{kept} of the checkpoints are stored");
 }
 
+/// Guards against a batch that is repeated for ever with the progress of all other jobs in it.
+#[tokio::test(start_paused = true)]
+async fn job_whose_row_the_store_rejects_fails_alone() {
+    let world = World::new(10, "p");
+    world.set_config(config(1, &["key"]));
+    let mut platform = world.platform("a");
+    let transact = Arc::clone(&platform.transact);
+    let rejected = job(1);
+    let key = progress_row_key(&rejected);
+    let rejections = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&rejections);
+    platform.transact = operation(move |transaction: RowTransaction| {
+        let is_too_large = |(row, value): &(RowKey, Option<Vec<u8>>)| {
+            *row == key && value.as_ref().is_some_and(|value| value.len() > 400)
+        };
+        let is_rejected = transaction.writes.iter().any(is_too_large);
+        count.fetch_add(usize::from(is_rejected), Ordering::Relaxed);
+        let result = (!is_rejected).then(|| transact(transaction));
+        async move {
+            match result {
+                Some(result) => result.await,
+                None => RejectedSnafu { reason: "a row is too large" }.fail(),
+            }
+        }
+    });
+    let clock = Arc::clone(&world);
+    let settings = FleetSettings::local("a", "dc");
+    let process = start(settings, platform, Arc::new(move || clock.now_ms()), unreachable_peers());
+    sleep(Duration::from_secs(3)).await;
+    let fleet = &process.fleet;
+    submit_spec(&world, fleet, &rejected, many_tasks(60, 2_000)).await.expect("accepted");
+    for number in 2..40 {
+        submit(&world, fleet, &job(number)).await.expect("accepted");
+    }
+    sleep(Duration::from_secs(8)).await;
+    let failed = status(fleet, &rejected).await.expect("a status");
+    assert_eq!(failed.phase, JobPhase::Failed);
+    assert_eq!(
+        &*failed.reason.expect("a reason"),
+        "its progress can't be stored: a row is too large"
+    );
+    for number in 2..40 {
+        assert_eq!(phase(fleet, &job(number)).await, Ok(JobPhase::Completed), "job {number}");
+    }
+    let rejections = rejections.load(Ordering::Relaxed);
+    assert!(rejections < 12, "{rejections} rejected batches");
+}
+
 #[tokio::test(start_paused = true)]
 async fn job_of_endless_occurrences_is_refused() {
     let world = World::new(2, "p");
--- a/crates/masticfall-platform/src/error.rs
+++ b/crates/masticfall-platform/src/error.rs
@@ -19,6 +19,12 @@
         /// Description of the failure.
         reason: String,
     },
+    /// The operation was rejected for good and did not take effect: repeating it is of no use.
+    #[snafu(display("rejected by the platform: {reason}"))]
+    Rejected {
+        /// Description of the failure.
+        reason: String,
+    },
     /// A response or a row is not of the expected form.
     #[snafu(display("malformed answer or row from the platform: {reason}"))]
     Malformed {
@@ -31,7 +37,9 @@
     /// Returns the error kind reported to the caller.
     pub fn kind(&self) -> ErrorKind {
         match self {
-            Self::Unavailable { .. } | Self::Malformed { .. } => ErrorKind::PlatformUnavailable,
+            Self::Unavailable { .. } | Self::Rejected { .. } | Self::Malformed { .. } => {
+                ErrorKind::PlatformUnavailable
+            }
             Self::Unknown { .. } => ErrorKind::PlatformUnknown,
         }
     }
--- a/crates/masticfall-standin/src/fleet/store.rs
+++ b/crates/masticfall-standin/src/fleet/store.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use masticfall_core::id::Name;
-use masticfall_platform::error::{Result, UnavailableSnafu, UnknownSnafu};
+use masticfall_platform::error::{RejectedSnafu, Result, UnavailableSnafu, UnknownSnafu};
 use masticfall_platform::fleet::{
     FleetRow, FollowOutcome, FollowRequest, OperatorUpdate, RowCommit, RowPage, RowRange,
     RowTransaction, WorkerUpdate,
@@ -50,12 +50,12 @@
         call_store(&world, &process).await?;
         let values = transaction.writes.iter().filter_map(|(_, value)| value.as_ref());
         if values.map(Vec::len).max().unwrap_or_default() > MAX_VALUE_BYTES {
-            return UnknownSnafu { reason: "a row value exceeds the size limit" }.fail();
+            return RejectedSnafu { reason: "a row value exceeds the size limit" }.fail();
         }
         let values = transaction.writes.iter().filter_map(|(_, value)| value.as_ref());
         let encoded_bytes: usize = values.map(|value| value.len().div_ceil(3) * 4).sum();
         if encoded_bytes > MAX_TRANSACTION_BYTES {
-            return UnknownSnafu { reason: "the transaction exceeds the size limit" }.fail();
+            return RejectedSnafu { reason: "the transaction exceeds the size limit" }.fail();
         }
         wait_for_part(&world, &transaction).await;
         let (mode, loses_response) = {
