Let a gang that doesn't fit hide no worker from other jobs

Cause: the members of a gang are placed tentatively. What the first one without a worker needs was remembered as fitting nowhere in this pass after the others had been taken back. The work of the gang counted in the backlog by which jobs are admitted.

Change: a gang that doesn't fit leaves no such entry, unless its first member found no worker. A job whose turn is a gang that needs more than its pool has or can get soon isn't part of the backlog.

--- a/crates/masticfall-core/src/fleet/board/demand.rs
+++ b/crates/masticfall-core/src/fleet/board/demand.rs
@@ -157,12 +157,20 @@
     /// jobs depends.
     pub fn load_by_pool(&self, now_ms: u64) -> IndexMap<PoolName, PoolLoad> {
         let Some(config) = &self.config else { return IndexMap::new() };
+        let pool_capacities = self.pool_capacities(now_ms);
+        let sizes = self.worker_sizes();
         let mut work: IndexMap<&PoolName, (Resources, Resources)> = IndexMap::new();
         for job in self.jobs.values().filter(|job| !job.phase.is_final()) {
             let queue = config.queues.get(&job.record.queue);
             let Some(queue) = queue.filter(|_| !job.record.spec.is_long_running()) else {
                 continue;
             };
+            // It takes no worker from the jobs that come after it.
+            let millis = pool_capacities.get(&queue.pool).copied().unwrap_or_default();
+            let size = sizes.get(&queue.pool).copied().unwrap_or_default();
+            if millis > 0 && job.waits_for_wider_gang(millis, &size) {
+                continue;
+            }
             let (all, within) = work.entry(&queue.pool).or_default();
             let waiting = job.waiting_work();
             *all = all.plus(&waiting);
@@ -170,8 +178,6 @@
                 *within = within.plus(&waiting);
             }
         }
-        let pool_capacities = self.pool_capacities(now_ms);
-        let sizes = self.worker_sizes();
         let loads = work.into_iter().map(|(pool, (all, within))| {
             let size = sizes.get(pool).copied().unwrap_or_default();
             // A pool without workers may be about to get some, so its backlog is
--- a/crates/masticfall-core/src/fleet/board/job.rs
+++ b/crates/masticfall-core/src/fleet/board/job.rs
@@ -407,6 +407,21 @@
         work
     }
 
+    /// Returns whether it waits for a gang that needs more than `capacity_millis`, on workers of
+    /// size `worker`.
+    pub fn waits_for_wider_gang(&self, capacity_millis: u64, worker: &Resources) -> bool {
+        self.occurrences.iter().any(|(number, occurrence)| {
+            let steps = self.record.spec.steps.iter().zip(&occurrence.steps).enumerate();
+            let mut gangs =
+                steps.filter(|(_, (spec, step))| spec.is_gang && step.counts.waiting > 0);
+            gangs.any(|(index, (_, step))| {
+                let needs = step.reserved_per_task.times(step.tasks.len() as u64);
+                needs.dominant_millis(worker) > capacity_millis
+                    && self.is_step_ready(*number, index)
+            })
+        })
+    }
+
     /// Returns the placed tasks, with their workers.
     pub fn placements(&self, id: &JobId) -> Vec<(TaskKey, WorkerId)> {
         let mut placed = Vec::new();
--- a/crates/masticfall-core/src/fleet/board/place.rs
+++ b/crates/masticfall-core/src/fleet/board/place.rs
@@ -38,7 +38,7 @@
 
 /// Resource needs that fit on no worker in this pass, by required label. Steps
 /// that need as much or more aren't tried again.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Unplaceable(IndexMap<Option<Name>, Vec<Resources>>);
 
 impl Unplaceable {
@@ -208,6 +208,8 @@
         let mut chosen = Vec::new();
         let is_gang = keys.first().is_some_and(|key| self.is_gang(key));
         let attempt = self.gang_attempt(keys, is_gang);
+        // What a member doesn't find because of the others is free again if the gang doesn't fit.
+        let unplaceable_before = is_gang.then(|| unplaceable.clone());
         let mut best: Option<WorkerId> = None;
         for key in keys {
             if near.is_some_and(|near| self.waits_for_near(key, near, workers, now_ms)) {
@@ -218,6 +220,9 @@
                 best.take().or_else(|| self.find_worker(key, workers, config, unplaceable, now_ms));
             let Some(worker) = found else {
                 if is_gang {
+                    if !chosen.is_empty() {
+                        *unplaceable = unplaceable_before.unwrap_or_default();
+                    }
                     self.unassign(&keys[..chosen.len()]);
                     chosen.clear();
                 } else if self.is_suspect(key) {
--- a/crates/masticfall-core/tests/suite/fleet_gangs.rs
+++ b/crates/masticfall-core/tests/suite/fleet_gangs.rs
@@ -139,3 +139,29 @@
     let resumed: Vec<_> = rig.started[2..].iter().map(|start| start.checkpoint.clone()).collect();
     assert_eq!(resumed, [Some("latest".into()), Some("latest".into())]);
 }
+
+/// Guards against an idle pool in which no task is started: the members of a gang that doesn't
+/// fit fill it tentatively, and what the last one doesn't find counted as missing for all.
+#[test]
+fn gang_that_does_not_fit_hides_no_worker_from_others() {
+    let mut rig = Rig::new(WORKERS);
+    rig.submit(JOB, vec![StepSpec { is_gang: true, ..step(4, 6) }]);
+    rig.submit("00000000000000e2", vec![step(3, 6)]);
+    rig.settle();
+    let started: Vec<&str> = rig.started.iter().map(|start| start.task.job.as_str()).collect();
+    assert_eq!(started, ["00000000000000e2"; 3], "each worker has room for one of its tasks");
+}
+
+/// Guards against callers that are refused because of work that can't be done.
+#[test]
+fn gang_that_does_not_fit_is_not_part_of_the_backlog() {
+    let pool = PoolName::from("p");
+    let mut rig = Rig::new(WORKERS);
+    rig.submit(JOB, vec![StepSpec { is_gang: true, estimate_ms: 60_000, ..step(40, 6) }]);
+    rig.settle();
+    assert!(!rig.board.load_by_pool(rig.now_ms).contains_key(&pool));
+    // A pool that grows gets it back.
+    let attainable = IndexMap::from([(pool.clone(), 400_000)]);
+    rig.board.set_attainable_millis(attainable);
+    assert!(rig.board.load_by_pool(rig.now_ms)[&pool].backlog_ms > 0);
+}
