Count instances that an earlier owner's call may take down

Cause: the next owner didn't call these instances again, but counted them neither as down nor as being drained, and chose another one.

Change: instances of the wave that the earlier owner may have called count towards the limit until their lease has passed, and none of them is chosen meanwhile.

--- a/crates/masticfall-core/src/fleet/machines.rs
+++ b/crates/masticfall-core/src/fleet/machines.rs
@@ -99,6 +99,8 @@
     retry_at_ms: IndexMap<InstanceName, u64>,
     /// When the outcome of the last call was recorded.
     last_outcome_ms: u64,
+    /// Instances that calls of the earlier owner may yet take down.
+    earlier_calls: IndexSet<InstanceName>,
 }
 
 /// An instance that this owner has taken down.
@@ -171,9 +173,16 @@
             draining: IndexSet::new(),
             retry_at_ms: IndexMap::new(),
             last_outcome_ms: 0,
+            earlier_calls: IndexSet::new(),
         }
     }
 
+    /// Sets the instances that calls of the earlier owner may yet take down: they count towards
+    /// the limit although they are listed as up.
+    pub fn set_earlier_calls(&mut self, instances: IndexSet<InstanceName>) {
+        self.earlier_calls = instances;
+    }
+
     /// Returns when the outcome of the last call was recorded. A plan needs a list of the
     /// instances that was read later.
     pub fn last_outcome_ms(&self) -> u64 {
@@ -325,7 +334,8 @@
         for name in &self.instances {
             let is_taken = self.progress.begun.contains(name)
                 || self.draining.contains(name)
-                || self.down.contains_key(name);
+                || self.down.contains_key(name)
+                || self.earlier_calls.contains(name);
             let Some(machine) = machines.get(name).filter(|machine| !is_taken && machine.is_up())
             else {
                 continue;
@@ -355,8 +365,13 @@
         let wanted = (waiting.len() as f64 * per_instance_ms / budget_ms).ceil() as usize;
         let wanted = wanted.max(idle_evacuated).clamp(1, self.max_at_once.max(1) as usize);
         let is_down_by_earlier_owner = |name: &&InstanceName| {
-            let state = machines.get(*name).map(|machine| machine.state);
-            state == Some(MachineState::Maintenance) && !self.is_draining_or_down(name)
+            let Some(machine) = machines.get(*name) else { return false };
+            // A call of the earlier owner may be under way.
+            let may_go_down = machine.is_up()
+                && self.earlier_calls.contains(*name)
+                && !self.progress.begun.contains(*name);
+            (machine.state == MachineState::Maintenance || may_go_down)
+                && !self.is_draining_or_down(name)
         };
         // An earlier owner may have taken instances down. Instances that are moving
         // or have failed don't count towards the wave's limit.
--- a/crates/masticfall-core/tests/suite/fleet_maintenance.rs
+++ b/crates/masticfall-core/tests/suite/fleet_maintenance.rs
@@ -199,6 +199,32 @@
     assert_eq!(calls.len(), 1, "three may be down, and two are down already");
 }
 
+/// Guards against more instances down at once than the wave allows: the call of an owner that
+/// has handed over was under way, and the instance was still listed as up.
+#[test]
+fn next_owner_counts_instances_that_a_call_under_way_may_take_down() {
+    let mut fleet = Fleet::new(6);
+    let instances: Vec<InstanceName> = fleet.machines.keys().cloned().collect();
+    let called: IndexSet<InstanceName> = instances[..2].iter().cloned().collect();
+    // The deadline is so close that all instances would be taken down at once.
+    let due_ms = fleet.rig.now_ms + 1;
+    let mut wave = Wave::new("1".into(), instances, due_ms, 3, DOWN_MS);
+    let now_ms = fleet.rig.now_ms;
+    wave.set_earlier_calls(called.clone());
+    let calls = wave.plan(&fleet.machines, &called, &mut fleet.rig.board, now_ms);
+    assert_eq!(calls.len(), 1, "three may be down, and two may be going down");
+    for call in &calls {
+        wave.record_call(call, TakeDownOutcome::Begun, &mut fleet.rig.board, now_ms);
+        fleet.take_down(&call.instance);
+    }
+    // Those calls have had no effect.
+    fleet.rig.advance(ROUND_MS);
+    let now_ms = fleet.rig.now_ms;
+    wave.set_earlier_calls(IndexSet::new());
+    let calls = wave.plan(&fleet.machines, &IndexSet::new(), &mut fleet.rig.board, now_ms);
+    assert_eq!(calls.len(), 2);
+}
+
 #[test]
 fn unlisted_instances_do_not_delay_a_wave() {
     let fleet = Fleet::new(1);
--- a/crates/masticfall-entry/src/fleet/machines.rs
+++ b/crates/masticfall-entry/src/fleet/machines.rs
@@ -364,6 +364,7 @@
 ) -> Result<()> {
     let now_ms = fleet.now_ms();
     let blocked = instance_calls.blocked_instances(now_ms);
+    wave.set_earlier_calls(blocked.clone());
     let calls =
         fleet.update_board(ownership.epoch, |board| wave.plan(machines, &blocked, board, now_ms));
     let calls = calls.unwrap_or_default();
