--- a/crates/masticfall-core/src/fleet/pools.rs
+++ b/crates/masticfall-core/src/fleet/pools.rs
@@ -5,14 +5,19 @@
 //! demand, and go to a standby pool, where they cost nothing, while no pool needs
 //! them. Only empty instances move, so that no running task is interrupted.
 
+mod calls;
+
 use indexmap::{IndexMap, IndexSet};
 
+use calls::PendingMove;
+pub use calls::{MoveBlocker, MoveCall, MoveOutcome};
+
 use super::board::Board;
 use super::config::FleetConfig;
 use super::machines::MachineView;
 use super::spec::Resources;
 use super::worker::Worker;
-use crate::id::{InstanceName, PoolName, WorkerId};
+use crate::id::{InstanceName, PoolName};
 
 /// Utilization that a pool is sized for; the rest is lost to fragmentation.
 const TARGET_UTILIZATION: f64 = 0.88;
@@ -33,9 +38,6 @@
 /// call may be carried out up to 12 s later.
 const MOVE_TIMEOUT_MS: u64 = 13_000;
 
-/// Time after which a call without an answer is repeated, in milliseconds.
-const MOVE_RETRY_MS: u64 = 600;
-
 /// Part of the provider's call rate that moves may use; the rest is kept for
 /// maintenance, which has a deadline.
 const MOVE_RATE_RATIO: f64 = 0.75;
@@ -74,63 +76,6 @@
     }
 }
 
-/// Reason why an instance can't be moved.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum MoveBlocker {
-    /// Being drained or down; doesn't count as capacity of its pool.
-    Draining,
-    /// Must not be called yet, since the previous owner may have called it; still
-    /// counts as capacity of its pool.
-    PreviousOwnerCall,
-}
-
-/// A call to move an instance.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct MoveCall {
-    /// Instance to move.
-    pub instance: InstanceName,
-    /// Worker that runs on it, if any.
-    pub worker: Option<WorkerId>,
-    /// Source pool.
-    pub from: PoolName,
-    /// Destination pool.
-    pub to: PoolName,
-}
-
-/// Outcome of a call to move an instance.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum MoveOutcome {
-    /// The move has begun.
-    Begun,
-    /// The call had no effect.
-    Refused,
-    /// The instance can't join that pool.
-    NotAllowed,
-    /// The move may or may not have begun.
-    Unknown,
-}
-
-#[derive(Debug, Clone)]
-struct PendingMove {
-    to: PoolName,
-    /// When it was last called.
-    since_ms: u64,
-    worker: Option<WorkerId>,
-    /// Whether a call had no answer, and none since has told whether the move has begun.
-    is_unanswered: bool,
-}
-
-impl PendingMove {
-    /// Returns whether the call is to be repeated: there is no sign that the move has begun, and
-    /// only the worker that was cordoned for it would be ended.
-    fn is_repeatable(&self, machine: &MachineView, now_ms: u64) -> bool {
-        self.is_unanswered
-            && now_ms >= self.since_ms + MOVE_RETRY_MS
-            && machine.is_up()
-            && machine.worker == self.worker
-    }
-}
-
 /// A pool as seen by a planning round.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PoolView {
--- a/crates/masticfall-standin/src/fleet.rs
+++ b/crates/masticfall-standin/src/fleet.rs
@@ -9,6 +9,7 @@
 pub mod crash;
 pub mod evacuation;
 pub mod links;
+mod provider;
 mod store;
 mod workers;
 
@@ -26,11 +27,10 @@
 use masticfall_core::fleet::worker::WorkerFacts;
 use masticfall_core::id::{InstanceName, JobId, Name, PoolName, WaveName, WorkerId};
 use masticfall_platform::error::UnavailableSnafu;
-use masticfall_platform::fleet::{
-    FleetPlatform, FleetRow, Machine, MachineCall, MachineOutcome, MachineState,
-};
-use masticfall_platform::{operation, operation_on};
+use masticfall_platform::fleet::{FleetPlatform, FleetRow};
+use masticfall_platform::operation;
 use parking_lot::Mutex;
+pub use provider::{MachineCallRecord, ProviderMode};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -50,18 +50,6 @@
     DelaysWrites,
 }
 
-/// How the instance provider handles calls that change instances.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub enum ProviderMode {
-    /// Reports each instance as busy.
-    #[default]
-    Busy,
-    /// Takes instances down for maintenance, once in a wave.
-    Maintains,
-    /// The same, without a response.
-    LosesResponses,
-}
-
 /// One run as it actually happened on a worker.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RunRecord {
@@ -85,17 +73,6 @@
     pub needs: Resources,
 }
 
-/// A call that changes an instance.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct MachineCallRecord {
-    /// Instance to change.
-    pub instance: InstanceName,
-    /// Lease holder that made the call.
-    pub holder: Name,
-    /// Time of the call, in milliseconds of simulated time.
-    pub at_ms: u64,
-}
-
 #[derive(Debug)]
 struct SimulatedRun {
     record_index: usize,
@@ -186,9 +163,6 @@
 /// Longest lease that workers hold unless a test sets another, in milliseconds.
 const MAX_LEASE_MS: u64 = 6_000;
 
-/// Time for which an instance is down for maintenance, in milliseconds.
-const MAINTENANCE_MS: u64 = 2_000;
-
 /// Time after which a call without a response fails, in milliseconds.
 const CALL_TIMEOUT_MS: u64 = 700;
 
@@ -258,36 +232,11 @@
         self.state.lock().max_lease_ms = ms;
     }
 
-    /// Sets the number of instances listed in the standby pool `spare`.
-    pub fn set_standby(&self, instances: usize) {
-        self.state.lock().standby = instances;
-    }
-
-    /// Sets whether the instance provider fails to list instances.
-    pub fn set_provider_down(&self, is_down: bool) {
-        self.state.lock().is_provider_down = is_down;
-    }
-
-    /// Sets how the instance provider handles calls that change instances.
-    pub fn set_provider(&self, mode: ProviderMode) {
-        self.state.lock().provider_mode = mode;
-    }
-
-    /// Returns the number of instances whose maintenance has begun.
-    pub fn maintained_instances(&self) -> usize {
-        self.state.lock().maintained.len()
-    }
-
     /// Limits the link over which a process reads rows to `bytes_per_ms`.
     pub fn set_link_bytes_per_ms(&self, process: &str, bytes_per_ms: u64) {
         self.state.lock().links.insert(process.into(), (bytes_per_ms, 0));
     }
 
-    /// Makes each change of an instance wait for a connection for `ms` milliseconds.
-    pub fn set_provider_connect_ms(&self, ms: u64) {
-        self.state.lock().provider_connect_ms = ms;
-    }
-
     /// Makes each partition of the store execute its transactions one at a time, each
     /// taking `ms` milliseconds; 0 removes the limit.
     pub fn set_part_write_ms(&self, ms: u64) {
@@ -380,87 +329,6 @@
             traffic: Arc::default(),
         }
     }
-
-    /// Returns all calls that change instances so far.
-    pub fn machine_calls(&self) -> Vec<MachineCallRecord> {
-        self.state.lock().machine_calls.clone()
-    }
-
-    /// Records each call and handles it according to the [`ProviderMode`].
-    fn change_machine(
-        self: &Arc<Self>,
-    ) -> masticfall_platform::Operation<MachineCall, MachineOutcome> {
-        operation_on(self, move |world, call: MachineCall| async move {
-            let connect_ms = world.state.lock().provider_connect_ms;
-            sleep_ms(connect_ms).await;
-            let MachineCall { instance, wave, holder, may_send, .. } = call;
-            if !may_send() {
-                return Ok(MachineOutcome::NotSent);
-            }
-            sleep_ms(CALL_LATENCY_MS).await;
-            let at_ms = world.now_ms();
-            let record = MachineCallRecord { instance: instance.clone(), holder, at_ms };
-            let mode = {
-                let mut state = world.state.lock();
-                state.machine_calls.push(record);
-                state.provider_mode
-            };
-            let Some(wave) = wave.filter(|_| mode != ProviderMode::Busy) else {
-                return Ok(MachineOutcome::Busy);
-            };
-            world.maintain(wave, &instance);
-            if mode == ProviderMode::LosesResponses {
-                sleep_ms(CALL_TIMEOUT_MS).await;
-                return Ok(MachineOutcome::Unknown);
-            }
-            Ok(MachineOutcome::Done)
-        })
-    }
-
-    /// Takes an instance down, unless the wave has done so before.
-    fn maintain(self: &Arc<Self>, wave: WaveName, instance: &InstanceName) {
-        let worker = {
-            let mut state = self.state.lock();
-            let is_first = state.maintained.insert((wave, instance.clone()));
-            let mut workers = state.workers.iter().filter(|_| is_first);
-            let worker = workers.find(|(_, worker)| worker.instance == *instance);
-            worker.map(|(id, _)| id.clone())
-        };
-        if let Some(worker) = worker {
-            let plan = CrashPlan { down_ms: MAINTENANCE_MS, ..CrashPlan::default() };
-            self.crash(worker, None, plan);
-        }
-    }
-
-    fn machines(self: &Arc<Self>) -> masticfall_platform::Operation<(), Vec<Machine>> {
-        operation_on(self, move |world, ()| async move {
-            sleep_ms(CALL_LATENCY_MS).await;
-            let state = world.state.lock();
-            if state.is_provider_down {
-                return UnavailableSnafu { reason: "the instance provider is down" }.fail();
-            }
-            let standby = (0..state.standby).map(|number| Machine {
-                instance: InstanceName::from(format!("s{number}")),
-                pool: PoolName::from("spare"),
-                state: MachineState::Up,
-                data_centre: "dc".into(),
-                capacity: CAPACITY,
-                worker: None,
-            });
-            let machines = state.workers.values().map(|worker| Machine {
-                instance: worker.instance.clone(),
-                pool: worker.facts.pool.clone(),
-                state: match worker.crashed {
-                    Some(_) => MachineState::Maintenance,
-                    None => MachineState::Up,
-                },
-                data_centre: worker.facts.data_centre.clone(),
-                capacity: worker.facts.capacity,
-                worker: Some(worker.facts.id.clone()),
-            });
-            Ok(machines.chain(standby).collect())
-        })
-    }
 }
 
 async fn sleep_ms(ms: u64) {
