Fail no job while the store rejects the rows of all of them

Change: a job whose row is rejected alone goes behind the others, and fails when it is rejected alone again after another batch was stored. While nothing is stored, batches are tried again at the usual pause.

--- a/crates/masticfall-core/src/fleet/board.rs
+++ b/crates/masticfall-core/src/fleet/board.rs
@@ -176,8 +176,7 @@
     /// Those of them whose placements wait to be ordered, or whose callers wait for their
     /// end; they are stored first.
     urgent: IndexSet<JobId>,
-    /// Maximum number of jobs in the next batch; fewer than usual after one was rejected.
-    max_batch_jobs: usize,
+    rejections: store::Rejections,
     /// Jobs that ended under this ownership, with the time of their end, so that a
     /// late announcement of their acceptance doesn't run them again.
     ended: IndexMap<JobId, u64>,
@@ -230,7 +229,7 @@
             unknown_orders: IndexSet::new(),
             dirty: IndexSet::new(),
             urgent: IndexSet::new(),
-            max_batch_jobs: store::MAX_BATCH_JOBS,
+            rejections: store::Rejections::default(),
             ended: IndexMap::new(),
             newly_ended: Vec::new(),
             orders: Vec::new(),
--- a/crates/masticfall-core/src/fleet/board/store.rs
+++ b/crates/masticfall-core/src/fleet/board/store.rs
@@ -7,12 +7,27 @@
 
 /// Maximum number of jobs in one batch, with a row each: with the transaction's
 /// condition, within the store's limit of 100 entries per transaction.
-pub(super) const MAX_BATCH_JOBS: usize = 96;
+const MAX_BATCH_JOBS: usize = 96;
 
 /// Size of the rows of progress in a batch at which it gets no more of them, in bytes: with
 /// one more row, encoded as text, within the store's limit of 1 MB per transaction.
 const MAX_BATCH_BYTES: usize = 600_000;
 
+/// How batches go on after one that the store rejected.
+#[derive(Debug)]
+pub(super) struct Rejections {
+    /// Maximum number of jobs in the next batch; fewer than usual after a rejection.
+    max_batch_jobs: usize,
+    /// Whether a batch was stored since the last job's row was rejected.
+    has_stored_since: bool,
+}
+
+impl Default for Rejections {
+    fn default() -> Self {
+        Self { max_batch_jobs: MAX_BATCH_JOBS, has_stored_since: false }
+    }
+}
+
 /// A write of one job's row.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum BatchWrite {
@@ -42,10 +57,10 @@
         let mut batch = Batch::default();
         let workers = &self.workers;
         let address = |id: &WorkerId| workers.get(id).map(|worker| worker.facts.address);
-        let urgent = self.urgent.len().min(self.max_batch_jobs);
+        let urgent = self.urgent.len().min(self.rejections.max_batch_jobs);
         let mut ids: Vec<JobId> = self.urgent.drain(..urgent).collect();
         ids.retain(|id| self.dirty.shift_remove(id));
-        let others = self.dirty.len().min(self.max_batch_jobs - ids.len());
+        let others = self.dirty.len().min(self.rejections.max_batch_jobs - ids.len());
         for id in self.dirty.drain(..others) {
             self.urgent.swap_remove(&id);
             ids.push(id);
@@ -96,7 +111,11 @@
     /// Records that a batch was stored: workers may discard the run ends that it
     /// covers, and its placements are ordered.
     pub fn batch_stored(&mut self, batch: Batch, now_ms: u64) {
-        self.max_batch_jobs = (self.max_batch_jobs * 2).min(MAX_BATCH_JOBS);
+        if !batch.writes.is_empty() {
+            let max_jobs = self.rejections.max_batch_jobs * 2;
+            self.rejections.max_batch_jobs = max_jobs.min(MAX_BATCH_JOBS);
+            self.rejections.has_stored_since = true;
+        }
         for (id, born_wall_ms, number) in batch.acks {
             if let Some(worker) = self.workers.get_mut(&id)
                 && worker.born_wall_ms == born_wall_ms
@@ -174,17 +193,25 @@
         }
     }
 
-    /// Records that the store rejected a batch for good. It is taken apart until only the job is
-    /// left whose row can't be stored; that job fails, so that no other one waits for it.
-    pub fn batch_rejected(&mut self, batch: Batch, reason: &str, now_ms: u64) {
-        if batch.writes.len() > 1 {
-            self.max_batch_jobs = batch.writes.len() / 2;
+    /// Records that the store rejected a batch for good; returns whether the next one is to be
+    /// stored at once. The batch is taken apart until only the job is left whose row can't be
+    /// stored; that job fails, so that no other one waits for it.
+    ///
+    /// No job fails while the store rejects all of them: the cause isn't a job's row then.
+    pub fn batch_rejected(&mut self, batch: Batch, reason: &str, now_ms: u64) -> bool {
+        let [write] = &batch.writes[..] else {
+            self.rejections.max_batch_jobs = (batch.writes.len() / 2).max(1);
             self.batch_failed(batch);
-            return;
+            return true;
+        };
+        let (BatchWrite::Progress(id, _) | BatchWrite::Ended(id, _)) = write;
+        let id = id.clone();
+        if !std::mem::take(&mut self.rejections.has_stored_since) {
+            // Behind the others.
+            self.batch_failed(batch);
+            return false;
         }
-        let write = batch.writes.into_iter().next();
-        let Some(BatchWrite::Progress(id, _) | BatchWrite::Ended(id, _)) = write else { return };
-        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let Some(job) = self.jobs.get_mut(&id) else { return true };
         // The row of a job that has failed is stored once no task of it runs, and is small then.
         if !job.phase.is_final() {
             let reason = Name::from(format!("its progress can't be stored: {reason}"));
@@ -193,6 +220,7 @@
             self.notices.push(Notice::ProgressRejected { job: id.clone(), reason });
             self.finish(&id, StopReason::JobFailed, now_ms);
         }
+        true
     }
 
     /// Returns whether the worker of a placed task has restarted since the placement, maybe as
--- a/crates/masticfall-entry/src/fleet/dispatch.rs
+++ b/crates/masticfall-entry/src/fleet/dispatch.rs
@@ -366,7 +366,11 @@
                     let rows = batch.writes.len();
                     tracing::warn!(name: "progress.rejected", epoch, reason, rows, "the store rejects a batch of progress; storing its rows apart");
                     let now_ms = fleet.now_ms();
-                    fleet.update_board(epoch, |board| board.batch_rejected(batch, &reason, now_ms));
+                    let goes_on = fleet
+                        .update_board(epoch, |board| board.batch_rejected(batch, &reason, now_ms));
+                    if goes_on == Some(false) {
+                        sleep(Duration::from_millis(STORE_RETRY_MS)).await;
+                    }
                     continue;
                 }
                 Err(error) => {
