--- a/crates/masticfall-entry/src/fleet/settings.rs
+++ b/crates/masticfall-entry/src/fleet/settings.rs
@@ -62,6 +62,9 @@
 /// Default of the multiple of its time that a task takes away from its data: none waits.
 const DEFAULT_REMOTE_FACTOR: f64 = 1.0;
 
+/// Maximum of the memory that the process may use, in MiB.
+const MAX_MEMORY_MIB: u64 = 1_048_576;
+
 /// Settings of a process.
 #[derive(Debug, Clone)]
 pub struct FleetSettings {
@@ -123,6 +126,8 @@
     /// Multiple of its time that a task takes away from the rack of its data, or in a group
     /// that is spread over racks; up to 1, no task waits for near workers.
     pub remote_factor: f64,
+    /// Memory that the process may use, in MiB; 0 for the memory that the system reports.
+    pub memory_mib: u64,
 }
 
 /// Result of reading settings: the settings, or all errors found.
@@ -158,6 +163,7 @@
             early_start_after_ms: 0,
             max_direct_workers: DEFAULT_MAX_DIRECT_WORKERS,
             remote_factor: DEFAULT_REMOTE_FACTOR,
+            memory_mib: 0,
         }
     }
 
@@ -238,6 +244,7 @@
                 (0, MAX_DIRECT_WORKERS_LIMIT),
             ),
             remote_factor: number(&mut doc, "remote_factor", DEFAULT_REMOTE_FACTOR),
+            memory_mib: doc.number(SECTION, "memory_mib", 0, (0, MAX_MEMORY_MIB)),
         };
         let errors = doc.finish(&[], &[SECTION]);
         if errors.is_empty() { Ok(settings) } else { Err(errors) }
--- a/crates/masticfall-soak/src/process.rs
+++ b/crates/masticfall-soak/src/process.rs
@@ -92,13 +92,17 @@
         is_running
     }
 
+    /// Returns the identifier of the process if it has been started and has not exited.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().and_then(Child::id)
+    }
+
     /// Sends a signal to the process if it is running.
     pub fn signal(&mut self, signal: Signal) {
         if !self.is_running() {
             return;
         }
-        let id = self.child.as_ref().and_then(Child::id);
-        if let Some(pid) = id.and_then(|id| Pid::from_raw(id as i32)) {
+        if let Some(pid) = self.id().and_then(|id| Pid::from_raw(id as i32)) {
             // An error means that the process has just ended.
             let _result = kill_process(pid, signal);
         }
