Bound what callers hold by the instance's memory

Callers saw: a process ended, since it ran out of memory, and with it every request that it had taken. Heads and empty lines without end, chunks of any size and legal bodies that stop just short of their end did this.

Cause: nothing bounded what all callers together make a process hold. hyper collected 400 KB of a head a connection. Parts of a body were kept as they came, each with the read buffer that it was cut from.

Change: connections, read buffers and bodies are charged to one account, a sixth of the instance's memory, before they take it. If there is no room, the oldest large body is refused with 429, or the oldest connection is closed; a complete request never gives way. Bodies are copied into blocks of one size. Connections are driven by hyper, whose buffer for heads is bounded now. A refusal is sent at once, and a bounded part of the rest is discarded.

--- a/crates/masticfall-core/src/lib.rs
+++ b/crates/masticfall-core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod prelude;
 pub mod routing;
 pub mod share;
+pub mod shedding;
 pub mod sizing;
 pub mod timeline;
 pub mod wave;
--- a/crates/masticfall-core/tests/suite/main.rs
+++ b/crates/masticfall-core/tests/suite/main.rs
@@ -38,6 +38,7 @@
 mod lease;
 mod routing;
 mod share;
+mod shedding;
 mod sizing;
 mod timeline;
 mod waves;
--- a/crates/masticfall-entry/src/fleet/metrics.rs
+++ b/crates/masticfall-entry/src/fleet/metrics.rs
@@ -8,6 +8,7 @@
 use masticfall_core::error::ErrorKind;
 use masticfall_core::fleet::crashes::LossCause;
 use masticfall_core::fleet::worker::BoundSource;
+use masticfall_platform::serve::ServeUsage;
 use masticfall_platform::traffic::{Traffic, TrafficCount};
 use prometheus_client::collector::Collector;
 use prometheus_client::encoding::text::encode;
@@ -19,6 +20,7 @@
 use prometheus_client::registry::Registry;
 
 use super::evacuation::EvacuationMetrics;
+use crate::serve_metrics::ServeCollector;
 
 /// First bucket of the latency histograms, in seconds; eleven more double up to 4 s.
 const FIRST_BUCKET_S: f64 = 0.002;
@@ -132,6 +134,8 @@
     pub evacuation: EvacuationMetrics,
     /// Waits for near workers.
     pub near: near::NearMetrics,
+    /// What callers hold.
+    pub callers: Arc<ServeUsage>,
 }
 
 impl FleetMetrics {
@@ -163,6 +167,7 @@
             attributed_crashes: Counter::default(),
             evacuation: EvacuationMetrics::default(),
             near: near::NearMetrics::default(),
+            callers: Arc::default(),
         };
         let mut registry = Registry::with_prefix("masticfall");
         registry.register_collector(Box::new(TrafficCollector(traffic)));
@@ -205,6 +210,7 @@
         registry.register("attributed_crashes", help, m.attributed_crashes.clone());
         m.evacuation.register(&mut registry);
         m.near.register(&mut registry);
+        registry.register_collector(Box::new(ServeCollector(Arc::clone(&m.callers))));
         Self { registry, ..metrics }
     }
 
--- a/crates/masticfall-entry/src/fleet/settings.rs
+++ b/crates/masticfall-entry/src/fleet/settings.rs
@@ -6,7 +6,7 @@
 use masticfall_core::id::{DataCentre, Name};
 use masticfall_platform::fleet::MAX_PAGE_ROWS;
 
-use crate::settings::address;
+use crate::settings::{MAX_CONNECTIONS_LIMIT, MAX_MEMORY_MIB, address};
 
 /// Section of these settings; it marks a file as one for such a platform.
 pub const SECTION: &str = "fleet";
@@ -62,9 +62,6 @@
 /// Default of the multiple of its time that a task takes away from its data: none waits.
 const DEFAULT_REMOTE_FACTOR: f64 = 1.0;
 
-/// Maximum of the memory that the process may use, in MiB.
-const MAX_MEMORY_MIB: u64 = 1_048_576;
-
 /// Settings of a process.
 #[derive(Debug, Clone)]
 pub struct FleetSettings {
@@ -128,6 +125,11 @@
     pub remote_factor: f64,
     /// Memory that the process may use, in MiB; 0 for the memory that the system reports.
     pub memory_mib: u64,
+    /// Memory that callers may hold, in MiB; 0 for a sixth of the process's memory, 32 at most.
+    pub callers_memory_mib: u64,
+    /// Maximum number of callers' connections; 0 for half of the descriptors for sockets, 1,950
+    /// at most.
+    pub max_connections: u64,
 }
 
 /// Result of reading settings: the settings, or all errors found.
@@ -164,6 +166,8 @@
             max_direct_workers: DEFAULT_MAX_DIRECT_WORKERS,
             remote_factor: DEFAULT_REMOTE_FACTOR,
             memory_mib: 0,
+            callers_memory_mib: 0,
+            max_connections: 0,
         }
     }
 
@@ -245,6 +249,8 @@
             ),
             remote_factor: number(&mut doc, "remote_factor", DEFAULT_REMOTE_FACTOR),
             memory_mib: doc.number(SECTION, "memory_mib", 0, (0, MAX_MEMORY_MIB)),
+            callers_memory_mib: doc.number(SECTION, "callers_memory_mib", 0, (0, MAX_MEMORY_MIB)),
+            max_connections: doc.number(SECTION, "max_connections", 0, (0, MAX_CONNECTIONS_LIMIT)),
         };
         let errors = doc.finish(&[], &[SECTION]);
         if errors.is_empty() { Ok(settings) } else { Err(errors) }
--- a/crates/masticfall-entry/src/http.rs
+++ b/crates/masticfall-entry/src/http.rs
@@ -13,6 +13,7 @@
 use http::request::Parts;
 use http::{HeaderValue, Method, header};
 use masticfall_core::error::ErrorKind;
+use masticfall_platform::serve;
 use motore::service::Service;
 use volo_http::body::Body;
 use volo_http::context::ServerContext;
@@ -141,14 +142,6 @@
 
 /// Reads a complete body of at most the configured size.
 async fn read_body(node: &Arc<Node>, body: Body) -> Result<bytes::Bytes> {
-    use http_body_util::{BodyExt, LengthLimitError, Limited};
-    let limit = node.settings.max_body_bytes as usize;
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
-            let detail = format!("request body is larger than {limit} bytes");
-            Err(Refusal::new(ErrorKind::TooLarge, detail))
-        }
-        Err(error) => Err(Refusal::new(ErrorKind::BadRequest, error.to_string())),
-    }
+    let max_bytes = node.settings.max_body_bytes as usize;
+    serve::read_body(body, max_bytes).await.map_err(Refusal::from)
 }
--- a/crates/masticfall-entry/src/launch.rs
+++ b/crates/masticfall-entry/src/launch.rs
@@ -7,14 +7,14 @@
 use masticfall_core::id::Name;
 use masticfall_core::timeline::EventKind;
 use masticfall_platform::Platform;
-use masticfall_platform::serve::{ServePhase, bind, serve};
+use masticfall_platform::serve::{Gate, ServeLimits, ServePhase, bind, serve_limited};
 use snafu::{ResultExt, Snafu};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use crate::context::{Addresses, Node};
 use crate::http::HttpService;
-use crate::settings::Settings;
+use crate::settings::{Settings, mib, unless_zero};
 use crate::{grants, membership, peers, planner, shutdown, sync};
 
 /// A failure to start.
@@ -35,6 +35,9 @@
 /// Result of a start.
 pub type Result<T> = std::result::Result<T, StartError>;
 
+/// Size of a head that is still read, in bytes; the service refuses those of half the size.
+const MAX_HEAD_BYTES: usize = 128 * 1_024;
+
 /// A running entry process.
 #[derive(Debug)]
 pub struct RunningEntry {
@@ -64,7 +67,8 @@
     let node = Node::new(settings, addresses, platform, peers::websocket_dialer());
     node.record(EventKind::Started, &[]);
     let (serve_phase, phase_receiver) = watch::channel(ServePhase::Open);
-    let server = serve(http, HttpService::new(&node), phase_receiver);
+    let gate = Gate::new(serve_limits(&node.settings), Arc::clone(&node.metrics.callers));
+    let server = serve_limited(http, HttpService::new(&node), phase_receiver, &gate);
     let mut tasks: Vec<JoinHandle<()>> =
         background_tasks(&node).into_iter().map(tokio::spawn).collect();
     tasks.push(tokio::spawn(peers::accept(Arc::clone(&node), peer)));
@@ -78,6 +82,17 @@
     Ok(RunningEntry { node, serve_phase, server, tasks })
 }
 
+/// Returns the limits on what callers and operators hold.
+fn serve_limits(settings: &Settings) -> ServeLimits {
+    ServeLimits::builder()
+        .instance_memory_bytes(unless_zero(settings.memory_mib).map(mib))
+        .memory_bytes(unless_zero(settings.callers_memory_mib).map(mib))
+        .max_connections(unless_zero(settings.max_connections))
+        .max_head_bytes(MAX_HEAD_BYTES)
+        .max_body_bytes(settings.max_body_bytes as usize)
+        .build()
+}
+
 /// Returns the background tasks of a process.
 pub fn background_tasks(node: &Arc<Node>) -> Vec<BoxFuture<'static, ()>> {
     vec![
--- a/crates/masticfall-entry/src/lib.rs
+++ b/crates/masticfall-entry/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod planner;
 pub mod reclaim;
 pub mod refusal;
+pub mod serve_metrics;
 pub mod settings;
 pub mod shutdown;
 pub mod slots;
--- a/crates/masticfall-entry/src/metrics.rs
+++ b/crates/masticfall-entry/src/metrics.rs
@@ -1,6 +1,9 @@
 //! Metrics in the `OpenMetrics` format.
 
+use std::sync::Arc;
+
 use masticfall_core::error::ErrorKind;
+use masticfall_platform::serve::ServeUsage;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder};
 use prometheus_client::metrics::counter::Counter;
@@ -8,6 +11,8 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
+use crate::serve_metrics::ServeCollector;
+
 /// How a request ended, as a label.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum RequestEnd {
@@ -62,6 +67,8 @@
     pub peer_dropped: Counter,
     /// Events dropped from the timeline.
     pub timeline_lost: Gauge,
+    /// What callers and operators hold.
+    pub callers: Arc<ServeUsage>,
 }
 
 impl Default for Metrics {
@@ -86,6 +93,7 @@
             peer_bytes: Counter::default(),
             peer_dropped: Counter::default(),
             timeline_lost: Gauge::default(),
+            callers: Arc::default(),
         };
         let m = &metrics;
         registry.register("requests", "Requests by queue and end", m.requests.clone());
@@ -99,6 +107,7 @@
         registry.register("peer_sent_bytes", "Bytes sent to peers", m.peer_bytes.clone());
         registry.register("peer_dropped", "Messages to peers dropped", m.peer_dropped.clone());
         registry.register("timeline_lost", "Events dropped", m.timeline_lost.clone());
+        registry.register_collector(Box::new(ServeCollector(Arc::clone(&m.callers))));
         Self { registry, ..metrics }
     }
 
--- a/crates/masticfall-entry/src/refusal.rs
+++ b/crates/masticfall-entry/src/refusal.rs
@@ -2,6 +2,7 @@
 
 use masticfall_core::error::ErrorKind;
 use masticfall_platform::PlatformError;
+use masticfall_platform::serve::BodyError;
 
 /// A refused or failed request, as reported to the caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -30,6 +31,17 @@
     }
 }
 
+impl From<BodyError> for Refusal {
+    fn from(error: BodyError) -> Self {
+        let kind = match error {
+            BodyError::TooLarge { .. } => ErrorKind::TooLarge,
+            BodyError::NoRoom => ErrorKind::Overloaded,
+            BodyError::Broken { .. } => ErrorKind::BadRequest,
+        };
+        Self::new(kind, error.to_string())
+    }
+}
+
 impl From<PlatformError> for Refusal {
     fn from(error: PlatformError) -> Self {
         Self::new(error.kind(), error.to_string())
--- a/crates/masticfall-entry/src/settings.rs
+++ b/crates/masticfall-entry/src/settings.rs
@@ -24,6 +24,13 @@
     pub leave_delay_ms: u64,
     /// Maximum size of a request body, in bytes.
     pub max_body_bytes: u64,
+    /// Memory that the process may use, in MiB; 0 for the memory that the system reports.
+    pub memory_mib: u64,
+    /// Memory that callers may hold, in MiB; 0 for a sixth of the process's memory, 32 at most.
+    pub callers_memory_mib: u64,
+    /// Maximum number of callers' connections; 0 for half of the descriptors for sockets, 1,950
+    /// at most.
+    pub max_connections: u64,
 }
 
 /// Result of reading settings: the settings, or all errors found.
@@ -33,6 +40,12 @@
 const MIN_SECRET_CHARS: usize = 16;
 
 const MAX_BODY_BYTES_LIMIT: u64 = 256 * 1024 * 1024;
+/// Maximum of the memory that the process may use, in MiB.
+pub(crate) const MAX_MEMORY_MIB: u64 = 1_048_576;
+
+/// Maximum of the number of callers' connections.
+pub(crate) const MAX_CONNECTIONS_LIMIT: u64 = 1_000_000;
+
 const DEFAULT_LEAVE_DELAY_MS: u64 = 2_000;
 const DEFAULT_MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
 
@@ -92,6 +105,9 @@
             seed_peers: Vec::new(),
             leave_delay_ms: DEFAULT_LEAVE_DELAY_MS,
             max_body_bytes: DEFAULT_MAX_BODY_BYTES,
+            memory_mib: 0,
+            callers_memory_mib: 0,
+            max_connections: 0,
         };
         SettingsBuilder { settings }
     }
@@ -121,6 +137,9 @@
                 DEFAULT_MAX_BODY_BYTES,
                 (1, MAX_BODY_BYTES_LIMIT),
             ),
+            memory_mib: doc.number("entry", "memory_mib", 0, (0, MAX_MEMORY_MIB)),
+            callers_memory_mib: doc.number("entry", "callers_memory_mib", 0, (0, MAX_MEMORY_MIB)),
+            max_connections: doc.number("entry", "max_connections", 0, (0, MAX_CONNECTIONS_LIMIT)),
         };
         if settings.http == settings.peer && settings.http.port() != 0 {
             doc.report("entry", "peer", "has to differ from `http`".to_string());
@@ -136,6 +155,16 @@
     }
 }
 
+/// Returns a setting whose zero stands for a default that follows from the instance.
+pub fn unless_zero(value: u64) -> Option<usize> {
+    (value > 0).then_some(value as usize)
+}
+
+/// Converts MiB to bytes.
+pub fn mib(mebibytes: usize) -> usize {
+    mebibytes * 1_024 * 1_024
+}
+
 const ADDRESS_FORMAT: &str = "an IP number and a port, such as 10.0.0.7:8080";
 
 /// Reads a required address; a missing or invalid one is reported as an error of `doc`.
--- a/crates/masticfalld/tests/crowds/bodies.rs
+++ b/crates/masticfalld/tests/crowds/bodies.rs
@@ -3,7 +3,7 @@
 use rstest::rstest;
 
 use crate::crowd::{Crowd, Script};
-use crate::testbed::{Instance, KEY, MAX_BODY_BYTES, Testbed};
+use crate::testbed::{Instance, KEY, MAX_BODY_BYTES, Testbed, wait_until_read};
 
 const INSTANCE: Instance = Instance { memory_mib: 64, descriptors: 4_100 };
 
--- a/crates/masticfalld/tests/crowds/crowd.rs
+++ b/crates/masticfalld/tests/crowds/crowd.rs
@@ -11,8 +11,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
-/// Time after which a process counts as hung that neither reads nor closes a connection.
-const HANG: Duration = Duration::from_secs(120);
+use crate::testbed::HANG;
 
 /// Pause between two pieces, so that they arrive apart.
 const PIECE_PAUSE: Duration = Duration::from_millis(1);
--- a/crates/masticfalld/tests/crowds/main.rs
+++ b/crates/masticfalld/tests/crowds/main.rs
@@ -11,5 +11,6 @@
 mod calm;
 mod connections;
 mod crowd;
+mod entry;
 mod heads;
 mod testbed;
--- a/crates/masticfalld/tests/crowds/testbed.rs
+++ b/crates/masticfalld/tests/crowds/testbed.rs
@@ -16,6 +16,7 @@
 use masticfall_platform::serve::{ServePhase, bind, serve};
 use masticfall_soak::process::Process;
 use masticfall_standin::fleet::World;
+use rustix::process::Signal;
 use serde_json::json;
 use tokio::sync::{Mutex, MutexGuard, watch};
 use tokio::time::{sleep, timeout};
@@ -35,13 +36,13 @@
 const WORKERS: usize = 2;
 
 /// Time after which a process counts as hung.
-const HANG: Duration = Duration::from_secs(120);
+pub const HANG: Duration = Duration::from_mins(2);
 
 /// Number of consecutive looks at which nothing may be left to read.
 const IDLE_LOOKS: usize = 5;
 
 /// Held by the running test.
-static ALONE: Mutex<()> = Mutex::const_new(());
+pub static ALONE: Mutex<()> = Mutex::const_new(());
 
 /// The instance that the process runs on.
 #[derive(Debug, Clone, Copy)]
@@ -121,7 +122,8 @@
         let process = Process::new(&launcher, &folder, "p0", services, WORKERS, 6_000).unwrap();
         let settings = folder.join("p0.ini");
         let mut text = fs::read_to_string(&settings).unwrap();
-        text.push_str(&format!("memory_mib = {}\n", instance.memory_mib));
+        text += "memory_mib = ";
+        text += &instance.memory_mib.to_string();
         fs::write(&settings, text).unwrap();
         let mut testbed = Self {
             world,
@@ -167,32 +169,14 @@
         assert!(!self.process.has_panicked(), "a part of the process has panicked {when}");
     }
 
-    /// Waits until the process has read all that callers have sent.
-    pub async fn wait_until_read(&self) {
-        let read = timeout(HANG, async {
-            let mut idle_looks = 0;
-            while idle_looks < IDLE_LOOKS {
-                sleep(Duration::from_millis(50)).await;
-                idle_looks = if unread_bytes(self.callers) == 0 { idle_looks + 1 } else { 0 };
-            }
-        });
-        assert!(
-            read.await.is_ok(),
-            "the process leaves {} bytes unread",
-            unread_bytes(self.callers)
-        );
-    }
-
     /// Checks that memory and descriptors of the process have stayed within its instance's.
     pub fn assert_within_instance(&mut self) {
         let is_running = self.process.is_running();
         assert!(is_running, "the process has ended");
         let id = self.process.id().unwrap();
-        let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap();
-        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
-        let peak_kib: usize = peak.trim().trim_end_matches(" kB").parse().unwrap();
+        let peak_kib = peak_memory_kib(id);
         let descriptors = fs::read_dir(format!("/proc/{id}/fd")).unwrap().count();
-        eprintln!("peak of {} KiB, {descriptors} descriptors", peak_kib);
+        println!("peak of {peak_kib} KiB, {descriptors} descriptors");
         let Instance { memory_mib, .. } = self.instance;
         assert!(
             peak_kib <= memory_mib * 1_024,
@@ -202,10 +186,23 @@
         assert!(descriptors <= sockets, "{descriptors} descriptors of {sockets} for sockets");
     }
 
+    /// Stops the process, and returns what it logs at its end.
+    pub async fn stop(&mut self) -> String {
+        self.process.signal(Signal::TERM);
+        let ended = timeout(HANG, async {
+            while self.process.is_running() {
+                sleep(Duration::from_millis(100)).await;
+            }
+        });
+        assert!(ended.await.is_ok(), "the process doesn't stop");
+        let log = fs::read_to_string(self.folder.join("p0.log")).unwrap();
+        log.lines().rfind(|line| line.contains("\"stops\"")).unwrap().to_string()
+    }
+
     /// Checks all that has to hold beside a crowd and after it.
     pub async fn assert_holds_against(&mut self, crowd: crate::crowd::Crowd) {
         crowd.wait_until_sent().await;
-        self.wait_until_read().await;
+        wait_until_read(self.callers).await;
         self.assert_within_instance();
         self.assert_serves("beside the crowd").await;
         self.assert_within_instance();
@@ -215,6 +212,25 @@
     }
 }
 
+/// Returns the peak of the memory of a process, in KiB.
+pub fn peak_memory_kib(process_id: u32) -> usize {
+    let status = fs::read_to_string(format!("/proc/{process_id}/status")).unwrap();
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+    peak.trim().trim_end_matches(" kB").parse().unwrap()
+}
+
+/// Waits until the process at an address has read all that its clients have sent.
+pub async fn wait_until_read(address: SocketAddr) {
+    let read = timeout(HANG, async {
+        let mut idle_looks = 0;
+        while idle_looks < IDLE_LOOKS {
+            sleep(Duration::from_millis(50)).await;
+            idle_looks = if unread_bytes(address) == 0 { idle_looks + 1 } else { 0 };
+        }
+    });
+    assert!(read.await.is_ok(), "the process leaves {} bytes unread", unread_bytes(address));
+}
+
 /// Returns a job that any worker has room for.
 pub fn small_job() -> JobSpec {
     let needs = Resources { cpu_millis: 10, memory_mib: 10, accelerators: 0 };
