Bound the number of callers' connections

Callers saw: no answer at all, and the readiness check neither, for as long as other clients held as many connections as the process has descriptors.

Beyond that the connection that has been idle or incomplete for longest is closed for the new one. Should descriptors run out all the same, one is closed, and accepting pauses.

--- a/crates/masticfall-platform/src/serve.rs
+++ b/crates/masticfall-platform/src/serve.rs
@@ -132,6 +132,9 @@
             Ok(accepted) => accepted,
             Err(error) => {
                 tracing::debug!(name: "serve.not_accepted", %error, "failed to accept a connection; retrying");
+                if let Some(gate) = &gate {
+                    gate.handle_failed_accept();
+                }
                 sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
                 continue;
             }
--- a/crates/masticfall-platform/src/serve/gate.rs
+++ b/crates/masticfall-platform/src/serve/gate.rs
@@ -10,7 +10,9 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use masticfall_core::shedding::{ConnectionPhase, ConnectionView, Shed, shed_for_memory};
+use masticfall_core::shedding::{
+    ConnectionPhase, ConnectionView, Shed, shed_for_connection, shed_for_memory,
+};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -174,8 +176,33 @@
         admitted
     }
 
+    /// Records that the system could not hand over a connection, and closes the one that can
+    /// best be spared: the process may have no descriptor left.
+    pub(super) fn handle_failed_accept(&self) {
+        let mut state = self.state.lock();
+        let chosen = shed_for_connection(state.views());
+        if let Some(id) = chosen {
+            self.shed(&mut state, Shed::Connection(id));
+        }
+        self.count(&mut state, &self.usage.failed_accepts);
+    }
+
     fn poll_admit(self: &Arc<Self>, context: &Context<'_>) -> Poll<Result<Connection>> {
         let mut state = self.state.lock();
+        if state.connections.len() >= self.limits.max_connections {
+            let is_one_leaving = state
+                .connections
+                .values()
+                .any(|connection| connection.closes.load(Ordering::Relaxed));
+            if !is_one_leaving {
+                let Some(id) = shed_for_connection(state.views()) else {
+                    return Poll::Ready(Err(NoRoom));
+                };
+                self.shed(&mut state, Shed::Connection(id));
+            }
+            state.wait(context);
+            return Poll::Pending;
+        }
         if self.poll_charge(&mut state, None, CONNECTION_BYTES, context)?.is_pending() {
             return Poll::Pending;
         }
