--- a/crates/masticfalld/tests/crowds/bodies.rs
+++ b/crates/masticfalld/tests/crowds/bodies.rs
@@ -66,6 +66,23 @@
     testbed.assert_holds_against(crowd).await;
 }
 
+/// Requests that aren't complete don't delay the shutdown of the process.
+#[tokio::test]
+async fn stopped_process_waits_for_no_unfinished_body() {
+    let mut testbed = Testbed::start(INSTANCE).await;
+    let body = vec![b' '; 1_000];
+    let script = |number| {
+        let mut bytes = plain(&job_of(number), &body);
+        bytes.pop();
+        Script::at_once(bytes)
+    };
+    let crowd = Crowd::connect(testbed.callers, 20, script).await;
+    crowd.wait_until_sent().await;
+    wait_until_read(testbed.callers).await;
+    let last_line = testbed.stop().await;
+    assert!(last_line.contains("\"in_flight\":0"), "{last_line}");
+}
+
 /// Complete bodies at once. Those that are refused never run.
 #[tokio::test]
 async fn complete_bodies_are_accepted_or_never_run() {
