Let limits that a configuration raises apply to what callers hold

Callers would have seen: after a configuration that allows larger requests, 431 or 429 for requests within it, since the limits of the account and of the buffer for heads were fixed at the start.

Cause: the limits followed from the instance alone.

Change: a connection is accepted with room for one request of the sizes that the configuration allows then, up to half of the instance's memory. A connection that was to be closed is spared if its request has become complete, and only a lack of descriptors or memory makes an accept close one.

--- a/crates/masticfall-entry/src/http.rs
+++ b/crates/masticfall-entry/src/http.rs
@@ -25,7 +25,7 @@
 use crate::state::Phase;
 
 /// Maximum total size of a request's headers, in bytes.
-const MAX_HEADER_BYTES: usize = 64 * 1024;
+pub(crate) const MAX_HEADER_BYTES: usize = 64 * 1024;
 
 /// The service behind the HTTP port.
 #[derive(Debug, Clone)]
--- a/crates/masticfall-entry/src/launch.rs
+++ b/crates/masticfall-entry/src/launch.rs
@@ -7,13 +7,15 @@
 use masticfall_core::id::Name;
 use masticfall_core::timeline::EventKind;
 use masticfall_platform::Platform;
-use masticfall_platform::serve::{Gate, ServeLimits, ServePhase, bind, serve_limited};
+use masticfall_platform::serve::{
+    Gate, RequestSizes, ServeLimits, ServePhase, bind, serve_limited,
+};
 use snafu::{ResultExt, Snafu};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use crate::context::{Addresses, Node};
-use crate::http::HttpService;
+use crate::http::{HttpService, MAX_HEADER_BYTES};
 use crate::settings::{Settings, mib, unless_zero};
 use crate::{grants, membership, peers, planner, shutdown, sync};
 
@@ -67,7 +69,10 @@
     let node = Node::new(settings, addresses, platform, peers::websocket_dialer());
     node.record(EventKind::Started, &[]);
     let (serve_phase, phase_receiver) = watch::channel(ServePhase::Open);
-    let gate = Gate::new(serve_limits(&node.settings), Arc::clone(&node.metrics.callers));
+    let body_bytes = node.settings.max_body_bytes as usize;
+    let request_sizes = RequestSizes { header_bytes: MAX_HEADER_BYTES, body_bytes };
+    let usage = Arc::clone(&node.metrics.callers);
+    let gate = Gate::new(serve_limits(&node.settings), usage, move || request_sizes);
     let server = serve_limited(http, HttpService::new(&node), phase_receiver, &gate);
     let mut tasks: Vec<JoinHandle<()>> =
         background_tasks(&node).into_iter().map(tokio::spawn).collect();
@@ -89,7 +94,6 @@
         .memory_bytes(unless_zero(settings.callers_memory_mib).map(mib))
         .max_connections(unless_zero(settings.max_connections))
         .max_head_bytes(MAX_HEAD_BYTES)
-        .max_body_bytes(settings.max_body_bytes as usize)
         .build()
 }
 
--- a/crates/masticfall-platform/src/serve.rs
+++ b/crates/masticfall-platform/src/serve.rs
@@ -25,6 +25,7 @@
 use hyper::server::conn::http1;
 use hyper_util::rt::TokioIo;
 use motore::service::Service;
+use rustix::io::Errno;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -37,7 +38,7 @@
 use volo_http::response::Response;
 
 pub use body::{BodyError, discard_body, read_body};
-pub use gate::{Gate, ServeUsage};
+pub use gate::{Gate, RequestSizes, ServeUsage};
 pub use limits::{ServeLimits, ServeLimitsBuilder};
 
 use gate::{Connection, ConnectionHandle};
@@ -132,7 +133,7 @@
             Ok(accepted) => accepted,
             Err(error) => {
                 tracing::debug!(name: "serve.not_accepted", %error, "failed to accept a connection; retrying");
-                if let Some(gate) = &gate {
+                if let Some(gate) = gate.as_ref().filter(|_| is_exhausted(&error)) {
                     gate.handle_failed_accept();
                 }
                 sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
@@ -153,6 +154,12 @@
     drop(phase.wait_for(|phase| *phase >= ServePhase::Drained).await);
 }
 
+/// Returns whether the system lacks descriptors or memory for another connection.
+fn is_exhausted(error: &io::Error) -> bool {
+    let exhausted = [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM];
+    Errno::from_io_error(error).is_some_and(|errno| exhausted.contains(&errno))
+}
+
 async fn serve_connection<S>(
     stream: TcpStream,
     client: SocketAddr,
--- a/crates/masticfall-platform/src/serve/gate.rs
+++ b/crates/masticfall-platform/src/serve/gate.rs
@@ -4,6 +4,7 @@
 //! the memory. Beyond the limit something gives way, by [`masticfall_core::shedding`], and
 //! whatever asked for memory waits until it has been released.
 
+use std::fmt;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering};
 use std::task::{Context, Poll, Waker};
@@ -60,15 +61,31 @@
     logged_counts: (u64, u64),
 }
 
+/// Sizes of a single request that has to find room, in bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RequestSizes {
+    /// Maximum size of the headers.
+    pub header_bytes: usize,
+    /// Maximum size of the body.
+    pub body_bytes: usize,
+}
+
 /// Limits what the clients of a server hold.
-#[derive(Debug)]
 pub struct Gate {
-    limits: ServeLimits,
+    /// Returns the sizes that are allowed now.
+    request_sizes: Box<dyn Fn() -> RequestSizes + Send + Sync>,
+    limits: Mutex<ServeLimits>,
     usage: Arc<ServeUsage>,
     started_at: Instant,
     state: Mutex<State>,
 }
 
+impl fmt::Debug for Gate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Gate").field("limits", &self.limits).finish_non_exhaustive()
+    }
+}
+
 /// State of a connection that the gate and its own tasks share.
 #[derive(Debug)]
 struct Shared {
@@ -149,15 +166,21 @@
 }
 
 impl Gate {
-    /// Creates a gate that counts in `usage`.
-    pub fn new(limits: ServeLimits, usage: Arc<ServeUsage>) -> Arc<Self> {
+    /// Creates a gate that counts in `usage`. Its limits are raised, if need be, to what
+    /// `request_sizes` returns when a connection is accepted.
+    pub fn new(
+        limits: ServeLimits,
+        usage: Arc<ServeUsage>,
+        request_sizes: impl Fn() -> RequestSizes + Send + Sync + 'static,
+    ) -> Arc<Self> {
         let (started_at, state) = (Instant::now(), Mutex::default());
-        Arc::new(Self { limits, usage, started_at, state })
+        let (request_sizes, limits) = (Box::new(request_sizes), Mutex::new(limits));
+        Arc::new(Self { request_sizes, limits, usage, started_at, state })
     }
 
     /// Returns the limits.
     pub fn limits(&self) -> ServeLimits {
-        self.limits
+        *self.limits.lock()
     }
 
     fn now_ms(&self) -> u64 {
@@ -169,6 +192,8 @@
     /// # Errors
     /// [`NoRoom`] if all connections wait for answers.
     pub(super) async fn admit(self: &Arc<Self>) -> Result<Connection> {
+        let RequestSizes { header_bytes, body_bytes } = (self.request_sizes)();
+        self.limits.lock().make_room_for(header_bytes, body_bytes);
         let admitted = std::future::poll_fn(|context| self.poll_admit(context)).await;
         if admitted.is_err() {
             self.count(&mut self.state.lock(), &self.usage.refused_connections);
@@ -189,7 +214,7 @@
 
     fn poll_admit(self: &Arc<Self>, context: &Context<'_>) -> Poll<Result<Connection>> {
         let mut state = self.state.lock();
-        if state.connections.len() >= self.limits.max_connections {
+        if state.connections.len() >= self.limits().max_connections {
             let is_one_leaving = state
                 .connections
                 .values()
@@ -232,8 +257,9 @@
         bytes: usize,
         context: &Context<'_>,
     ) -> Poll<Result<()>> {
-        while state.held_bytes + bytes > self.limits.memory_bytes {
-            if state.held_bytes + bytes - state.leaving_bytes() <= self.limits.memory_bytes {
+        let memory_bytes = self.limits().memory_bytes;
+        while state.held_bytes + bytes > memory_bytes {
+            if state.held_bytes + bytes - state.leaving_bytes() <= memory_bytes {
                 state.wait(context);
                 return Poll::Pending;
             }
@@ -289,14 +315,15 @@
         );
         let (connections_before, bodies_before) = state.logged_counts;
         state.logged_counts = counts;
+        let limits = self.limits();
         tracing::warn!(
             name: "callers.shed",
             closed_connections = counts.0 - connections_before,
             refused_bodies = counts.1 - bodies_before,
             connections = state.connections.len(),
-            max_connections = self.limits.max_connections,
+            max_connections = limits.max_connections,
             held_bytes = state.held_bytes,
-            max_held_bytes = self.limits.memory_bytes,
+            max_held_bytes = limits.memory_bytes,
             "callers hold too much; the oldest connections and bodies gave way"
         );
     }
@@ -338,12 +365,18 @@
 
     /// Completes when the connection has to close.
     pub(super) async fn closed(&self) {
-        self.shared.closed.notified().await;
+        // A request may have become complete in the meantime.
+        while !self.shared.closes.load(Ordering::Relaxed) {
+            self.shared.closed.notified().await;
+        }
     }
 
     /// Completes when the body that is being received has to be given up.
     pub(super) async fn body_shed(&self) {
-        self.shared.body_shed.notified().await;
+        // The notification may have been for an earlier request.
+        while !self.shared.gives_up_body.load(Ordering::Relaxed) {
+            self.shared.body_shed.notified().await;
+        }
     }
 
     fn set_phase(&self, phase: ConnectionPhase) {
@@ -367,10 +400,14 @@
 
     /// Records that a request has been received completely.
     pub(super) fn record_complete(&self) {
+        // Under the lock, so that nothing chooses this connection meanwhile.
+        let mut state = self.gate.state.lock();
         self.set_phase(ConnectionPhase::Answering);
-        if self.shared.gives_up_body.swap(false, Ordering::Relaxed) {
-            // The memory that others wait for isn't released soon.
-            self.gate.state.lock().wake();
+        let gave_up_body = self.shared.gives_up_body.swap(false, Ordering::Relaxed);
+        let was_closing = self.shared.closes.swap(false, Ordering::Relaxed);
+        if gave_up_body || was_closing {
+            // What others wait for isn't released soon.
+            state.wake();
         }
     }
 
--- a/crates/masticfall-platform/src/serve/limits.rs
+++ b/crates/masticfall-platform/src/serve/limits.rs
@@ -6,6 +6,12 @@
 /// when many bodies come and go.
 const MEMORY_DIVISOR: usize = 6;
 
+/// Part of the memory that callers may hold if a single request takes more than the former.
+const MAX_MEMORY_DIVISOR: usize = 2;
+
+/// Size of a request line and empty lines before it that counts besides the headers, in bytes.
+const REQUEST_LINE_BYTES: usize = 8 * 1_024;
+
 /// Maximum of the memory that callers hold by default, in bytes.
 const MAX_DEFAULT_MEMORY_BYTES: usize = 32 * 1_024 * 1_024;
 
@@ -32,6 +38,8 @@
 pub struct ServeLimits {
     /// Memory, in bytes.
     pub memory_bytes: usize,
+    /// Memory up to which [`ServeLimits::memory_bytes`] may be raised, in bytes.
+    pub max_memory_bytes: usize,
     /// Number of connections.
     pub max_connections: usize,
     /// Size of a head, in bytes. Longer ones are refused.
@@ -45,10 +53,17 @@
     memory_bytes: Option<usize>,
     max_connections: Option<usize>,
     max_head_bytes: Option<usize>,
-    max_body_bytes: usize,
 }
 
 impl ServeLimits {
+    /// Raises the limits, if need be, so that a single request of these sizes finds room.
+    pub(super) fn make_room_for(&mut self, header_bytes: usize, body_bytes: usize) {
+        self.max_head_bytes = self.max_head_bytes.max(header_bytes + REQUEST_LINE_BYTES);
+        // A body is in memory twice while its blocks are joined.
+        let wanted_bytes = 2 * body_bytes + self.max_head_bytes + MIN_REST_BYTES;
+        self.memory_bytes = self.memory_bytes.max(wanted_bytes.min(self.max_memory_bytes));
+    }
+
     /// Returns a builder.
     pub fn builder() -> ServeLimitsBuilder {
         ServeLimitsBuilder::default()
@@ -80,20 +95,13 @@
         self
     }
 
-    /// Sets the size of a body of which one at least has to find room, while it is joined too.
-    pub fn max_body_bytes(mut self, bytes: usize) -> Self {
-        self.max_body_bytes = bytes;
-        self
-    }
-
     /// Returns the limits.
     pub fn build(self) -> ServeLimits {
-        let memory_bytes = self.memory_bytes.unwrap_or_else(|| {
-            let instance_bytes = self.instance_memory_bytes.or_else(reported_memory_bytes);
-            let share_bytes = instance_bytes.unwrap_or(FALLBACK_MEMORY_BYTES) / MEMORY_DIVISOR;
-            share_bytes.min(MAX_DEFAULT_MEMORY_BYTES)
-        });
-        let memory_bytes = memory_bytes.max(2 * self.max_body_bytes + MIN_REST_BYTES);
+        let instance_bytes = self.instance_memory_bytes.or_else(reported_memory_bytes);
+        let instance_bytes = instance_bytes.unwrap_or(FALLBACK_MEMORY_BYTES);
+        let share_bytes = (instance_bytes / MEMORY_DIVISOR).min(MAX_DEFAULT_MEMORY_BYTES);
+        let memory_bytes = self.memory_bytes.unwrap_or(share_bytes);
+        let max_memory_bytes = memory_bytes.max(instance_bytes / MAX_MEMORY_DIVISOR);
         let max_connections = self.max_connections.unwrap_or_else(|| {
             let sockets = max_descriptors().map(|all| all.saturating_sub(FILE_DESCRIPTORS));
             // The other half is for the process's own calls.
@@ -101,7 +109,7 @@
             share.clamp(1, MAX_DEFAULT_CONNECTIONS)
         });
         let max_head_bytes = self.max_head_bytes.unwrap_or(DEFAULT_HEAD_BYTES).max(MIN_HEAD_BYTES);
-        ServeLimits { memory_bytes, max_connections, max_head_bytes }
+        ServeLimits { memory_bytes, max_memory_bytes, max_connections, max_head_bytes }
     }
 }
 
--- a/crates/masticfalld/tests/crowds/calm.rs
+++ b/crates/masticfalld/tests/crowds/calm.rs
@@ -140,6 +140,31 @@
     assert_eq!(status, Some(StatusCode::OK));
 }
 
+/// Limits that a configuration raises hold for requests on later connections.
+#[tokio::test]
+async fn request_within_raised_limits_is_served() {
+    let mut testbed = Testbed::start(INSTANCE).await;
+    let (header_bytes, body_bytes) = (4 * MAX_HEADER_BYTES, 16 * MAX_BODY_BYTES);
+    testbed.raise_limits(header_bytes, body_bytes);
+    let job = testbed.new_job();
+    let body = padded_job(body_bytes);
+    let filler = "n".repeat(header_bytes - 1_000);
+    let start = head(job.as_str());
+    let start = format!("{start}x-note: {filler}\r\ncontent-length: {body_bytes}\r\n\r\n");
+    let request = [start.into_bytes(), body].concat();
+    let mut status = None;
+    for _ in 0..ATTEMPTS {
+        let stream = TcpStream::connect(testbed.callers).await.unwrap();
+        status = send(&mut BufReader::new(stream), &request, request.len()).await;
+        if status == Some(StatusCode::OK) {
+            break;
+        }
+        sleep(std::time::Duration::from_millis(100)).await;
+    }
+    assert_eq!(status, Some(StatusCode::OK));
+    testbed.assert_within_instance();
+}
+
 /// A head over the configuration's limit is refused, and its job never runs.
 #[tokio::test]
 async fn headers_over_the_limit_are_refused() {
--- a/crates/masticfalld/tests/crowds/testbed.rs
+++ b/crates/masticfalld/tests/crowds/testbed.rs
@@ -72,16 +72,16 @@
     }
 }
 
-fn config() -> Vec<u8> {
+fn config(version: u64, max_header_bytes: usize, max_body_bytes: usize) -> Vec<u8> {
     json!({
-        "version": 1,
+        "version": version,
         "routes": [{
             "name": "q", "host": "127.0.0.1", "prefix": "/q/", "service": "p",
             "attempts": 3, "stretch": 1.6, "target_duration_ms": 600,
         }],
         "services": [{ "name": "p", "admission_check": true }],
         "tenants": [{ "name": "a", "api_keys": [KEY], "weight": 1.0 }],
-        "limits": { "max_header_bytes": MAX_HEADER_BYTES, "max_body_bytes": MAX_BODY_BYTES },
+        "limits": { "max_header_bytes": max_header_bytes, "max_body_bytes": max_body_bytes },
     })
     .to_string()
     .into_bytes()
@@ -109,7 +109,8 @@
         let listener = bind(([127, 0, 0, 1], 0).into()).await.unwrap();
         let store = listener.local_addr().unwrap();
         drop(serve(listener, ModelServer::store(&world), phase_receiver));
-        world.write_operators_row("op", "config", Some(config()));
+        let first_config = config(1, MAX_HEADER_BYTES, MAX_BODY_BYTES);
+        world.write_operators_row("op", "config", Some(first_config));
         for facts in &world.worker_facts() {
             let listener = bind(([127, 0, 0, 1], 0).into()).await.unwrap();
             let address = listener.local_addr().unwrap();
@@ -149,6 +150,12 @@
         id
     }
 
+    /// Raises the limits of a request by a configuration.
+    pub fn raise_limits(&self, max_header_bytes: usize, max_body_bytes: usize) {
+        let config = config(2, max_header_bytes, max_body_bytes);
+        self.world.write_operators_row("op", "config", Some(config));
+    }
+
     /// Checks that the process lives and that an ordinary caller, on a connection of its own, has
     /// its job accepted.
     pub async fn assert_serves(&mut self, when: &str) {
