Pause after a peer's connection could not be accepted

Found by reading, beside the accept loop of callers: without descriptors, accepting a peer's connection fails and was tried again at once, which takes a core. No test shows it, since callers no longer take all descriptors.

--- a/crates/masticfall-entry/src/fleet/peers/channel.rs
+++ b/crates/masticfall-entry/src/fleet/peers/channel.rs
@@ -7,6 +7,7 @@
 use futures_util::{SinkExt, StreamExt};
 use masticfall_core::fleet::config::FleetConfig;
 use masticfall_platform::error::{MalformedSnafu, UnavailableSnafu};
+use masticfall_platform::serve::accept;
 use masticfall_platform::{PlatformError, Result};
 use masticfall_wire::{decode, encode};
 use subtle::ConstantTimeEq;
@@ -140,31 +141,22 @@
 /// Serves peers for as long as the process runs.
 pub async fn serve(fleet: Arc<Fleet>, listener: TcpListener) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let fleet = Arc::clone(&fleet);
-                tokio::spawn(async move {
-                    let handling = handle_request(&fleet, stream);
-                    match timeout(Duration::from_millis(EXCHANGE_TIMEOUT_MS), handling).await {
-                        Ok(Ok(Accepted::Relay(channel))) => relay::serve(fleet, channel).await,
-                        Ok(Ok(Accepted::Submissions(channel))) => {
-                            receive_submissions(fleet, channel).await;
-                        }
-                        Ok(Ok(Accepted::Answered)) => {}
-                        Ok(Err(error)) => {
-                            tracing::debug!(name: "peer.broken_off", %error, "peer connection failed");
-                        }
-                        Err(_elapsed) => {
-                            tracing::debug!(name: "peer.too_slow", "peer request timed out");
-                        }
-                    }
-                });
+        let stream = accept(&listener).await;
+        let fleet = Arc::clone(&fleet);
+        tokio::spawn(async move {
+            let handling = handle_request(&fleet, stream);
+            match timeout(Duration::from_millis(EXCHANGE_TIMEOUT_MS), handling).await {
+                Ok(Ok(Accepted::Relay(channel))) => relay::serve(fleet, channel).await,
+                Ok(Ok(Accepted::Submissions(channel))) => receive_submissions(fleet, channel).await,
+                Ok(Ok(Accepted::Answered)) => {}
+                Ok(Err(error)) => {
+                    tracing::debug!(name: "peer.broken_off", %error, "peer connection failed");
+                }
+                Err(_elapsed) => {
+                    tracing::debug!(name: "peer.too_slow", "peer request timed out");
+                }
             }
-            Err(error) => {
-                tracing::warn!(name: "peer.not_accepted", %error, "failed to accept a peer connection; retrying");
-                tokio::task::yield_now().await;
-            }
-        }
+        });
     }
 }
 
--- a/crates/masticfall-entry/src/peers/inbound.rs
+++ b/crates/masticfall-entry/src/peers/inbound.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use futures_util::StreamExt;
+use masticfall_platform::serve;
 use subtle::ConstantTimeEq;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_tungstenite::accept_hdr_async_with_config;
@@ -23,9 +24,7 @@
 /// Accepts channels from peers; never returns.
 pub async fn accept(node: Arc<Node>, listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
-        };
+        let stream = serve::accept(&listener).await;
         let node = Arc::clone(&node);
         tokio::spawn(async move { serve_channel(&node, stream).await });
     }
--- a/crates/masticfall-platform/src/serve.rs
+++ b/crates/masticfall-platform/src/serve.rs
@@ -79,6 +79,21 @@
     TcpListener::bind(address).await
 }
 
+/// Accepts a connection; after a failure it pauses before the next try.
+pub async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(error) => pause_accepting(&error).await,
+        }
+    }
+}
+
+async fn pause_accepting(error: &io::Error) {
+    tracing::debug!(name: "serve.not_accepted", %error, "failed to accept a connection; retrying");
+    sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+}
+
 /// Serves HTTP to trusted clients, without limits on what they hold, until the phase reaches
 /// [`ServePhase::Drained`].
 pub fn serve<S>(
@@ -132,11 +147,10 @@
         let (stream, client) = match accepted {
             Ok(accepted) => accepted,
             Err(error) => {
-                tracing::debug!(name: "serve.not_accepted", %error, "failed to accept a connection; retrying");
                 if let Some(gate) = gate.as_ref().filter(|_| is_exhausted(&error)) {
                     gate.handle_failed_accept();
                 }
-                sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+                pause_accepting(&error).await;
                 continue;
             }
         };
