Split the admitted connections from the gate

It keeps the account and who gives way; the state of a connection, its charges and their guards are a module of their own.

--- a/crates/masticfall-platform/src/serve.rs
+++ b/crates/masticfall-platform/src/serve.rs
@@ -7,6 +7,7 @@
 //! so connections are driven by `hyper` directly; services keep the library's interface.
 
 mod body;
+mod connection;
 mod gate;
 mod limits;
 mod stream;
@@ -41,7 +42,7 @@
 pub use gate::{Gate, RequestSizes, ServeUsage};
 pub use limits::{ServeLimits, ServeLimitsBuilder};
 
-use gate::{Connection, ConnectionHandle};
+use connection::{Connection, ConnectionHandle};
 use stream::ClientStream;
 
 /// Maximum number of headers in a request.
--- a/crates/masticfall-platform/src/serve/body.rs
+++ b/crates/masticfall-platform/src/serve/body.rs
@@ -8,8 +8,9 @@
 use snafu::Snafu;
 use volo_http::body::Body;
 
+use super::connection::{BodyShare, ConnectionHandle};
 use super::current_connection;
-use super::gate::{BodyShare, ConnectionHandle, NoRoom};
+use super::gate::NoRoom;
 
 /// Size of the blocks in which a body is stored, in bytes. A single size keeps the allocator from
 /// retaining memory of many sizes while bodies grow.
@@ -125,7 +126,7 @@
     };
     match (&result, &handle) {
         (Ok(_), Some(handle)) => handle.record_complete(),
-        (Err(BodyError::NoRoom), Some(handle)) => handle.record_shed_body(),
+        (Err(BodyError::NoRoom), Some(handle)) => handle.gate().record_shed_body(),
         _ => {}
     }
     if matches!(result, Err(BodyError::TooLarge { .. } | BodyError::NoRoom)) {
--- a/crates/masticfall-platform/src/serve/gate.rs
+++ b/crates/masticfall-platform/src/serve/gate.rs
@@ -6,18 +6,16 @@
 
 use std::fmt;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use masticfall_core::shedding::{
-    ConnectionPhase, ConnectionView, Shed, shed_for_connection, shed_for_memory,
-};
+use masticfall_core::shedding::{ConnectionView, Shed, shed_for_connection, shed_for_memory};
 use parking_lot::Mutex;
-use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use super::connection::{Connection, Shared};
 use super::limits::ServeLimits;
 
 /// Memory of a connection with an initial read buffer, in bytes.
@@ -86,65 +84,11 @@
     }
 }
 
-/// State of a connection that the gate and its own tasks share.
-#[derive(Debug)]
-struct Shared {
-    id: u64,
-    phase: AtomicU8,
-    since_ms: AtomicU64,
-    /// Memory besides the body.
-    buffer_bytes: AtomicUsize,
-    body_bytes: AtomicUsize,
-    gives_up_body: AtomicBool,
-    closes: AtomicBool,
-    body_shed: Notify,
-    closed: Notify,
-}
-
-impl Shared {
-    fn phase(&self) -> ConnectionPhase {
-        match self.phase.load(Ordering::Relaxed) {
-            0 => ConnectionPhase::Idle,
-            1 => ConnectionPhase::Receiving,
-            _ => ConnectionPhase::Answering,
-        }
-    }
-
-    fn set_phase(&self, phase: ConnectionPhase) {
-        let code = match phase {
-            ConnectionPhase::Idle => 0,
-            ConnectionPhase::Receiving => 1,
-            ConnectionPhase::Answering => 2,
-        };
-        self.phase.store(code, Ordering::Relaxed);
-    }
-
-    fn view(&self) -> ConnectionView {
-        // A body that is being given up doesn't make room twice.
-        let gives_up_body = self.gives_up_body.load(Ordering::Relaxed);
-        let body_bytes = if gives_up_body { 0 } else { self.body_bytes.load(Ordering::Relaxed) };
-        let since_ms = self.since_ms.load(Ordering::Relaxed);
-        ConnectionView { id: self.id, phase: self.phase(), since_ms, body_bytes }
-    }
-
-    /// Returns the memory that is about to be released, in bytes.
-    fn leaving_bytes(&self) -> usize {
-        let body_bytes = self.body_bytes.load(Ordering::Relaxed);
-        if self.closes.load(Ordering::Relaxed) {
-            body_bytes + self.buffer_bytes.load(Ordering::Relaxed)
-        } else if self.gives_up_body.load(Ordering::Relaxed) {
-            body_bytes
-        } else {
-            0
-        }
-    }
-}
-
 impl State {
     /// Returns the connections that may still be asked to give way.
     fn views(&self) -> impl Iterator<Item = ConnectionView> + '_ {
         let staying = self.connections.values();
-        let staying = staying.filter(|connection| !connection.closes.load(Ordering::Relaxed));
+        let staying = staying.filter(|connection| !connection.is_closing());
         staying.map(|connection| connection.view())
     }
 
@@ -183,7 +127,7 @@
         *self.limits.lock()
     }
 
-    fn now_ms(&self) -> u64 {
+    pub(super) fn now_ms(&self) -> u64 {
         self.started_at.elapsed().as_millis() as u64
     }
 
@@ -215,10 +159,8 @@
     fn poll_admit(self: &Arc<Self>, context: &Context<'_>) -> Poll<Result<Connection>> {
         let mut state = self.state.lock();
         if state.connections.len() >= self.limits().max_connections {
-            let is_one_leaving = state
-                .connections
-                .values()
-                .any(|connection| connection.closes.load(Ordering::Relaxed));
+            let is_one_leaving =
+                state.connections.values().any(|connection| connection.is_closing());
             if !is_one_leaving {
                 let Some(id) = shed_for_connection(state.views()) else {
                     return Poll::Ready(Err(NoRoom));
@@ -231,22 +173,12 @@
         if self.poll_charge(&mut state, None, CONNECTION_BYTES, context)?.is_pending() {
             return Poll::Pending;
         }
-        let shared = Arc::new(Shared {
-            id: state.next_id,
-            phase: AtomicU8::new(0),
-            since_ms: AtomicU64::new(self.now_ms()),
-            buffer_bytes: AtomicUsize::new(CONNECTION_BYTES),
-            body_bytes: AtomicUsize::new(0),
-            gives_up_body: AtomicBool::new(false),
-            closes: AtomicBool::new(false),
-            body_shed: Notify::new(),
-            closed: Notify::new(),
-        });
+        let id = state.next_id;
         state.next_id += 1;
-        state.connections.insert(shared.id, Arc::clone(&shared));
+        let shared = Arc::new(Shared::new(id, self.now_ms(), CONNECTION_BYTES));
+        state.connections.insert(id, Arc::clone(&shared));
         self.usage.connections.store(state.connections.len() as u64, Ordering::Relaxed);
-        let handle = ConnectionHandle { gate: Arc::clone(self), shared };
-        Poll::Ready(Ok(Connection { handle }))
+        Poll::Ready(Ok(Connection::new(Arc::clone(self), shared)))
     }
 
     /// Charges memory to the connection `for_id`, or to a new one, once there is room for it.
@@ -259,7 +191,7 @@
     ) -> Poll<Result<()>> {
         let memory_bytes = self.limits().memory_bytes;
         while state.held_bytes + bytes > memory_bytes {
-            if state.held_bytes + bytes - state.leaving_bytes() <= memory_bytes {
+            if state.held_bytes + bytes <= memory_bytes + state.leaving_bytes() {
                 state.wait(context);
                 return Poll::Pending;
             }
@@ -277,7 +209,50 @@
         Poll::Ready(Ok(()))
     }
 
-    fn release(&self, state: &mut State, bytes: usize) {
+    /// Charges memory to an admitted connection, once there is room for it.
+    pub(super) fn poll_charge_to(
+        &self,
+        id: u64,
+        bytes: usize,
+        context: &Context<'_>,
+    ) -> Poll<Result<()>> {
+        self.poll_charge(&mut self.state.lock(), Some(id), bytes, context)
+    }
+
+    /// Releases memory that was charged.
+    pub(super) fn release(&self, bytes: usize) {
+        self.release_locked(&mut self.state.lock(), bytes);
+    }
+
+    /// Removes a connection, whose charge besides its body is released.
+    pub(super) fn remove(&self, id: u64, bytes: usize) {
+        let mut state = self.state.lock();
+        state.connections.swap_remove(&id);
+        self.usage.connections.store(state.connections.len() as u64, Ordering::Relaxed);
+        self.release_locked(&mut state, bytes);
+    }
+
+    /// Lets a connection stay that may have been told to give way: its request is complete.
+    pub(super) fn keep(&self, connection: &Shared) {
+        // Under the lock, so that nothing chooses this connection meanwhile.
+        let mut state = self.state.lock();
+        if connection.stay_for_answer(self.now_ms()) {
+            // What others wait for isn't released soon.
+            state.wake();
+        }
+    }
+
+    /// Records that a connection was closed, since nothing else made room for it.
+    pub(super) fn record_shed_connection(&self) {
+        self.count(&mut self.state.lock(), &self.usage.shed_connections);
+    }
+
+    /// Records that a request was refused to make room.
+    pub(super) fn record_shed_body(&self) {
+        self.count(&mut self.state.lock(), &self.usage.shed_bodies);
+    }
+
+    fn release_locked(&self, state: &mut State, bytes: usize) {
         state.held_bytes -= bytes;
         self.usage.held_bytes.store(state.held_bytes as u64, Ordering::Relaxed);
         state.wake();
@@ -287,12 +262,8 @@
     fn shed(&self, state: &mut State, shed: Shed) {
         let (Shed::Body(id) | Shed::Connection(id)) = shed;
         let Some(connection) = state.connections.get(&id) else { return };
-        if matches!(shed, Shed::Body(_)) {
-            connection.gives_up_body.store(true, Ordering::Relaxed);
-            connection.body_shed.notify_one();
-        } else {
-            connection.closes.store(true, Ordering::Relaxed);
-            connection.closed.notify_one();
+        connection.give_way(shed);
+        if matches!(shed, Shed::Connection(_)) {
             self.count(state, &self.usage.shed_connections);
         }
     }
@@ -328,181 +299,3 @@
         );
     }
 }
-
-/// A connection that a gate has admitted, until it is dropped.
-#[derive(Debug)]
-pub(super) struct Connection {
-    handle: ConnectionHandle,
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        let ConnectionHandle { gate, shared } = &self.handle;
-        let mut state = gate.state.lock();
-        state.connections.swap_remove(&shared.id);
-        gate.usage.connections.store(state.connections.len() as u64, Ordering::Relaxed);
-        gate.release(&mut state, shared.buffer_bytes.load(Ordering::Relaxed));
-    }
-}
-
-impl Connection {
-    pub(super) fn handle(&self) -> ConnectionHandle {
-        self.handle.clone()
-    }
-}
-
-/// Access to an admitted connection, from its requests too.
-#[derive(Debug, Clone)]
-pub(super) struct ConnectionHandle {
-    gate: Arc<Gate>,
-    shared: Arc<Shared>,
-}
-
-impl ConnectionHandle {
-    pub(super) fn gate(&self) -> &Gate {
-        &self.gate
-    }
-
-    /// Completes when the connection has to close.
-    pub(super) async fn closed(&self) {
-        // A request may have become complete in the meantime.
-        while !self.shared.closes.load(Ordering::Relaxed) {
-            self.shared.closed.notified().await;
-        }
-    }
-
-    /// Completes when the body that is being received has to be given up.
-    pub(super) async fn body_shed(&self) {
-        // The notification may have been for an earlier request.
-        while !self.shared.gives_up_body.load(Ordering::Relaxed) {
-            self.shared.body_shed.notified().await;
-        }
-    }
-
-    fn set_phase(&self, phase: ConnectionPhase) {
-        self.shared.since_ms.store(self.gate.now_ms(), Ordering::Relaxed);
-        self.shared.set_phase(phase);
-    }
-
-    /// Records that bytes of a request have arrived.
-    pub(super) fn record_received(&self) {
-        if self.shared.phase() == ConnectionPhase::Idle {
-            self.set_phase(ConnectionPhase::Receiving);
-        }
-    }
-
-    /// Records that the client has taken a part of an answer.
-    pub(super) fn record_taken(&self) {
-        if self.shared.phase() == ConnectionPhase::Idle {
-            self.set_phase(ConnectionPhase::Idle);
-        }
-    }
-
-    /// Records that a request has been received completely.
-    pub(super) fn record_complete(&self) {
-        // Under the lock, so that nothing chooses this connection meanwhile.
-        let mut state = self.gate.state.lock();
-        self.set_phase(ConnectionPhase::Answering);
-        let gave_up_body = self.shared.gives_up_body.swap(false, Ordering::Relaxed);
-        let was_closing = self.shared.closes.swap(false, Ordering::Relaxed);
-        if gave_up_body || was_closing {
-            // What others wait for isn't released soon.
-            state.wake();
-        }
-    }
-
-    /// Records that the request that was incomplete when it was refused is complete.
-    pub(super) fn record_discarded(&self) {
-        if self.shared.phase() == ConnectionPhase::Receiving {
-            self.set_phase(ConnectionPhase::Idle);
-        }
-    }
-
-    /// Counts a request as being received or answered until the guard is dropped.
-    pub(super) fn begin_request(&self) -> RequestGuard {
-        self.record_received();
-        self.shared.gives_up_body.store(false, Ordering::Relaxed);
-        RequestGuard(self.clone())
-    }
-
-    /// Charges memory for a larger read buffer, once there is room for it.
-    pub(super) fn poll_charge_buffer(
-        &self,
-        context: &Context<'_>,
-        bytes: usize,
-    ) -> Poll<Result<()>> {
-        let charged = self.poll_charge(bytes, context);
-        match charged {
-            Poll::Ready(Ok(())) => {
-                self.shared.buffer_bytes.fetch_add(bytes, Ordering::Relaxed);
-            }
-            Poll::Ready(Err(NoRoom)) => {
-                self.gate.count(&mut self.gate.state.lock(), &self.gate.usage.shed_connections);
-            }
-            Poll::Pending => {}
-        }
-        charged
-    }
-
-    /// Records that a request was refused to make room.
-    pub(super) fn record_shed_body(&self) {
-        self.gate.count(&mut self.gate.state.lock(), &self.gate.usage.shed_bodies);
-    }
-
-    fn poll_charge(&self, bytes: usize, context: &Context<'_>) -> Poll<Result<()>> {
-        let mut state = self.gate.state.lock();
-        self.gate.poll_charge(&mut state, Some(self.shared.id), bytes, context)
-    }
-}
-
-/// Marks the connection as idle when dropped, if its request was complete.
-#[derive(Debug)]
-pub(super) struct RequestGuard(ConnectionHandle);
-
-impl Drop for RequestGuard {
-    fn drop(&mut self) {
-        // A connection on which the rest of a refused request is awaited stays as old as it is.
-        if self.0.shared.phase() == ConnectionPhase::Answering {
-            self.0.set_phase(ConnectionPhase::Idle);
-        }
-    }
-}
-
-/// Memory for a body, which is released when dropped.
-#[derive(Debug)]
-pub(super) struct BodyShare {
-    handle: ConnectionHandle,
-    bytes: usize,
-}
-
-impl BodyShare {
-    pub(super) fn new(handle: ConnectionHandle) -> Self {
-        Self { handle, bytes: 0 }
-    }
-
-    /// Charges more memory, once there is room for it.
-    ///
-    /// # Errors
-    /// [`NoRoom`] if this body is the one to give way.
-    pub(super) async fn grow(&mut self, bytes: usize) -> Result<()> {
-        std::future::poll_fn(|context| self.handle.poll_charge(bytes, context)).await?;
-        self.bytes += bytes;
-        self.handle.shared.body_bytes.fetch_add(bytes, Ordering::Relaxed);
-        Ok(())
-    }
-
-    /// Releases all but this much.
-    pub(super) fn shrink_to(&mut self, bytes: usize) {
-        let released_bytes = self.bytes.saturating_sub(bytes);
-        self.bytes -= released_bytes;
-        let ConnectionHandle { gate, shared } = &self.handle;
-        shared.body_bytes.fetch_sub(released_bytes, Ordering::Relaxed);
-        gate.release(&mut gate.state.lock(), released_bytes);
-    }
-}
-
-impl Drop for BodyShare {
-    fn drop(&mut self) {
-        self.shrink_to(0);
-    }
-}
--- a/crates/masticfall-platform/src/serve/stream.rs
+++ b/crates/masticfall-platform/src/serve/stream.rs
@@ -7,7 +7,8 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-use super::gate::{ConnectionHandle, NoRoom};
+use super::connection::ConnectionHandle;
+use super::gate::NoRoom;
 
 /// Size of the read buffer that a connection begins with, in bytes.
 const INITIAL_BUFFER_BYTES: usize = 8 * 1_024;
