--- a/crates/masticfalld/tests/crowds/calm.rs
+++ b/crates/masticfalld/tests/crowds/calm.rs
@@ -6,10 +6,10 @@
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::bodies::{head, plain, unfinished_chunks};
-use crate::testbed::{Instance, MAX_BODY_BYTES, MAX_HEADER_BYTES, Testbed};
+use crate::testbed::{HANG, Instance, MAX_BODY_BYTES, MAX_HEADER_BYTES, Testbed};
 
 const INSTANCE: Instance = Instance { memory_mib: 64, descriptors: 4_100 };
 
@@ -165,6 +165,29 @@
     testbed.assert_within_instance();
 }
 
+/// A caller without a valid key is answered before its body has been sent.
+#[rstest]
+#[case::unknown_key("api-key: another\r\n", "/q/", StatusCode::UNAUTHORIZED)]
+#[case::no_key("", "/q/", StatusCode::UNAUTHORIZED)]
+#[case::unknown_queue("api-key: key\r\n", "/r/", StatusCode::NOT_FOUND)]
+#[tokio::test]
+async fn large_body_is_not_awaited_in_vain(
+    #[case] key: &str,
+    #[case] prefix: &str,
+    #[case] expected: StatusCode,
+) {
+    let testbed = Testbed::start(INSTANCE).await;
+    let head = format!(
+        "POST {prefix}00000000000000ff HTTP/1.1\r\nhost: 127.0.0.1\r\n{key}\
+         content-length: {MAX_BODY_BYTES}\r\n\r\n"
+    );
+    let request = [head.into_bytes(), vec![b' '; MAX_BODY_BYTES / 2]].concat();
+    let stream = TcpStream::connect(testbed.callers).await.unwrap();
+    let mut connection = BufReader::new(stream);
+    let answer = timeout(HANG, send(&mut connection, &request, request.len())).await;
+    assert_eq!(answer.expect("the process awaits the body"), Some(expected));
+}
+
 /// A head over the configuration's limit is refused, and its job never runs.
 #[tokio::test]
 async fn headers_over_the_limit_are_refused() {
