--- a/crates/masticfall-platform/src/serve/connection.rs
+++ b/crates/masticfall-platform/src/serve/connection.rs
@@ -16,7 +16,7 @@
 
 /// State of a connection that the gate and its own tasks share.
 #[derive(Debug)]
-pub(super) struct Shared {
+pub(super) struct ConnectionState {
     id: u64,
     phase: AtomicU8,
     since_ms: AtomicU64,
@@ -29,7 +29,7 @@
     closed: Notify,
 }
 
-impl Shared {
+impl ConnectionState {
     pub(super) fn new(id: u64, now_ms: u64, buffer_bytes: usize) -> Self {
         Self {
             id,
@@ -112,14 +112,14 @@
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        let ConnectionHandle { gate, shared } = &self.handle;
-        gate.remove(shared.id, shared.buffer_bytes.load(Ordering::Relaxed));
+        let ConnectionHandle { gate, state } = &self.handle;
+        gate.remove(state.id, state.buffer_bytes.load(Ordering::Relaxed));
     }
 }
 
 impl Connection {
-    pub(super) fn new(gate: Arc<Gate>, shared: Arc<Shared>) -> Self {
-        Self { handle: ConnectionHandle { gate, shared } }
+    pub(super) fn new(gate: Arc<Gate>, state: Arc<ConnectionState>) -> Self {
+        Self { handle: ConnectionHandle { gate, state } }
     }
 
     pub(super) fn handle(&self) -> ConnectionHandle {
@@ -131,7 +131,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct ConnectionHandle {
     gate: Arc<Gate>,
-    shared: Arc<Shared>,
+    state: Arc<ConnectionState>,
 }
 
 impl ConnectionHandle {
@@ -142,45 +142,45 @@
     /// Completes when the connection has to close.
     pub(super) async fn closed(&self) {
         // A request may have become complete in the meantime.
-        while !self.shared.closes.load(Ordering::Relaxed) {
-            self.shared.closed.notified().await;
+        while !self.state.closes.load(Ordering::Relaxed) {
+            self.state.closed.notified().await;
         }
     }
 
     /// Completes when the body that is being received has to be given up.
     pub(super) async fn body_shed(&self) {
         // The notification may have been for an earlier request.
-        while !self.shared.gives_up_body.load(Ordering::Relaxed) {
-            self.shared.body_shed.notified().await;
+        while !self.state.gives_up_body.load(Ordering::Relaxed) {
+            self.state.body_shed.notified().await;
         }
     }
 
     fn set_phase(&self, phase: ConnectionPhase) {
-        self.shared.set_phase(phase, self.gate.now_ms());
+        self.state.set_phase(phase, self.gate.now_ms());
     }
 
     /// Records that bytes of a request have arrived.
     pub(super) fn record_received(&self) {
-        if self.shared.phase() == ConnectionPhase::Idle {
+        if self.state.phase() == ConnectionPhase::Idle {
             self.set_phase(ConnectionPhase::Receiving);
         }
     }
 
     /// Records that the client has taken a part of an answer.
     pub(super) fn record_taken(&self) {
-        if self.shared.phase() == ConnectionPhase::Idle {
+        if self.state.phase() == ConnectionPhase::Idle {
             self.set_phase(ConnectionPhase::Idle);
         }
     }
 
     /// Records that a request has been received completely.
     pub(super) fn record_complete(&self) {
-        self.gate.keep(&self.shared);
+        self.gate.keep(&self.state);
     }
 
     /// Records that the request that was incomplete when it was refused is complete.
     pub(super) fn record_discarded(&self) {
-        if self.shared.phase() == ConnectionPhase::Receiving {
+        if self.state.phase() == ConnectionPhase::Receiving {
             self.set_phase(ConnectionPhase::Idle);
         }
     }
@@ -188,7 +188,7 @@
     /// Counts a request as being received or answered until the guard is dropped.
     pub(super) fn begin_request(&self) -> RequestGuard {
         self.record_received();
-        self.shared.gives_up_body.store(false, Ordering::Relaxed);
+        self.state.gives_up_body.store(false, Ordering::Relaxed);
         RequestGuard(self.clone())
     }
 
@@ -201,7 +201,7 @@
         let charged = self.poll_charge(bytes, context);
         match charged {
             Poll::Ready(Ok(())) => {
-                self.shared.buffer_bytes.fetch_add(bytes, Ordering::Relaxed);
+                self.state.buffer_bytes.fetch_add(bytes, Ordering::Relaxed);
             }
             Poll::Ready(Err(NoRoom)) => {
                 self.gate.record_shed_connection();
@@ -212,7 +212,7 @@
     }
 
     fn poll_charge(&self, bytes: usize, context: &Context<'_>) -> Poll<Result<()>> {
-        self.gate.poll_charge_to(self.shared.id, bytes, context)
+        self.gate.poll_charge_to(self.state.id, bytes, context)
     }
 }
 
@@ -223,7 +223,7 @@
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         // A connection on which the rest of a refused request is awaited stays as old as it is.
-        if self.0.shared.phase() == ConnectionPhase::Answering {
+        if self.0.state.phase() == ConnectionPhase::Answering {
             self.0.set_phase(ConnectionPhase::Idle);
         }
     }
@@ -248,7 +248,7 @@
     pub(super) async fn grow(&mut self, bytes: usize) -> Result<()> {
         std::future::poll_fn(|context| self.handle.poll_charge(bytes, context)).await?;
         self.bytes += bytes;
-        self.handle.shared.body_bytes.fetch_add(bytes, Ordering::Relaxed);
+        self.handle.state.body_bytes.fetch_add(bytes, Ordering::Relaxed);
         Ok(())
     }
 
@@ -256,8 +256,8 @@
     pub(super) fn shrink_to(&mut self, bytes: usize) {
         let released_bytes = self.bytes.saturating_sub(bytes);
         self.bytes -= released_bytes;
-        let ConnectionHandle { gate, shared } = &self.handle;
-        shared.body_bytes.fetch_sub(released_bytes, Ordering::Relaxed);
+        let ConnectionHandle { gate, state } = &self.handle;
+        state.body_bytes.fetch_sub(released_bytes, Ordering::Relaxed);
         gate.release(released_bytes);
     }
 }
--- a/crates/masticfall-platform/src/serve/gate.rs
+++ b/crates/masticfall-platform/src/serve/gate.rs
@@ -15,7 +15,7 @@
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
-use super::connection::{Connection, Shared};
+use super::connection::{Connection, ConnectionState};
 use super::limits::ServeLimits;
 
 /// Memory of a connection with an initial read buffer, in bytes.
@@ -52,7 +52,7 @@
 struct State {
     next_id: u64,
     held_bytes: usize,
-    connections: IndexMap<u64, Arc<Shared>>,
+    connections: IndexMap<u64, Arc<ConnectionState>>,
     waiting: Vec<Waker>,
     logged_at: Option<Instant>,
     /// Counts at the time of the last log line: connections and bodies.
@@ -175,10 +175,10 @@
         }
         let id = state.next_id;
         state.next_id += 1;
-        let shared = Arc::new(Shared::new(id, self.now_ms(), CONNECTION_BYTES));
-        state.connections.insert(id, Arc::clone(&shared));
+        let connection = Arc::new(ConnectionState::new(id, self.now_ms(), CONNECTION_BYTES));
+        state.connections.insert(id, Arc::clone(&connection));
         self.usage.connections.store(state.connections.len() as u64, Ordering::Relaxed);
-        Poll::Ready(Ok(Connection::new(Arc::clone(self), shared)))
+        Poll::Ready(Ok(Connection::new(Arc::clone(self), connection)))
     }
 
     /// Charges memory to the connection `for_id`, or to a new one, once there is room for it.
@@ -233,7 +233,7 @@
     }
 
     /// Lets a connection stay that may have been told to give way: its request is complete.
-    pub(super) fn keep(&self, connection: &Shared) {
+    pub(super) fn keep(&self, connection: &ConnectionState) {
         // Under the lock, so that nothing chooses this connection meanwhile.
         let mut state = self.state.lock();
         if connection.stay_for_answer(self.now_ms()) {
