Continue accepted jobs whose queue a configuration removes

Callers saw: jobs that were accepted never ended, in an idle pool.

Cause: the scheduler looks a job's queue up in the configuration in force. A job whose queue was removed has no pool there and is passed over.

Change: a process remembers removed queues, at most 1,000, and gives the scheduler the configuration with them, also after a takeover. Calls of clients are decided by the configuration in force, as before.

--- a/crates/masticfall-core/src/fleet/config.rs
+++ b/crates/masticfall-core/src/fleet/config.rs
@@ -1,5 +1,7 @@
 //! The accepted configuration of the fleet.
 
+use std::sync::Arc;
+
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
@@ -99,6 +101,30 @@
             .max_by_key(|queue| queue.prefix.len())
     }
 
+    /// Returns the queues of an earlier configuration that this one lacks.
+    pub fn removed_queues<'a>(
+        &self,
+        earlier: &'a Self,
+    ) -> impl Iterator<Item = &'a QueueConfig> + use<'a, '_> {
+        earlier.queues.values().filter(|queue| !self.queues.contains_key(&queue.name))
+    }
+
+    /// Returns this configuration as it holds for the jobs that have been accepted: with the
+    /// queues that were removed after their jobs were accepted.
+    pub fn with_removed_queues(
+        self: &Arc<Self>,
+        removed: &IndexMap<QueueName, QueueConfig>,
+    ) -> Arc<Self> {
+        if removed.is_empty() {
+            return Arc::clone(self);
+        }
+        let mut config = Self::clone(self);
+        for (name, queue) in removed {
+            config.queues.entry(name.clone()).or_insert_with(|| queue.clone());
+        }
+        Arc::new(config)
+    }
+
     /// Returns the client account of an API key.
     pub fn account_of(&self, key: &str) -> Option<&AccountName> {
         self.keys.get(&KeyHash::of(key))
--- a/crates/masticfall-entry/src/fleet/context.rs
+++ b/crates/masticfall-entry/src/fleet/context.rs
@@ -7,9 +7,9 @@
 
 use indexmap::IndexMap;
 use masticfall_core::fleet::board::{Board, Now};
-use masticfall_core::fleet::config::FleetConfig;
+use masticfall_core::fleet::config::{FleetConfig, QueueConfig};
 use masticfall_core::fleet::evacuation::Evacuations;
-use masticfall_core::id::{DataCentre, Incarnation, Name, WaveName};
+use masticfall_core::id::{DataCentre, Incarnation, Name, QueueName, WaveName};
 use masticfall_platform::PlatformError;
 use masticfall_platform::fleet::{FleetPlatform, WavePlan};
 use parking_lot::{Mutex, MutexGuard};
@@ -71,6 +71,8 @@
     pub phase: FleetPhase,
     /// Configuration in force.
     pub config: Option<Arc<FleetConfig>>,
+    /// Queues of earlier configurations that the one in force lacks; their accepted jobs go on.
+    pub removed_queues: IndexMap<QueueName, QueueConfig>,
     /// Maintenance waves, with the time at which each was first seen.
     pub waves: IndexMap<WaveName, (WavePlan, u64)>,
     /// Evacuated data centres.
@@ -162,6 +164,7 @@
             config: None,
             waves: IndexMap::new(),
             evacuations: Evacuations::default(),
+            removed_queues: IndexMap::new(),
             load: None,
             ownership: None,
             board: None,
--- a/crates/masticfall-entry/src/fleet/follow.rs
+++ b/crates/masticfall-entry/src/fleet/follow.rs
@@ -37,6 +37,9 @@
 /// milliseconds; the store is slow by up to 240 ms.
 const MAX_FEED_LATENCY_MS: u64 = 400;
 
+/// Maximum number of removed queues that are remembered; the oldest are forgotten.
+const MAX_REMOVED_QUEUES: usize = 1_000;
+
 /// Delay before a failed call is retried, in milliseconds.
 const RETRY_MS: u64 = 150;
 
@@ -192,10 +195,18 @@
     if shared.phase == FleetPhase::Starting {
         shared.phase = FleetPhase::Ready;
     }
-    if let Some(board) = &mut shared.board {
-        board.set_config(Arc::clone(&config));
+    let Shared { config: current, removed_queues, board, .. } = &mut *shared;
+    if let Some(current) = current {
+        let removed = config.removed_queues(current);
+        removed_queues.extend(removed.map(|queue| (queue.name.clone(), queue.clone())));
+    }
+    removed_queues.retain(|name, _| !config.queues.contains_key(name));
+    let excess = removed_queues.len().saturating_sub(MAX_REMOVED_QUEUES);
+    removed_queues.drain(..excess);
+    if let Some(board) = board {
+        board.set_config(config.with_removed_queues(removed_queues));
     }
-    shared.config = Some(config);
+    *current = Some(config);
     drop(shared);
     fleet.board_changed.notify_one();
     fleet.ownership_changed.notify_one();
--- a/crates/masticfall-entry/src/fleet/leadership/load.rs
+++ b/crates/masticfall-entry/src/fleet/leadership/load.rs
@@ -193,8 +193,11 @@
     let now = fleet.now();
     let mut board = Board::new(epoch, timings, now.steady_ms);
     board.set_remote_factor(fleet.settings.remote_factor);
-    if let Some(config) = fleet.config() {
-        board.set_config(config);
+    {
+        let shared = fleet.shared();
+        if let Some(config) = &shared.config {
+            board.set_config(config.with_removed_queues(&shared.removed_queues));
+        }
     }
     let mut rows = indexmap::IndexMap::new();
     for row in progress {
--- a/crates/masticfall-entry/tests/suite/main.rs
+++ b/crates/masticfall-entry/tests/suite/main.rs
@@ -20,6 +20,7 @@
 mod fleet_hostile;
 mod fleet_owners;
 mod fleet_relays;
+mod fleet_removed_queues;
 mod fleet_settings;
 mod fleet_silence;
 mod fleet_slow_store;
