--- a/crates/masticfall-platform/src/serve/limits.rs
+++ b/crates/masticfall-platform/src/serve/limits.rs
@@ -2,8 +2,8 @@
 
 use std::fs;
 
-/// Part of the memory that callers may hold. The allocator keeps up to as much again for a while
-/// when many bodies come and go.
+/// Part of the memory that callers may hold. The rest is for the process itself, and for what the
+/// allocator keeps while many bodies come and go, which can exceed what callers hold.
 const MEMORY_DIVISOR: usize = 6;
 
 /// Part of the memory that callers may hold if a single request takes more than the former.
