--- a/review/standin-3/standin.py
+++ b/review/standin-3/standin.py
@@ -425,6 +425,7 @@
         self.workers = {}
         self.machines = {}
         self.upkeeps = []
+        self.machine_orders = []
         self.waves = {}
         self.provider = HttpServer(self.provide)
         self.on_call_hook = None
@@ -473,6 +474,10 @@
         machine = self.machines.get(name)
         if machine is None:
             return 400, None
+        holder = request.headers.get("masticfall-lease-holder")
+        token = int(request.headers.get("masticfall-fencing-token", "0"))
+        self.machine_orders.append((time.monotonic(), name, request.path, holder, token))
+        self.record(f"provider: {request.path} of {name} by {holder} with token {token}")
         if request.path == "/-/machine-move":
             if machine["pool"] == body["pool"]:
                 return 200, None
@@ -513,6 +518,61 @@
         asyncio.create_task(back())
 
 
+class Link:
+    """The path of one process to one service. While it is cut, bytes are held up.
+
+    As in DEPLOY, Network: "Bytes that are held up by a partition are lost if their sender resets
+    the connection". A connection that its sender closes delivers them once the cut is over. A
+    connection that is opened during a cut never comes about.
+    """
+
+    def __init__(self, target, watch=None):
+        self.target, self.watch = target, watch
+        self.open = asyncio.Event()
+        self.open.set()
+        self.server = None
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0, backlog=512)
+        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+        return self
+
+    def cut(self):
+        self.open.clear()
+
+    def heal(self):
+        self.open.set()
+
+    async def accept(self, reader, writer):
+        if not self.open.is_set():
+            await self.open.wait()
+            writer.transport.abort()
+            return
+        host, port = self.target.split(":")
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        await asyncio.gather(self.pump(reader, far_writer, self.watch), self.pump(far_reader, writer, None))
+
+    async def pump(self, reader, writer, watch):
+        try:
+            while True:
+                data = await reader.read(65536)
+                if watch is not None and data:
+                    watch(data)
+                await self.open.wait()
+                if not data:
+                    writer.write_eof()
+                    return
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, OSError):
+            # The sender has reset the connection, or the other side is gone.
+            writer.transport.abort()
+
+
 class Entry:
     """An entry process, started with the command of the deploy file."""
 
