Log submissions that take effect long after they were sent

The logs of a job that runs after its caller was told that it doesn't exist look the same whether its row was written late or its cancellation was overlooked: the owner logs only that it loaded the job. It now logs the version of the row and the time from the submission to its write, if that is over a second.

--- a/crates/masticfall-entry/src/fleet/follow.rs
+++ b/crates/masticfall-entry/src/fleet/follow.rs
@@ -43,6 +43,10 @@
 /// Delay before a failed call is retried, in milliseconds.
 const RETRY_MS: u64 = 150;
 
+/// Time from a submission to the write of its row from which on that is logged, in
+/// milliseconds; even a slow store takes less.
+const LATE_WRITE_MS: u64 = 1_000;
+
 /// Pause between two reads of the job feed, in milliseconds, so that changes are
 /// read in batches.
 const JOB_FEED_PAUSE_MS: u64 = 8;
@@ -421,8 +425,12 @@
     let id = JobId::from(&*row.key);
     match decode_job(value) {
         Ok(mut record) => {
-            // The wall clock of the process that accepted the job may have jumped.
             let oldest_wall_ms = now.wall_ms.saturating_sub(max_age_ms);
+            let late_ms = oldest_wall_ms.saturating_sub(record.accepted_wall_ms);
+            if late_ms >= LATE_WRITE_MS {
+                tracing::info!(name: "job.stored_late", process = %fleet.incarnation, %id, version = row.version, late_ms, "a submission took effect long after it was sent");
+            }
+            // The wall clock of the process that accepted the job may have jumped.
             record.accepted_wall_ms = record.accepted_wall_ms.max(oldest_wall_ms);
             fleet.update_board(epoch, |board| board.accept(&id, record, now));
         }
