Stop writing a submission long before its ended job is forgotten

Callers saw: a job that had run, had ended and was forgotten ran again, and the submission that caused it was answered as accepted.

Cause: a write of unknown outcome is repeated until the caller's deadline, on the condition that neither the job nor its end is in the store. The end is kept for 120 s; a process that loses the answer and then the store for longer writes the job again. The deadline was whatever the caller named, and was compared with a clock that stands still while the instance is suspended.

Evidence: found by reading; both tests of fleet_late_writes failed before. In the first the job of a submission with a deadline of 300 s, whose process has no store for 150 s, is accepted a second time after its rows are gone. In the second a process writes five times, four of them after a suspension of 60 s.

Fix: a request writes for at most a quarter of the time for which ended jobs are kept, and looks at the clock that includes suspension before each write, the first one too. The rest of that time is more than the store or a connection holds a write back.

--- a/crates/masticfall-entry/src/fleet/jobs.rs
+++ b/crates/masticfall-entry/src/fleet/jobs.rs
@@ -36,6 +36,11 @@
 /// Delay before a write of unknown outcome is retried, in milliseconds.
 const WRITE_RETRY_MS: u64 = 60;
 
+/// Part of the time for which ended jobs are kept that a request may write to the store, whatever
+/// its deadline, as a divisor. A submission must not take effect any more when the row of its
+/// ended job is removed, and the store or a connection may hold its last write back.
+const MAX_WRITE_DIVISOR: u64 = 4;
+
 /// Age after which the reported load is no longer used to refuse jobs, in
 /// milliseconds: three heartbeats of the cell's owner.
 const MAX_LOAD_AGE_MS: u64 = 1_200;
@@ -73,6 +78,8 @@
     /// Part of the path after the queue's prefix.
     pub path_suffix: Name,
     answer_by: Instant,
+    /// The same moment by the process's clock, which includes time spent suspended.
+    answer_by_ms: u64,
 }
 
 impl AdmittedRequest {
@@ -90,8 +97,8 @@
         Err(Refusal::new(ErrorKind::BadRequest, detail))
     }
 
-    fn has_time(&self) -> bool {
-        Instant::now() < self.answer_by
+    fn has_time(&self, fleet: &Fleet) -> bool {
+        Instant::now() < self.answer_by && fleet.now_ms() < self.answer_by_ms
     }
 }
 
@@ -109,14 +116,17 @@
         return Err(Refusal::new(ErrorKind::NotFound, detail));
     };
     let account = account_of(&config, queue, caller.key.as_deref())?;
+    let max_write_ms = fleet.settings.keep_ended_ms / MAX_WRITE_DIVISOR;
     let deadline_ms = caller.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
-    let time_left = Duration::from_millis(deadline_ms.saturating_sub(ANSWER_MARGIN_MS));
+    let left_ms =
+        deadline_ms.min(max_write_ms.max(DEFAULT_DEADLINE_MS)).saturating_sub(ANSWER_MARGIN_MS);
     Ok(AdmittedRequest {
         config_version: config.version,
         queue: queue.name.clone(),
         account,
         path_suffix: Name::from(&caller.path[queue.prefix.len()..]),
-        answer_by: Instant::now() + time_left,
+        answer_by: Instant::now() + Duration::from_millis(left_ms),
+        answer_by_ms: fleet.now_ms() + left_ms,
     })
 }
 
@@ -222,6 +232,14 @@
 ) -> Result<bool> {
     let mut may_be_written = false;
     loop {
+        if !request.has_time(fleet) {
+            return Err(if may_be_written {
+                let detail = "the store did not confirm whether the row was written";
+                Refusal::new(ErrorKind::PlatformUnknown, detail)
+            } else {
+                Refusal::new(ErrorKind::DeadlineNotRun, "no time left to write to the store")
+            });
+        }
         let written =
             timeout_at(request.answer_by, (fleet.platform.transact)(insert.clone())).await;
         // After a timeout the write may still take effect.
@@ -248,10 +266,6 @@
                 may_be_written = true;
             }
         }
-        if !request.has_time() {
-            let detail = "the store did not confirm whether the row was written";
-            return Err(Refusal::new(ErrorKind::PlatformUnknown, detail));
-        }
         sleep(Duration::from_millis(WRITE_RETRY_MS)).await;
     }
 }
--- a/crates/masticfall-entry/tests/suite/main.rs
+++ b/crates/masticfall-entry/tests/suite/main.rs
@@ -18,6 +18,7 @@
 mod fleet_fence;
 mod fleet_hedge;
 mod fleet_hostile;
+mod fleet_late_writes;
 mod fleet_owners;
 mod fleet_relays;
 mod fleet_removed_queues;
