Keep submissions that were cancelled from being stored

Callers saw: a submission got a 504, its caller cancelled the job at another process and was answered 410.

Cause: the insert of a submission was conditional on the absence of the job's rows alone, and a cancellation that found no row stored nothing. A write that the store carries out late, or that the process repeats until the caller's deadline, took effect after the 410.

Fix: a cancellation that finds no job stores a marker before it is answered, on the condition that the job still has no row; submissions are conditional on the marker's absence. Whichever comes first is seen by the other. A marker binds the callers of its client account, or of its open queue, only. The refusal of a submission that meets it renews it, so that no earlier write of the submission outlives it. The owner removes markers by the age of their version; nothing follows their table.

--- a/crates/masticfall-core/src/error.rs
+++ b/crates/masticfall-core/src/error.rs
@@ -57,6 +57,8 @@
     NotFound,
     /// No job with this identifier was accepted.
     NoSuchJob,
+    /// The job was cancelled before it was accepted.
+    JobCancelled,
     /// The method does not apply to the resource.
     MethodNotAllowed,
     /// The body or the headers exceed the size limit.
@@ -123,6 +125,7 @@
             Self::Forbidden => (403, NotRun, None, Debug, "not allowed for this key"),
             Self::NotFound => (404, NotRun, None, Debug, "not found"),
             Self::NoSuchJob => (404, NotRun, None, Debug, "no such job"),
+            Self::JobCancelled => (409, NotRun, None, Debug, "job was cancelled"),
             Self::MethodNotAllowed => (405, NotRun, None, Debug, "method not allowed"),
             Self::TooLarge => (413, NotRun, None, Debug, "request too large"),
             Self::Conflict => (409, NotRun, None, Debug, "state does not allow this"),
--- a/crates/masticfall-entry/src/fleet.rs
+++ b/crates/masticfall-entry/src/fleet.rs
@@ -4,6 +4,7 @@
 //! cell and runs its [`Board`](masticfall_core::fleet::board::Board). All durable
 //! state is kept in the platform's store.
 
+mod cancellations;
 pub mod context;
 mod dispatch;
 mod ended;
--- a/crates/masticfall-entry/src/fleet/follow.rs
+++ b/crates/masticfall-entry/src/fleet/follow.rs
@@ -386,7 +386,7 @@
         return;
     }
     for (row_key, value) in &transaction.writes {
-        let Some(value) = value.clone() else { continue };
+        let Some(value) = value.clone().filter(|_| row_key.table == JOBS_TABLE) else { continue };
         let notice = Notice { key: Name::clone(&row_key.key), value, version, age_ms: 0 };
         if fleet.shared().ownership.is_some() {
             apply_notices(fleet, vec![notice]);
@@ -428,7 +428,7 @@
             let oldest_wall_ms = now.wall_ms.saturating_sub(max_age_ms);
             let late_ms = oldest_wall_ms.saturating_sub(record.accepted_wall_ms);
             if late_ms >= LATE_WRITE_MS {
-                tracing::info!(name: "job.stored_late", process = %fleet.incarnation, %id, version = row.version, late_ms, "a submission took effect long after it was sent");
+                tracing::info!(name: "job.stored_late", process = %fleet.incarnation, job = %id, version = row.version, late_ms, "a submission took effect long after it was sent");
             }
             // The wall clock of the process that accepted the job may have jumped.
             record.accepted_wall_ms = record.accepted_wall_ms.max(oldest_wall_ms);
--- a/crates/masticfall-entry/src/fleet/jobs.rs
+++ b/crates/masticfall-entry/src/fleet/jobs.rs
@@ -15,6 +15,7 @@
 use masticfall_platform::fleet::{FleetRow, RowCommit, RowKey, RowTransaction};
 use tokio::time::{Instant, sleep, timeout_at};
 
+use super::cancellations::{has_job, insert_job, insert_markers, marker_keys, max_marker_age_ms};
 use super::context::Fleet;
 use super::follow;
 use super::rows::{
@@ -77,6 +78,7 @@
     pub account: Option<AccountName>,
     /// Part of the path after the queue's prefix.
     pub path_suffix: Name,
+    is_queue_open: bool,
     answer_by: Instant,
     /// The same moment by the process's clock, which includes time spent suspended.
     answer_by_ms: u64,
@@ -100,6 +102,13 @@
     fn has_time(&self, fleet: &Fleet) -> bool {
         Instant::now() < self.answer_by && fleet.now_ms() < self.answer_by_ms
     }
+
+    /// Returns the keys of the markers that the caller's cancellation of a job leaves, and that
+    /// keep its submission from being stored.
+    fn marker_keys(&self, id: &JobId) -> Vec<RowKey> {
+        let open_queue = Some(&self.queue).filter(|_| self.is_queue_open);
+        marker_keys(id, self.account.as_ref(), open_queue)
+    }
 }
 
 /// Finds the queue of a request and checks its key.
@@ -125,6 +134,7 @@
         queue: queue.name.clone(),
         account,
         path_suffix: Name::from(&caller.path[queue.prefix.len()..]),
+        is_queue_open: queue.is_open,
         answer_by: Instant::now() + Duration::from_millis(left_ms),
         answer_by_ms: fleet.now_ms() + left_ms,
     })
@@ -145,8 +155,8 @@
 /// Accepts a job: stores it unless it was stored before.
 ///
 /// # Errors
-/// A refused job never runs, except with [`ErrorKind::PlatformUnknown`], where the
-/// outcome is unknown.
+/// [`ErrorKind::JobCancelled`] when its caller cancelled it before. A refused job never runs,
+/// except with [`ErrorKind::PlatformUnknown`], where the outcome is unknown.
 pub async fn submit(fleet: &Arc<Fleet>, request: &AdmittedRequest, spec: JobSpec) -> Result<()> {
     let id = request.job()?;
     spec.check().map_err(|error| Refusal::new(ErrorKind::BadRequest, error.to_string()))?;
@@ -168,17 +178,50 @@
         let detail = format!("the job takes {} bytes; the maximum is {MAX_ROW_BYTES}", row.len());
         return Err(Refusal::new(ErrorKind::TooLarge, detail));
     }
-    let insert = RowTransaction {
-        checks: vec![(job_row_key(JOBS_TABLE, &id), 0), (job_row_key(ENDED_TABLE, &id), 0)],
-        writes: vec![(job_row_key(JOBS_TABLE, &id), Some(row))],
-    };
+    let insert = insert_job(&id, &request.marker_keys(&id), row);
     let inserted = insert_once(fleet, request, &id, insert).await;
-    let is_new = inserted.map_err(|refusal| spread_retry(fleet, &id, refusal))?;
+    let is_new = match inserted.map_err(|refusal| spread_retry(fleet, &id, refusal))? {
+        RowCommit::Done(_) => true,
+        RowCommit::Conflict(rows) if has_job(&id, &rows) => false,
+        RowCommit::Conflict(_) => {
+            refuse_cancelled(fleet, request, &id).await?;
+            false
+        }
+    };
     let (queue, config_version) = (&request.queue, request.config_version);
     tracing::info!(name: "job.accepted", process = %fleet.incarnation, job = %id, %queue, config_version, is_new, "job accepted");
     Ok(())
 }
 
+/// Refuses a submission that was cancelled before, unless the job is stored by now.
+///
+/// The markers are renewed first: an earlier write of the submission may still be on its way, and
+/// must not outlive them.
+async fn refuse_cancelled(fleet: &Fleet, request: &AdmittedRequest, id: &JobId) -> Result<()> {
+    let renewed = mark_cancelled(fleet, request, id).await.map_err(|refusal| {
+        let detail = format!("job {id} was cancelled; it may run: {}", refusal.detail);
+        Refusal::new(ErrorKind::PlatformUnknown, detail)
+    })?;
+    if !renewed {
+        return Ok(());
+    }
+    let detail = format!("job {id} was cancelled before it was accepted");
+    let max_age_ms = max_marker_age_ms(fleet.settings.keep_ended_ms);
+    Err(Refusal::new(ErrorKind::JobCancelled, detail).retry_after_ms(max_age_ms))
+}
+
+/// Leaves or renews the markers of a job that isn't stored; returns `false` if it is.
+async fn mark_cancelled(fleet: &Fleet, request: &AdmittedRequest, id: &JobId) -> Result<bool> {
+    let insert = insert_markers(id, &request.marker_keys(id), wall_ms())?;
+    match insert_once(fleet, request, id, insert).await? {
+        RowCommit::Done(version) => {
+            tracing::info!(name: "job.marked_cancelled", process = %fleet.incarnation, job = %id, version, "cancelled a job that isn't stored");
+            Ok(true)
+        }
+        RowCommit::Conflict(_) => Ok(false),
+    }
+}
+
 /// Spreads the callers whose jobs are refused since the store doesn't answer over
 /// [`MAX_RETRY_AFTER_S`] seconds: if all of them came back in the same second, they would be
 /// refused again.
@@ -223,13 +266,14 @@
     Err(Refusal::new(ErrorKind::Overloaded, detail).retry_after_ms(retry_after_ms))
 }
 
-/// Inserts a row unless it exists; returns whether this call inserted it.
+/// Runs a transaction that inserts rows, again if its outcome is unknown; a conflict may then be
+/// with its own rows.
 async fn insert_once(
     fleet: &Fleet,
     request: &AdmittedRequest,
     id: &JobId,
     insert: RowTransaction,
-) -> Result<bool> {
+) -> Result<RowCommit> {
     let mut may_be_written = false;
     loop {
         if !request.has_time(fleet) {
@@ -249,9 +293,9 @@
         match written {
             Ok(RowCommit::Done(version)) => {
                 follow::announce_stored(fleet, &insert, version);
-                return Ok(true);
+                return Ok(RowCommit::Done(version));
             }
-            Ok(RowCommit::Conflict(_)) => return Ok(false),
+            Ok(conflict @ RowCommit::Conflict(_)) => return Ok(conflict),
             Err(
                 error @ (PlatformError::Unavailable { .. }
                 | PlatformError::Rejected { .. }
@@ -341,13 +385,20 @@
 /// Requests a job's cancellation.
 ///
 /// # Errors
-/// [`ErrorKind::NoSuchJob`] when the store has no such job.
+/// [`ErrorKind::NoSuchJob`] when the store has no such job. It then has none later either: a
+/// submission that is still on its way is refused.
 pub async fn cancel(fleet: &Arc<Fleet>, request: &AdmittedRequest) -> Result<()> {
     let id = request.job()?;
-    let (job, version) = match stored_job(fleet, &id).await? {
-        None => return Err(Refusal::new(ErrorKind::NoSuchJob, format!("no job {id}"))),
-        Some(StoredJob::Ended(_)) => return Ok(()),
-        Some(StoredJob::Active(row_key, version)) => (row_key, version),
+    let (job, version) = loop {
+        match stored_job(fleet, &id).await? {
+            Some(StoredJob::Ended(_)) => return Ok(()),
+            Some(StoredJob::Active(row_key, version)) => break (row_key, version),
+            None if mark_cancelled(fleet, request, &id).await? => {
+                return Err(Refusal::new(ErrorKind::NoSuchJob, format!("no job {id}")));
+            }
+            // Stored since it was looked up.
+            None => {}
+        }
     };
     let row = cancel_row_key(&id);
     // A job's row never changes, so a conflict on it means that the job has ended.
@@ -355,7 +406,8 @@
         checks: vec![(row.clone(), 0), (job, version)],
         writes: vec![(row, Some(encode_row(&wall_ms())?))],
     };
-    let is_new = insert_once(fleet, request, &id, insert).await?;
+    let inserted = insert_once(fleet, request, &id, insert).await?;
+    let is_new = matches!(inserted, RowCommit::Done(_));
     tracing::info!(name: "job.cancel_accepted", process = %fleet.incarnation, job = %id, is_new, "cancellation accepted");
     Ok(())
 }
--- a/crates/masticfall-entry/src/fleet/leadership/load.rs
+++ b/crates/masticfall-entry/src/fleet/leadership/load.rs
@@ -14,6 +14,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::{MAX_OVERLAP_MS, evidence, open_rows, send_heartbeats};
+use crate::fleet::cancellations::{self, StoreMoment};
 use crate::fleet::context::{Fleet, Ownership};
 use crate::fleet::fence::{ProgressFence, replace_fence};
 use crate::fleet::rows::{
@@ -85,6 +86,17 @@
     supervise(fleet, epoch, "workers", follow::workers(Arc::clone(fleet), epoch));
     supervise(fleet, epoch, "machines", machines::run(Arc::clone(fleet), ownership));
     supervise(fleet, epoch, "ended", ended::run(Arc::clone(fleet), fence, archived));
+    let loaded_at = StoreMoment { version: jobs_version, at_ms: fleet.now_ms() };
+    let (clock, cell) = (Arc::clone(fleet), Arc::clone(fleet));
+    let cleanup = cancellations::clean_up(
+        fleet.platform.clone(),
+        fleet.settings.page_rows(),
+        fleet.settings.keep_ended_ms,
+        loaded_at,
+        move || clock.now_ms(),
+        move || cell.is_owner(epoch),
+    );
+    supervise(fleet, epoch, "cancellations", cleanup);
 }
 
 /// Runs a task of an owner. If it panics, the process steps down: its state is in doubt,
--- a/crates/masticfall-entry/src/fleet/rows.rs
+++ b/crates/masticfall-entry/src/fleet/rows.rs
@@ -24,6 +24,10 @@
 /// not read it, so that the time of a takeover doesn't grow with completed work.
 pub const ENDED_TABLE: &str = "ended";
 
+/// Table of the markers of cancelled jobs that weren't stored, in the partitions of the jobs.
+/// It has no followers.
+pub const CANCELLED_TABLE: &str = "cancelled";
+
 /// Table of the progress of jobs.
 pub const PROGRESS_TABLE: &str = "progress";
 
--- a/crates/masticfalld/tests/crowds/calm.rs
+++ b/crates/masticfalld/tests/crowds/calm.rs
@@ -1,6 +1,8 @@
 //! Requests within the limits, in calm.
 
 use http::StatusCode;
+use masticfall_adapter::link::HttpClient;
+use masticfall_adapter_serve::client::{Client, SubmitOutcome};
 use masticfall_core::id::JobId;
 use rstest::rstest;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
@@ -9,7 +11,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::bodies::{head, plain, unfinished_chunks};
-use crate::testbed::{HANG, Instance, MAX_BODY_BYTES, MAX_HEADER_BYTES, Testbed};
+use crate::testbed::{HANG, Instance, KEY, MAX_BODY_BYTES, MAX_HEADER_BYTES, Testbed, small_job};
 
 const INSTANCE: Instance = Instance { memory_mib: 64, descriptors: 4_100 };
 
@@ -119,6 +121,20 @@
     testbed.assert_within_instance();
 }
 
+/// A submission that comes after the cancelling of its job was acknowledged: the status of its
+/// refusal must promise that the job never runs.
+#[tokio::test]
+async fn submission_of_a_cancelled_job_is_refused_as_never_run() {
+    let mut testbed = Testbed::start(INSTANCE).await;
+    let job = testbed.new_job();
+    let http_client = HttpClient::default();
+    let client = Client { http_client: &http_client, key: KEY, timeout_ms: 3_000 };
+    assert_eq!(client.cancel(testbed.callers, &job).await, Some(false));
+    let submitted = client.submit(testbed.callers, &job, &small_job()).await;
+    assert_eq!(submitted, SubmitOutcome::Refused(StatusCode::SERVICE_UNAVAILABLE));
+    assert_eq!(client.phase(testbed.callers, &job).await, Some(None), "it is shown nowhere");
+}
+
 /// Headers of the size that the configuration allows, at once and byte by byte.
 #[rstest]
 #[case::at_once(1_000_000)]
