Send no start to a worker that drains, neither a late first one nor a repeated one

Cause: a start of unknown outcome was sent again as long as the worker had a lease, and a first one once its placement was stored, whatever the worker's entry said by then.

Three of four cases of fleet_draining failed before.

Fix: an order to a draining worker is decided as one to an evacuated data centre: one that wasn't sent is dropped, one of unknown outcome is followed by a stop, after which the worker refuses the run, and the task is placed elsewhere.

--- a/crates/masticfall-core/src/fleet/board.rs
+++ b/crates/masticfall-core/src/fleet/board.rs
@@ -12,6 +12,7 @@
 mod evacuation;
 mod evidence;
 mod job;
+mod leaving;
 mod near;
 mod notice;
 mod pace;
--- a/crates/masticfall-core/src/fleet/board/evacuation.rs
+++ b/crates/masticfall-core/src/fleet/board/evacuation.rs
@@ -2,7 +2,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::{Board, OrderState, StopReason};
+use super::{Board, StopReason};
 use crate::fleet::spec::{Resources, TaskKey};
 use crate::id::{DataCentre, PoolName, WorkerId};
 
@@ -24,7 +24,7 @@
             worker.is_evacuated = self.evacuated.contains(&worker.facts.data_centre);
         }
         self.needs_placement = true;
-        self.withdraw_evacuated(now_ms);
+        self.withdraw_from_leaving(now_ms);
     }
 
     /// Returns the evacuated data centres.
@@ -39,34 +39,6 @@
         }
     }
 
-    /// Returns whether a worker is in an evacuated data centre.
-    pub(super) fn is_evacuated(&self, id: &WorkerId) -> bool {
-        self.workers.get(id).is_some_and(|worker| worker.is_evacuated)
-    }
-
-    /// Withdraws start orders to evacuated workers: one that wasn't sent is dropped, one of
-    /// unknown outcome is followed by a stop order, since the worker may carry it out
-    /// seconds later.
-    pub(super) fn withdraw_evacuated(&mut self, now_ms: u64) {
-        if self.evacuated.is_empty() {
-            return;
-        }
-        let workers = self.workers.values().filter(|worker| worker.is_evacuated);
-        let placed = workers.flat_map(|worker| worker.placements.iter());
-        let is_pending = |key: &&TaskKey| {
-            self.run(key).is_some_and(|run| match run.order {
-                OrderState::Unstored => true,
-                OrderState::Unknown(_) => run.stop_sent_ms.is_none(),
-                _ => false,
-            })
-        };
-        let pending: Vec<TaskKey> = placed.filter(is_pending).cloned().collect();
-        for key in pending {
-            self.stop(&key, StopReason::Evacuation, now_ms);
-            self.break_up_gang(&key, now_ms);
-        }
-    }
-
     /// Stops long-running tasks on evacuated workers, so that they restart elsewhere, as far
     /// as the `max_unavailable` of their steps allows now. A task that no other worker has
     /// room for stays: it would only become unavailable.
--- a/crates/masticfall-core/src/fleet/board/notice.rs
+++ b/crates/masticfall-core/src/fleet/board/notice.rs
@@ -22,6 +22,8 @@
     Maintenance,
     /// The worker's data centre is evacuated.
     Evacuation,
+    /// The worker drains.
+    Draining,
 }
 
 /// Why a crash no longer counts against a task.
--- a/crates/masticfall-core/src/fleet/board/store.rs
+++ b/crates/masticfall-core/src/fleet/board/store.rs
@@ -151,13 +151,14 @@
     }
 
     /// Returns a gang to the waiting state if one of its members no longer fits, or its worker
-    /// is evacuated, and no order was sent.
+    /// leaves, and no order was sent.
     fn withdraw_unfit_gang(&mut self, key: &TaskKey) {
         let placements = self.gang_placements(key);
         let is_unsent = |(key, _): &(TaskKey, WorkerId)| {
             self.run(key).is_some_and(|run| run.order == OrderState::Unstored)
         };
-        let is_unfit = |id: &WorkerId| self.is_overcommitted(id) || self.is_evacuated(id);
+        let is_unfit =
+            |id: &WorkerId| self.is_overcommitted(id) || self.leaving_reason(id).is_some();
         let has_unfit = placements.iter().any(|(_, worker)| is_unfit(worker));
         if has_unfit && placements.iter().all(is_unsent) {
             for (key, _) in placements {
@@ -246,15 +247,15 @@
         let lease = worker.and_then(|worker| worker.lease(now_ms, lease_ms));
         let is_gang = self.is_gang(key);
         let is_too_large = self.is_overcommitted(&worker_id) && !(is_unsent && is_gang);
-        let is_evacuated = self.is_evacuated(&worker_id);
+        let leaving_reason = self.leaving_reason(&worker_id);
         let is_outdated = is_unsent && self.has_restarted_since(key);
-        let is_unfit = is_too_large || is_evacuated || is_outdated;
+        let is_unfit = is_too_large || leaving_reason.is_some() || is_outdated;
         let Some(lease_deadline_ms) = lease.filter(|_| !is_final && !is_unfit) else {
             if is_unsent {
                 self.requeue(key, None);
                 self.break_up_gang(key, now_ms);
-            } else if is_evacuated {
-                self.stop(key, StopReason::Evacuation, now_ms);
+            } else if let Some(reason) = leaving_reason {
+                self.stop(key, reason, now_ms);
             } else if is_too_large {
                 self.stop(key, StopReason::Stray, now_ms);
             }
--- a/crates/masticfall-core/src/fleet/board/time.rs
+++ b/crates/masticfall-core/src/fleet/board/time.rs
@@ -17,7 +17,7 @@
     /// Advances the board to the given time.
     pub fn advance(&mut self, now: Now) {
         self.begin_occurrences(now);
-        self.withdraw_evacuated(now.steady_ms);
+        self.withdraw_from_leaving(now.steady_ms);
         self.resend_orders(now.steady_ms);
         self.forget_ended_suspects();
         self.expire_leases(now.steady_ms);
--- a/crates/masticfall-core/tests/suite/main.rs
+++ b/crates/masticfall-core/tests/suite/main.rs
@@ -9,6 +9,7 @@
 mod fleet_capacity;
 mod fleet_counts;
 mod fleet_crashes;
+mod fleet_draining;
 mod fleet_early;
 mod fleet_early_rules;
 mod fleet_early_world;
