Answer in time when a write of unknown outcome isn't repeated

The loop slept for 60 ms before it found that the caller's deadline had passed. It now ends at that moment, and its condition says how long it goes on.

--- a/crates/masticfall-entry/src/fleet/jobs.rs
+++ b/crates/masticfall-entry/src/fleet/jobs.rs
@@ -13,7 +13,7 @@
 use masticfall_platform::PlatformError;
 use masticfall_platform::error::UnknownSnafu;
 use masticfall_platform::fleet::{FleetRow, RowCommit, RowKey, RowTransaction};
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use super::cancellations::{has_job, insert_job, insert_markers, marker_keys, max_marker_age_ms};
 use super::context::Fleet;
@@ -37,9 +37,10 @@
 /// Delay before a write of unknown outcome is retried, in milliseconds.
 const WRITE_RETRY_MS: u64 = 60;
 
-/// Part of the time for which ended jobs are kept that a request may write to the store, whatever
-/// its deadline, as a divisor. A submission must not take effect any more when the row of its
-/// ended job is removed, and the store or a connection may hold its last write back.
+/// Divisor of the time for which ended jobs are kept that gives the maximum time for which a
+/// request writes to the store, whatever its deadline. The rest of that time is for writes that
+/// the store or a connection holds back: none may take effect once the row of the ended job is
+/// removed.
 const MAX_WRITE_DIVISOR: u64 = 4;
 
 /// Age after which the reported load is no longer used to refuse jobs, in
@@ -266,8 +267,8 @@
     Err(Refusal::new(ErrorKind::Overloaded, detail).retry_after_ms(retry_after_ms))
 }
 
-/// Runs a transaction that inserts rows, again if its outcome is unknown; a conflict may then be
-/// with its own rows.
+/// Runs a transaction that inserts rows, and repeats it if its outcome is unknown. A conflict may
+/// then be with its own rows.
 async fn insert_once(
     fleet: &Fleet,
     request: &AdmittedRequest,
@@ -275,15 +276,7 @@
     insert: RowTransaction,
 ) -> Result<RowCommit> {
     let mut may_be_written = false;
-    loop {
-        if !request.has_time(fleet) {
-            return Err(if may_be_written {
-                let detail = "the store did not confirm whether the row was written";
-                Refusal::new(ErrorKind::PlatformUnknown, detail)
-            } else {
-                Refusal::new(ErrorKind::DeadlineNotRun, "no time left to write to the store")
-            });
-        }
+    while request.has_time(fleet) {
         let written =
             timeout_at(request.answer_by, (fleet.platform.transact)(insert.clone())).await;
         // After a timeout the write may still take effect.
@@ -310,8 +303,15 @@
                 may_be_written = true;
             }
         }
-        sleep(Duration::from_millis(WRITE_RETRY_MS)).await;
+        let retry_at = Instant::now() + Duration::from_millis(WRITE_RETRY_MS);
+        sleep_until(retry_at.min(request.answer_by)).await;
     }
+    Err(if may_be_written {
+        let detail = "the store did not confirm whether the row was written";
+        Refusal::new(ErrorKind::PlatformUnknown, detail)
+    } else {
+        Refusal::new(ErrorKind::DeadlineNotRun, "no time left to write to the store")
+    })
 }
 
 /// What a caller learns of a job.
